--- /dev/null
+++ b/crates/gs-admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration API.
--- /dev/null
+++ b/crates/gs-admin/src/main.rs
@@ -0,0 +1,3 @@
+//! The administration API.
+
+fn main() {}
--- /dev/null
+++ b/crates/gs-control/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Claims that let a non-idempotent request run at most once.
--- /dev/null
+++ b/crates/gs-control/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which entries are alive.
--- /dev/null
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash the backend servers that run them.
--- /dev/null
+++ b/crates/gs-control/src/reclaim/mod.rs
@@ -0,0 +1,1 @@
+//! Cancel orders that are repeated until the engine has acknowledged them.
--- /dev/null
+++ b/crates/gs-control/src/roles/mod.rs
@@ -0,0 +1,1 @@
+//! Roles and models of engines, ordered by one lease holder.
--- /dev/null
+++ b/crates/gs-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command line.
--- /dev/null
+++ b/crates/gs-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/gs-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon.
--- /dev/null
+++ b/crates/gs-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/gs-platform/src/lib.rs
@@ -0,0 +1,10 @@
+//! The platform's object service as the processes see it.
+//!
+//! [`Platform`] is the edge: decisions never see HTTP. The one adapter for the published protocol is
+//! in its own module.
+
+mod error;
+mod platform;
+
+pub use error::PlatformError;
+pub use platform::{ObjectValue, Platform, WriteCondition};
--- /dev/null
+++ b/crates/gs-protocol/src/lib.rs
@@ -0,0 +1,13 @@
+//! Types that the processes share: identities, units, messages, object kinds and typed refusals.
+//!
+//! This crate depends on no other crate of the workspace.
+
+pub mod caller;
+pub mod engine;
+pub mod ids;
+pub mod objects;
+pub mod platform;
+pub mod prefix;
+pub mod refusal;
+pub mod service;
+pub mod vm;
--- /dev/null
+++ b/crates/gs-protocol/src/objects.rs
@@ -0,0 +1,69 @@
+//! The system's own kinds of objects and their keys in the platform's service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{OperationId, OperatorName, SequenceNumber};
+
+/// The key of an environment's head.
+pub fn head_key(environment: &str) -> String {
+    format!("gs/{environment}/head")
+}
+
+/// The key of one record of an environment's history.
+pub fn history_key(environment: &str, sequence: SequenceNumber) -> String {
+    format!("gs/{environment}/history/{:012}", sequence.0)
+}
+
+/// The key of a document's bytes, shared by all environments.
+pub fn body_key(digest: &str) -> String {
+    format!("gs/bodies/{digest}")
+}
+
+/// The key of what an entry reports of itself.
+pub fn status_key(environment: &str, entry: &str) -> String {
+    format!("gs/{environment}/status/{entry}")
+}
+
+/// The key of a shard of claims.
+pub fn shard_key(environment: &str, shard: u32) -> String {
+    format!("gs/{environment}/claims/{shard:04}")
+}
+
+/// The key of a lease.
+pub fn lease_key(environment: &str, duty: &str) -> String {
+    format!("gs/{environment}/leases/{duty}")
+}
+
+/// Which document is in force in an environment, and how it came to be.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct HeadRecord {
+    /// The place in the environment's history; only ever grows.
+    pub sequence: SequenceNumber,
+    /// The digest of the document's bytes, as `sha256:` and hexadecimal digits.
+    pub digest: String,
+    /// The digest before this one.
+    pub previous: Option<String>,
+    /// Milliseconds since 1970 at acceptance.
+    pub accepted_at_ms: u64,
+    /// Who had it accepted.
+    pub operator: OperatorName,
+    /// The operation, which a repeat carries again.
+    pub operation: OperationId,
+    /// Whether the document is a roll-back to earlier bytes.
+    pub roll_back: bool,
+}
+
+/// What an entry says of the document that it applies.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct StatusRecord {
+    /// The start of the entry.
+    pub incarnation: u64,
+    /// The sequence number in force at the entry.
+    pub sequence: SequenceNumber,
+    /// The digest in force at the entry.
+    pub digest: String,
+    /// Milliseconds since 1970 at which it came into force there.
+    pub since_ms: u64,
+}
--- /dev/null
+++ b/crates/gs-standin/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! A model engine that prefills and decodes at modelled speed.
--- /dev/null
+++ b/crates/gs-standin/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins of engines, services and the platform, and a load tool. For development only.
+
+pub mod engine;
+pub mod load;
+pub mod platform;
+pub mod relay;
+pub mod service;
--- /dev/null
+++ b/crates/gs-standin/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Drives callers with open-loop arrivals and prints the measures.
--- /dev/null
+++ b/crates/gs-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins of engines, services and the platform, and a load tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/gs-standin/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's object service and VM list.
--- /dev/null
+++ b/crates/gs-standin/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! A TCP relay that delays, cuts and silences connections.
--- /dev/null
+++ b/crates/gs-standin/src/service/mod.rs
@@ -0,0 +1,1 @@
+//! A plain service that records what it ran.
