Add the stand-in engine and service

Tests and the demonstration need backend servers that follow the published protocols. The engine models continuous batching, chunked prefill by priority, a prefix cache in limited memory, results with a time to live, rate-limited transfers, lagging load and cache events with gaps; faults are switched by POST /control/faults. One lock guards the state: finer locks were ruled out, as each call and step holds it for microseconds. The seed of a request without one, the hash of its prompt, joins the prefix module since router and callers must agree on it. Tried by hand with both roles; no tests yet.

--- a/crates/gs-protocol/src/prefix.rs
+++ b/crates/gs-protocol/src/prefix.rs
@@ -1,7 +1,7 @@
 //! Prompt sizes and prefix hashes, counted alike by routers and engines.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Bytes of text that count as one token.
 pub const TOKEN_BYTES: usize = 4;
@@ -27,6 +27,11 @@
     u32::try_from(text.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX)
 }
 
+/// The seed of a request that names none: determined by its prompt.
+pub fn seed_prompt(prompt: &str) -> u64 {
+    xxh3_64(prompt.as_bytes())
+}
+
 /// Pieces of engine memory that a number of tokens takes.
 pub fn count_pieces(tokens: u32) -> u32 {
     tokens.div_ceil(PIECE_TOKENS)
--- a/crates/gs-standin/src/engine/mod.rs
+++ b/crates/gs-standin/src/engine/mod.rs
@@ -1,1 +1,29 @@
 //! A model engine that prefills and decodes at modelled speed.
+//!
+//! All times are modelled: no model is run and no KV cache exists. A transfer between two engines
+//! takes as long as the cache's bytes would take on the slower of both links, while the body that
+//! really crosses the socket is a small JSON object.
+
+mod batch;
+mod cancels;
+mod events;
+mod faults;
+mod guard;
+mod http;
+mod import;
+mod load;
+mod memory;
+mod options;
+mod prefill;
+mod runs;
+mod server;
+mod state;
+mod text;
+mod timers;
+mod transfer;
+
+pub use faults::{FaultSwitches, FaultUpdate};
+pub use options::{EngineOptions, engine_options};
+pub use runs::{EngineRun, EngineRuns, EngineTotals};
+pub use server::{EngineServer, run};
+pub use text::expected_token;
--- /dev/null
+++ b/crates/gs-standin/src/error.rs
@@ -0,0 +1,29 @@
+//! What can go wrong with a stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+
+/// Why a stand-in could not start or run.
+#[derive(Debug, thiserror::Error)]
+pub enum StandinError {
+    /// The address cannot be listened on.
+    #[error("address {address} cannot be listened on")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The server ended with an error.
+    #[error("the server failed")]
+    Serve {
+        /// Why.
+        source: io::Error,
+    },
+    /// A role that does not exist.
+    #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
+    UnknownRole {
+        /// What was given.
+        text: String,
+    },
+}
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -1,3 +1,54 @@
 //! Stand-ins of engines, services and the platform, and a load tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use env_logger::Env;
+use error_stack::Report;
+use gs_standin::StandinError;
+use gs_standin::engine::{self, EngineOptions, engine_options};
+use gs_standin::service::{self, ServiceOptions, service_options};
+use log::error;
+
+/// Stand-ins for development: engines and services at modelled speed.
+///
+/// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+enum StandinCommand {
+    /// A model engine that prefills or decodes
+    ///
+    /// Examples:
+    ///   gs-standin engine --role prefill --model care-notes
+    ///   gs-standin engine --role decode --max-streams 4 --step-base-us 2000
+    #[bpaf(command("engine"))]
+    Engine(#[bpaf(external(engine_options))] EngineOptions),
+    /// A plain service that records what it ran
+    ///
+    /// Example:
+    ///   gs-standin service --name counter-desk --run-ms 5
+    #[bpaf(command("service"))]
+    Service(#[bpaf(external(service_options))] ServiceOptions),
+}
+
+/// What is logged without `RUST_LOG`.
+const LOG_FILTER: &str = "info,actix_server=warn";
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(Env::default().default_filter_or(LOG_FILTER)).init();
+    match run(standin_command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            error!(target: "standin", cause:? = report; "failed");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: StandinCommand) -> Result<(), Report<StandinError>> {
+    match command {
+        StandinCommand::Engine(options) => engine::run(options)?,
+        StandinCommand::Service(options) => service::run(options)?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gs-standin/src/service/http.rs
@@ -0,0 +1,170 @@
+//! The service's HTTP calls.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use actix_web::error::InternalError;
+use actix_web::http::StatusCode;
+use actix_web::{Error, HttpRequest, HttpResponse, web};
+use bytes::Bytes;
+use futures_util::stream;
+use gs_protocol::service::{ATTEMPT_HEADER, KEY_HEADER, NOT_RUN_HEADER};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::faults::{ServiceFaults, ServiceUpdate};
+use super::runs::ServiceLog;
+
+/// Bytes of a request's body at most.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// The answer to a request that ran.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ServiceAnswer {
+    /// The service that ran it.
+    pub service: String,
+    /// The run's number at this service, from 1.
+    pub run: u64,
+    /// The path.
+    pub path: String,
+    /// The attempt that was run.
+    pub attempt: Option<String>,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// The request's body, if it was JSON.
+    pub echo: Option<Box<RawValue>>,
+}
+
+/// The connection was closed on purpose.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the connection was closed without an answer")]
+struct AnswerDropped;
+
+/// What the threads share.
+#[derive(Debug)]
+pub struct ServiceShared {
+    name: String,
+    run_time: Duration,
+    state: Mutex<ServiceState>,
+}
+
+/// What the service remembers, and its faults.
+#[derive(Debug, Default)]
+struct ServiceState {
+    log: ServiceLog,
+    faults: ServiceFaults,
+}
+
+impl ServiceShared {
+    /// A service that has run nothing.
+    pub fn new(name: String, run_time: Duration) -> Self {
+        Self {
+            name,
+            run_time,
+            state: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Adds the service's calls to an application.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::PayloadConfig::new(BODY_LIMIT))
+        .route("/ready", web::get().to(HttpResponse::Ok))
+        .route("/control/faults", web::post().to(set_faults))
+        .route("/control/faults", web::get().to(read_faults))
+        .route("/control/runs", web::get().to(read_runs))
+        .default_service(web::route().to(serve));
+}
+
+async fn serve(
+    shared: web::Data<ServiceShared>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let faults = shared.lock().faults;
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
+    if faults.refuse {
+        return drop_connection();
+    }
+    if faults.not_run {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header((NOT_RUN_HEADER, "true"))
+            .finish();
+    }
+    let answer = record_run(&shared, &request, &body);
+    let time = shared.run_time + Duration::from_millis(faults.slow_ms);
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+    if take_dropped_answer(&shared) {
+        return drop_connection();
+    }
+    let mut response = HttpResponse::Ok();
+    if let Some(attempt) = &answer.attempt {
+        response.insert_header((ATTEMPT_HEADER, attempt.as_str()));
+    }
+    response.json(answer)
+}
+
+fn record_run(shared: &ServiceShared, request: &HttpRequest, body: &[u8]) -> ServiceAnswer {
+    let attempt = read_header(request, ATTEMPT_HEADER);
+    let key = read_header(request, KEY_HEADER);
+    let path = request.path().to_owned();
+    let run = shared
+        .lock()
+        .log
+        .record(&path, key.as_deref(), attempt.as_deref());
+    ServiceAnswer {
+        service: shared.name.clone(),
+        run,
+        path,
+        attempt,
+        key,
+        echo: serde_json::from_slice(body).ok(),
+    }
+}
+
+fn read_header(request: &HttpRequest, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+fn take_dropped_answer(shared: &ServiceShared) -> bool {
+    let mut state = shared.lock();
+    let left = &mut state.faults.drop_answer_after_run;
+    let dropped = *left > 0;
+    *left = left.saturating_sub(1);
+    dropped
+}
+
+/// An answer whose body fails at once, which makes the server close the connection.
+fn drop_connection() -> HttpResponse {
+    let error = InternalError::new(AnswerDropped, StatusCode::INTERNAL_SERVER_ERROR);
+    let body = stream::once(async { Err::<Bytes, Error>(error.into()) });
+    HttpResponse::Ok().streaming(Box::pin(body))
+}
+
+async fn set_faults(
+    shared: web::Data<ServiceShared>,
+    update: web::Json<ServiceUpdate>,
+) -> HttpResponse {
+    let mut state = shared.lock();
+    state.faults.apply(*update);
+    HttpResponse::Ok().json(state.faults)
+}
+
+async fn read_faults(shared: web::Data<ServiceShared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.lock().faults)
+}
+
+async fn read_runs(shared: web::Data<ServiceShared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.lock().log.read())
+}
--- a/crates/gs-standin/src/service/mod.rs
+++ b/crates/gs-standin/src/service/mod.rs
@@ -1,1 +1,12 @@
 //! A plain service that records what it ran.
+
+mod faults;
+mod http;
+mod options;
+mod runs;
+mod server;
+
+pub use faults::{ServiceFaults, ServiceUpdate};
+pub use options::{ServiceOptions, service_options};
+pub use runs::{AttemptRuns, KeyRuns, ServiceRuns};
+pub use server::{ServiceServer, run};
