Add the platform stand-in, its HTTP adapter and an in-memory fake

Cause: every process needs the platform's object service, and tests need to bring about its faults on purpose.

Change: gs-standin platform serves the published protocol with one revision counter, conditional updates, long-poll watches, rate limits (a waiting watch counts once), a lagging VM list and switches for outages, slowness and answers lost after the effect. HttpPlatform maps each failure to what it leaves open: only a failure to connect means that nothing was sent, and a server error or an unreadable answer to a write stays unsettled. The store itself stands once, in gs_platform::memory, for stand-in and fake.

Ruled out: refusing connections in an outage by closing the listener (the port could be taken meanwhile); the connection is closed unanswered instead.

--- a/crates/gs-platform/src/error.rs
+++ b/crates/gs-platform/src/error.rs
@@ -1,9 +1,10 @@
 //! What can go wrong with a call to the platform's service.
 
 use gs_protocol::ids::ObjectVersion;
+use thiserror::Error;
 
 /// Why a call failed. Only [`PlatformError::Unsettled`] leaves it open whether a write took effect.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum PlatformError {
     /// The object has another version than the write asked for; nothing was written.
     #[error("object \"{key}\" is not at version {expected:?}")]
--- a/crates/gs-platform/src/lib.rs
+++ b/crates/gs-platform/src/lib.rs
@@ -4,7 +4,10 @@
 //! in its own module.
 
 mod error;
+mod http;
+pub mod memory;
 mod platform;
 
 pub use error::PlatformError;
+pub use http::{HttpPlatform, HttpPlatformOptions};
 pub use platform::{ObjectValue, Platform, WriteCondition};
--- /dev/null
+++ b/crates/gs-platform/tests/http_adapter.rs
@@ -0,0 +1,158 @@
+//! The adapter against the platform stand-in: what each fault leaves open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_platform::{HttpPlatform, HttpPlatformOptions, Platform, PlatformError, WriteCondition};
+use gs_protocol::ids::ObjectVersion;
+use gs_standin::platform::{
+    CallStats, FaultSwitches, OutageKind, PlatformHandle, PlatformOptions, start,
+};
+use test_case::test_case;
+
+const KEY: &str = "gs/trial/a key: ü";
+
+fn start_standin() -> (PlatformHandle, HttpPlatform) {
+    let handle = start(&PlatformOptions::default()).expect("the stand-in starts");
+    let platform = connect(handle.address());
+    (handle, platform)
+}
+
+fn connect(address: SocketAddr) -> HttpPlatform {
+    let mut options = HttpPlatformOptions::new(address);
+    options.answer_timeout = Duration::from_millis(300);
+    HttpPlatform::new(options)
+}
+
+async fn switch(handle: &PlatformHandle, faults: FaultSwitches) {
+    let url = format!("http://{}/control/faults", handle.address());
+    let sent = awc::Client::default().post(url).send_json(&faults).await;
+    assert!(
+        sent.expect("the control call is answered")
+            .status()
+            .is_success()
+    );
+}
+
+fn conflict(expected: Option<u64>) -> PlatformError {
+    PlatformError::Conflict {
+        key: KEY.to_owned(),
+        expected: expected.map(ObjectVersion),
+    }
+}
+
+#[actix_rt::test]
+async fn writes_are_conditional_and_versions_only_grow() {
+    let (handle, platform) = start_standin();
+    let absent = WriteCondition::Absent;
+    let first = platform.write(KEY, Bytes::from_static(b"1"), absent).await;
+    assert_eq!(first, Ok(ObjectVersion(1)));
+    let again = platform.write(KEY, Bytes::from_static(b"2"), absent).await;
+    assert_eq!(again, Err(conflict(None)));
+    platform
+        .remove(KEY, ObjectVersion(1))
+        .await
+        .expect("removed");
+    let anew = platform.write(KEY, Bytes::from_static(b"3"), absent).await;
+    assert_eq!(anew, Ok(ObjectVersion(3)));
+    let stale = WriteCondition::Version(ObjectVersion(1));
+    let stale = platform.write(KEY, Bytes::from_static(b"4"), stale).await;
+    assert_eq!(stale, Err(conflict(Some(1))));
+    let object = platform.read(KEY).await.expect("read").expect("present");
+    assert_eq!((object.version.0, object.value.as_ref()), (3, &b"3"[..]));
+    let list = platform.list("gs/trial/").await.expect("listed");
+    assert_eq!((list.objects.len(), list.revision), (1, 3));
+    handle.close().await;
+}
+
+#[actix_rt::test]
+async fn a_watch_answers_at_the_change_and_gives_removals() {
+    let (handle, platform) = start_standin();
+    let wait = Duration::from_secs(20);
+    let writer = connect(handle.address());
+    let write = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        writer
+            .write(KEY, Bytes::new(), WriteCondition::Absent)
+            .await
+    };
+    let (seen, _) = futures_util::join!(platform.watch("gs/", 0, wait), write);
+    assert_eq!(seen.expect("watched").changes[0].version, ObjectVersion(1));
+    platform
+        .remove(KEY, ObjectVersion(1))
+        .await
+        .expect("removed");
+    let removed = platform.watch("gs/", 1, wait).await.expect("watched");
+    assert_eq!((removed.changes[0].version.0, removed.revision), (0, 2));
+    handle.close().await;
+}
+
+fn outage(outage: OutageKind) -> FaultSwitches {
+    FaultSwitches {
+        outage,
+        ..FaultSwitches::default()
+    }
+}
+
+fn unsettled() -> PlatformError {
+    PlatformError::Unsettled {
+        key: KEY.to_owned(),
+    }
+}
+
+#[test_case(outage(OutageKind::Refuse), PlatformError::Refused { status: 503 }, false; "refused with 503")]
+#[test_case(outage(OutageKind::Close), unsettled(), false; "closed with no effect")]
+#[test_case(outage(OutageKind::Silent), unsettled(), false; "never answered")]
+#[test_case(FaultSwitches { lose_answers: 1, ..Default::default() }, unsettled(), true; "answer lost after the effect")]
+#[test_case(FaultSwitches { slow_answer_ms: 900, ..Default::default() }, unsettled(), true; "answer late")]
+#[actix_rt::test]
+async fn a_fault_maps_to_what_it_leaves_open(
+    faults: FaultSwitches,
+    expected: PlatformError,
+    effect: bool,
+) {
+    let (handle, platform) = start_standin();
+    switch(&handle, faults).await;
+    let written = platform
+        .write(KEY, Bytes::new(), WriteCondition::Absent)
+        .await;
+    assert_eq!(written, Err(expected));
+    switch(&handle, FaultSwitches::default()).await;
+    let object = platform.read(KEY).await.expect("the service is back");
+    assert_eq!(object.is_some(), effect);
+    handle.close().await;
+}
+
+#[actix_rt::test]
+async fn a_port_that_nobody_listens_on_is_unreachable() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+    let platform = connect(address);
+    let written = platform
+        .write(KEY, Bytes::new(), WriteCondition::Absent)
+        .await;
+    let address = address.to_string();
+    assert_eq!(written, Err(PlatformError::Unreachable { address }));
+}
+
+#[actix_rt::test]
+async fn calls_over_the_rate_are_refused_and_counted() {
+    let options = PlatformOptions {
+        reads_per_s: 3,
+        ..PlatformOptions::default()
+    };
+    let handle = start(&options).expect("the stand-in starts");
+    let platform = connect(handle.address());
+    let calls = (0..40).map(|_| platform.read(KEY));
+    let answers = futures_util::future::join_all(calls).await;
+    let over = Err(PlatformError::Refused { status: 429 });
+    assert!(answers.contains(&Ok(None)) && answers.contains(&over));
+    let url = format!("http://{}/control/stats", handle.address());
+    let mut answer = awc::Client::default().get(url).send().await.expect("sent");
+    let stats = answer.json::<CallStats>().await.expect("statistics");
+    let refused = answers.iter().filter(|answer| **answer == over).count();
+    assert_eq!((stats.reads, stats.refused), (40, refused as u64));
+    handle.close().await;
+}
