Read documents and settings with every mistake at once

Cause: a document or a settings file must be checked offline, with each mistake named by file, line, column and field path, before anything acts on it. Change: `source` checks the parser's tree against declared shapes and gathers all mistakes, also those that span fields (references, sums of shares, protocols, routes that contradict one another). `parse_document`, `parse_entry_settings`, `parse_admin_settings`, `digest_document`, `digest_token` and `diff_documents` stand on it. Token digests and the peer key are never shown. The parser recurses and takes values without a comma between them, so the token stream is checked first: at most 32 levels, commas required. Ruled out: serde's own errors, as they end at the first mistake and know no path; checking typed values only, as references would then go unchecked while another field is wrong.

--- /dev/null
+++ b/crates/gs-document/src/digest.rs
@@ -0,0 +1,13 @@
+//! Digests of documents and tokens.
+
+use sha2::{Digest, Sha256};
+
+/// The digest of a document's exact bytes, as `sha256:` and 64 hexadecimal digits.
+pub fn digest_document(bytes: &[u8]) -> String {
+    format!("sha256:{:x}", Sha256::digest(bytes))
+}
+
+/// The digest of a bearer token as documents hold it.
+pub fn digest_token(token: &str) -> String {
+    format!("sha256:{:x}", Sha256::digest(token.as_bytes()))
+}
--- /dev/null
+++ b/crates/gs-document/src/settings/mod.rs
@@ -0,0 +1,15 @@
+//! The settings of the processes, read from JSON with comments.
+
+mod admin;
+mod defaults;
+mod entry;
+mod secret;
+mod sections;
+mod shape;
+
+pub use admin::{AdminLimits, AdminSettings, EnvironmentNames, parse_admin_settings};
+pub use entry::{EntrySettings, PlacementPolicy, parse_entry_settings};
+pub use secret::PeerKey;
+pub use sections::{
+    ClaimSettings, EntryLimits, IntervalSettings, PeerSetting, ServerSetting, TimeoutSettings,
+};
--- /dev/null
+++ b/crates/gs-document/src/source/check.rs
@@ -0,0 +1,393 @@
+//! Checks a parsed value against its shape and gathers every mistake.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::str::FromStr;
+
+use jsonc_parser::ast::{Array, NumberLit, Object, StringLit, Value};
+use jsonc_parser::common::Ranged;
+
+use super::mistake::{MistakeKind, SourceMistake};
+use super::path::FieldPath;
+use super::shape::{FieldShape, ValueShape};
+use super::text::SourceText;
+
+/// Similarity from 0 to 1 at which a name is suggested.
+const MIN_SIMILARITY: f64 = 0.7;
+
+/// Characters of a value that a mistake shows.
+const MAX_FOUND_CHARS: usize = 60;
+
+/// A value of the parsed text and its path.
+#[derive(Clone)]
+pub(crate) struct NodeView<'a> {
+    pub(crate) value: &'a Value<'a>,
+    pub(crate) path: FieldPath,
+}
+
+impl<'a> NodeView<'a> {
+    /// The root of a text.
+    pub(crate) fn root(value: &'a Value<'a>) -> Self {
+        Self {
+            value,
+            path: FieldPath::default(),
+        }
+    }
+
+    /// The value of a field; `None` if this is no object or has no such field.
+    pub(crate) fn field(&self, name: &str) -> Option<Self> {
+        self.entries()
+            .into_iter()
+            .find_map(|(found, view)| (found == name).then_some(view))
+    }
+
+    /// The fields of an object by name; none if this is no object.
+    pub(crate) fn entries(&self) -> Vec<(&'a str, Self)> {
+        let Value::Object(object) = self.value else {
+            return Vec::new();
+        };
+        let entry = |property: &'a jsonc_parser::ast::ObjectProp<'a>| {
+            let name = property.name.as_str();
+            let view = Self {
+                value: &property.value,
+                path: self.path.field(name),
+            };
+            (name, view)
+        };
+        object.properties.iter().map(entry).collect()
+    }
+
+    /// The items of a list; none if this is no list.
+    pub(crate) fn items(&self) -> Vec<Self> {
+        let Value::Array(array) = self.value else {
+            return Vec::new();
+        };
+        let item = |(index, value)| Self {
+            value,
+            path: self.path.index(index),
+        };
+        array.elements.iter().enumerate().map(item).collect()
+    }
+
+    /// The text, if this is one.
+    pub(crate) fn text(&self) -> Option<&'a str> {
+        self.value.as_string_lit().map(|text| text.value.as_ref())
+    }
+
+    /// The number, if this is one.
+    pub(crate) fn number(&self) -> Option<f64> {
+        self.value.as_number_lit()?.value.parse().ok()
+    }
+
+    /// The truth value, if this is one.
+    pub(crate) fn boolean(&self) -> Option<bool> {
+        self.value.as_boolean_lit().map(|boolean| boolean.value)
+    }
+}
+
+/// A use of a name that a section must declare.
+struct NameUse {
+    offset: usize,
+    path: FieldPath,
+    section: &'static str,
+    name: String,
+}
+
+/// Gathers the mistakes of one text.
+pub(crate) struct CheckReport<'a> {
+    source: &'a SourceText<'a>,
+    mistakes: Vec<SourceMistake>,
+    name_uses: Vec<NameUse>,
+    digest_lines: BTreeMap<String, usize>,
+}
+
+impl<'a> CheckReport<'a> {
+    /// A report without mistakes.
+    pub(crate) fn new(source: &'a SourceText<'a>) -> Self {
+        Self {
+            source,
+            mistakes: Vec::new(),
+            name_uses: Vec::new(),
+            digest_lines: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a mistake about a value.
+    pub(crate) fn add(&mut self, view: &NodeView<'_>, kind: MistakeKind) {
+        self.add_at(view.value.start(), view.path.clone(), kind);
+    }
+
+    /// Adds a mistake about a text that stands twice.
+    pub(crate) fn add_repeated(&mut self, view: &NodeView<'_>, text: &str, first_line: usize) {
+        let found = shown_text(text);
+        self.add(view, MistakeKind::Repeated { found, first_line });
+    }
+
+    /// The line of a value, from 1.
+    pub(crate) fn line(&self, view: &NodeView<'_>) -> usize {
+        self.source.line(view.value.start())
+    }
+
+    /// Checks the root against its shape, names that refer to sections included.
+    pub(crate) fn check_root(&mut self, root: &NodeView<'_>, shape: &ValueShape) {
+        self.check_value(root, shape);
+        self.check_references(root);
+    }
+
+    /// The mistakes found, in no order.
+    pub(crate) fn into_mistakes(self) -> Vec<SourceMistake> {
+        self.mistakes
+    }
+
+    fn add_at(&mut self, offset: usize, path: FieldPath, kind: MistakeKind) {
+        self.mistakes.push(self.source.mistake(offset, path, kind));
+    }
+
+    fn check_value(&mut self, view: &NodeView<'_>, shape: &ValueShape) {
+        match (shape, view.value) {
+            (ValueShape::Object(fields), Value::Object(object)) => {
+                self.check_object(view, object, fields);
+            }
+            (ValueShape::Map { key, value }, Value::Object(object)) => {
+                self.check_map(view, object, key, value);
+            }
+            (ValueShape::List { item, min_items }, Value::Array(array)) => {
+                self.check_list(view, array, item, *min_items);
+            }
+            (ValueShape::Integer { .. } | ValueShape::Number { .. }, Value::NumberLit(number)) => {
+                self.check_number(view, number, shape);
+            }
+            (ValueShape::Boolean, Value::BooleanLit(_)) => {}
+            (_, Value::StringLit(text)) if takes_text(shape) => self.check_text(view, text, shape),
+            _ => self.add(view, wrong_type(view.value, shape)),
+        }
+    }
+
+    fn check_object(&mut self, view: &NodeView<'_>, object: &Object<'_>, fields: &[FieldShape]) {
+        self.check_duplicates(view, object);
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = view.path.field(name);
+            match fields.iter().find(|field| field.name == name) {
+                Some(field) => {
+                    let value = &property.value;
+                    self.check_value(&NodeView { value, path }, field.shape);
+                }
+                None => {
+                    let allowed: Vec<String> =
+                        fields.iter().map(|field| field.name.to_owned()).collect();
+                    let kind = MistakeKind::UnknownField {
+                        found: name.to_owned(),
+                        nearest: nearest_name(name, &allowed),
+                        allowed,
+                    };
+                    self.add_at(property.name.start(), path, kind);
+                }
+            }
+        }
+        for field in fields.iter().filter(|field| field.required) {
+            if object.get(field.name).is_none() {
+                let kind = MistakeKind::MissingField {
+                    name: field.name.to_owned(),
+                    allowed: field.shape.describe(),
+                };
+                self.add(view, kind);
+            }
+        }
+    }
+
+    fn check_map(
+        &mut self,
+        view: &NodeView<'_>,
+        object: &Object<'_>,
+        key: &ValueShape,
+        shape: &ValueShape,
+    ) {
+        self.check_duplicates(view, object);
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = view.path.field(name);
+            if key.matches_form(name) == Some(false) {
+                let kind = MistakeKind::WrongForm {
+                    found: shown_text(name),
+                    allowed: key.describe(),
+                };
+                self.add_at(property.name.start(), path.clone(), kind);
+            }
+            let value = &property.value;
+            self.check_value(&NodeView { value, path }, shape);
+        }
+    }
+
+    fn check_duplicates(&mut self, view: &NodeView<'_>, object: &Object<'_>) {
+        let mut first_lines = BTreeMap::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let offset = property.name.start();
+            let line = self.source.line(offset);
+            let first_line = *first_lines.entry(name).or_insert((line, offset));
+            if first_line.1 != offset {
+                let kind = MistakeKind::DuplicateField {
+                    found: name.to_owned(),
+                    first_line: first_line.0,
+                };
+                self.add_at(offset, view.path.field(name), kind);
+            }
+        }
+    }
+
+    fn check_list(
+        &mut self,
+        view: &NodeView<'_>,
+        array: &Array<'_>,
+        item: &ValueShape,
+        min_items: usize,
+    ) {
+        if array.elements.len() < min_items {
+            let kind = MistakeKind::OutOfRange {
+                found: format!("a list of {}", array.elements.len()),
+                allowed: format!("a list of at least {min_items}"),
+            };
+            self.add(view, kind);
+        }
+        let mut first_lines = BTreeMap::new();
+        for member in view.items() {
+            self.check_value(&member, item);
+            let Some(text) = member.text().filter(|_| !item.is_hidden()) else {
+                continue;
+            };
+            let line = self.line(&member);
+            if let Some(first_line) = first_lines.insert(text, line) {
+                self.add_repeated(&member, text, first_line);
+            }
+        }
+    }
+
+    fn check_number(&mut self, view: &NodeView<'_>, number: &NumberLit<'_>, shape: &ValueShape) {
+        let text = number.value;
+        let is_json = serde_json::Number::from_str(text).is_ok();
+        let value: Option<f64> = text.parse().ok().filter(|_| is_json);
+        let in_range = match shape {
+            ValueShape::Integer { min, max } => text
+                .parse::<u64>()
+                .ok()
+                .map(|integer| (*min..=*max).contains(&integer)),
+            ValueShape::Number { min, max } => value.map(|value| (*min..=*max).contains(&value)),
+            _ => None,
+        };
+        let found = text.to_owned();
+        let allowed = shape.describe();
+        let is_whole = value.is_some_and(|value| value.fract() == 0.0) && !text.contains('.');
+        match in_range {
+            Some(true) if value.is_some() => {}
+            Some(false) => self.add(view, MistakeKind::OutOfRange { found, allowed }),
+            _ if is_whole => self.add(view, MistakeKind::OutOfRange { found, allowed }),
+            _ => self.add(view, MistakeKind::WrongType { found, allowed }),
+        }
+    }
+
+    fn check_text(&mut self, view: &NodeView<'_>, text: &StringLit<'_>, shape: &ValueShape) {
+        let found = text.value.as_ref();
+        match shape {
+            ValueShape::OneOf(texts) if !texts.contains(&found) => {
+                let allowed: Vec<String> = texts.iter().map(|text| (*text).to_owned()).collect();
+                let kind = MistakeKind::NotOneOf {
+                    found: found.to_owned(),
+                    nearest: nearest_name(found, &allowed),
+                    allowed,
+                };
+                self.add(view, kind);
+            }
+            ValueShape::Reference(section) => self.name_uses.push(NameUse {
+                offset: view.value.start(),
+                path: view.path.clone(),
+                section,
+                name: found.to_owned(),
+            }),
+            _ if shape.matches_form(found) == Some(false) => {
+                let kind = MistakeKind::WrongForm {
+                    found: shown_value(view.value, shape),
+                    allowed: shape.describe(),
+                };
+                self.add(view, kind);
+            }
+            ValueShape::TokenDigest => self.check_digest(view, found),
+            _ => {}
+        }
+    }
+
+    fn check_digest(&mut self, view: &NodeView<'_>, digest: &str) {
+        let line = self.line(view);
+        if let Some(first_line) = self.digest_lines.insert(digest.to_owned(), line) {
+            let found = "the token digest".to_owned();
+            self.add(view, MistakeKind::Repeated { found, first_line });
+        }
+    }
+
+    fn check_references(&mut self, root: &NodeView<'_>) {
+        let name_uses = std::mem::take(&mut self.name_uses);
+        let mut sections: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+        for (section, view) in root.entries() {
+            let names = view.entries().into_iter().map(|(name, _)| name.to_owned());
+            sections.entry(section).or_default().extend(names);
+        }
+        for name_use in name_uses {
+            let declared = sections.get(name_use.section);
+            if declared.is_some_and(|names| names.contains(&name_use.name)) {
+                continue;
+            }
+            let allowed: Vec<String> = declared.into_iter().flatten().cloned().collect();
+            let kind = MistakeKind::UnknownReference {
+                nearest: nearest_name(&name_use.name, &allowed),
+                found: name_use.name,
+                section: name_use.section.to_owned(),
+                allowed,
+            };
+            self.add_at(name_use.offset, name_use.path, kind);
+        }
+    }
+}
+
+fn takes_text(shape: &ValueShape) -> bool {
+    let is_closed = matches!(shape, ValueShape::OneOf(_) | ValueShape::Reference(_));
+    is_closed || shape.matches_form("").is_some()
+}
+
+fn wrong_type(value: &Value<'_>, shape: &ValueShape) -> MistakeKind {
+    MistakeKind::WrongType {
+        found: shown_value(value, shape),
+        allowed: shape.describe(),
+    }
+}
+
+/// A value as a mistake shows it; texts in place of secrets show only their length.
+fn shown_value(value: &Value<'_>, shape: &ValueShape) -> String {
+    match value {
+        Value::StringLit(text) if shape.is_hidden() => {
+            format!("a text of {} bytes", text.value.len())
+        }
+        Value::NumberLit(_) if shape.is_hidden() => "a number".to_owned(),
+        Value::StringLit(text) => shown_text(&text.value),
+        Value::NumberLit(number) => number.value.to_owned(),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn shown_text(text: &str) -> String {
+    let shown: String = text.chars().take(MAX_FOUND_CHARS).collect();
+    let ellipsis = if shown.len() < text.len() { "…" } else { "" };
+    format!("\"{}{ellipsis}\"", shown.escape_debug())
+}
+
+fn nearest_name(found: &str, allowed: &[String]) -> Option<String> {
+    let found = found.to_lowercase();
+    let similarity = |name: &String| strsim::jaro_winkler(&found, &name.to_lowercase());
+    allowed
+        .iter()
+        .map(|name| (similarity(name), name))
+        .filter(|(similarity, _)| *similarity >= MIN_SIMILARITY)
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, name)| name.clone())
+}
--- /dev/null
+++ b/crates/gs-document/tests/mistakes.rs
@@ -0,0 +1,92 @@
+//! Every kind of mistake is found, at its place, with what was found and what is allowed.
+
+use gs_document::parse_document;
+use test_case::test_case;
+
+const DOCUMENT: &str = include_str!("fixtures/document.jsonc");
+
+/// The mistakes of the fixture after one text was replaced by another.
+fn mistakes_after(old: &str, new: &str) -> Vec<String> {
+    assert!(DOCUMENT.contains(old), "the fixture does not hold {old}");
+    let text = DOCUMENT.replacen(old, new, 1);
+    let Err(list) = parse_document("d.jsonc", &text) else {
+        return Vec::new();
+    };
+    list.mistakes().iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_fixture_has_no_mistake() {
+    assert_eq!(mistakes_after("500", "500"), Vec::<String>::new());
+}
+
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": 0", "d.jsonc:7:23: callers.desk.firstTokenMs: found 0; allowed is an integer from 1 to 600000"; "target of zero")]
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": -5", "d.jsonc:7:23: callers.desk.firstTokenMs: found -5; allowed is an integer from 1 to 600000"; "negative target")]
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": \"0.5 s\"", "d.jsonc:7:23: callers.desk.firstTokenMs: found \"0.5 s\"; allowed is an integer from 1 to 600000"; "target as a text")]
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": 0.5", "d.jsonc:7:23: callers.desk.firstTokenMs: found 0.5; allowed is an integer from 1 to 600000"; "target with a fraction")]
+#[test_case("\"firstTokenMs\": 500,", "", "d.jsonc:4:13: callers.desk: missing field \"firstTokenMs\"; allowed is an integer from 1 to 600000"; "missing target")]
+#[test_case("\"guaranteedShare\": 0.5", "\"guaranteedShare\": 1e999", "d.jsonc:9:26: callers.desk.guaranteedShare: found 1e999; allowed is a number from 0 to 1"; "number beyond every range")]
+#[test_case("\"urgent\"", "\"urgnt\"", "d.jsonc:6:15: callers.desk.rank: found \"urgnt\"; did you mean \"urgent\"? allowed are \"urgent\", \"normal\""; "unknown rank")]
+#[test_case("[\"notes\"],\n      \"services\"", "[\"note\"],\n      \"services\"", "d.jsonc:10:18: callers.desk.models[0]: \"note\" is not in \"models\"; did you mean \"notes\"? allowed are \"notes\""; "unknown model")]
+#[test_case("[\"charges\"]", "[\"charges\", \"charges\"]", "d.jsonc:11:31: callers.desk.services[1]: \"charges\" stands twice; the first is on line 11"; "service twice")]
+#[test_case("\"guaranteedShare\": 0.25", "\"guaranteedShare\": 0.75", "d.jsonc:3:14: callers: the guaranteed shares add up to 1.25; allowed is at most 1"; "shares beyond the fleet")]
+#[test_case("0000002\"", "0000001\"", "d.jsonc:14:24: callers.batch.tokenDigests[0]: the token digest stands twice; the first is on line 5"; "token of two callers")]
+#[test_case("sha256:0000000000000000000000000000000000000000000000000000000000000001", "secret-token", "d.jsonc:5:24: callers.desk.tokenDigests[0]: found a text of 12 bytes; allowed is \"sha256:\" and 64 lower-case hexadecimal digits"; "token in place of its digest")]
+#[test_case("\"batch\": {", "\"desk\": {", "d.jsonc:13:5: callers.desk: \"desk\" stands twice; the first is on line 4"; "caller twice")]
+#[test_case("\"batch\": {", "\"night batch\": {", "d.jsonc:13:5: callers.night batch: found \"night batch\"; allowed is a name of 1 to 64 letters, digits, \".\", \"_\" and \"-\", starting with a letter or digit"; "caller with a space")]
+#[test_case("\"serverKind\": \"notes-engine\"", "\"serverKind\": \"charge-server\"", "d.jsonc:23:30: models.notes.serverKind: server kind \"charge-server\" has protocol \"service\"; allowed is a kind with \"engine\""; "model on a service")]
+#[test_case("\"path\": \"/charges\"", "\"path\": \"charges\"", "d.jsonc:29:37: services.charges.routes[0].path: found \"charges\"; allowed is a path that starts with \"/\", with \"*\" for a whole segment"; "path without a slash")]
+#[test_case("\"GET\", \"path\": \"/charges/*\"", "\"POST\", \"path\": \"/charges\"", "d.jsonc:30:9: services.charges.routes[1]: route \"POST /charges\" stands twice; the first is on line 29"; "route twice")]
+#[test_case("\"GET\", \"path\": \"/charges/*\"", "\"POST\", \"path\": \"/*\"", "d.jsonc:30:9: services.charges.routes[1]: route \"POST /*\" overlaps with \"POST /charges\" on line 29; allowed is the same \"idempotent\" in both"; "routes that contradict")]
+#[test_case("\"serverKinds\": {", "\"keyRetentionS\": 604801, \"serverKinds\": {", "d.jsonc:34:20: keyRetentionS: found 604801; allowed is an integer from 1 to 604800"; "retention beyond a week")]
+#[test_case("\"checksFence\"", "\"checkFence\"", "d.jsonc:35:45: serverKinds.notes-engine.checkFence: unknown field \"checkFence\"; did you mean \"checksFence\"? allowed are \"protocol\", \"checksFence\""; "unknown field")]
+#[test_case("\"rank\": \"urgent\",", "\"rank\": \"urgent\"", "d.jsonc:7:7: (root): the text is malformed: expected a comma before this value"; "missing comma")]
+#[test_case("\"rank\": \"urgent\",", "rank: \"urgent\",", "d.jsonc:6:7: (root): the text is malformed: expected string for object property"; "field without quotes")]
+fn a_mistake_is_found(old: &str, new: &str, expected: &str) {
+    assert_eq!(mistakes_after(old, new), [expected]);
+}
+
+#[test]
+fn all_mistakes_are_reported_at_once_in_the_order_of_the_text() {
+    let text = DOCUMENT
+        .replace("\"urgent\"", "3")
+        .replace("[\"charges\"]", "[\"pickups\"]")
+        .replace("0.25", "0.9")
+        .replace("\"serverKinds\"", "\"serverKind\"");
+    let list = parse_document("d.jsonc", &text).expect_err("the text has mistakes");
+    let paths: Vec<String> = list
+        .mistakes()
+        .iter()
+        .map(|mistake| format!("{} {}", mistake.line, mistake.path))
+        .collect();
+    let expected = [
+        "2 (root)",
+        "3 callers",
+        "6 callers.desk.rank",
+        "11 callers.desk.services[0]",
+        "23 models.notes.serverKind",
+        "27 services.charges.serverKind",
+        "34 serverKind",
+    ];
+    assert_eq!(paths, expected);
+}
+
+#[test_case(""; "nothing")]
+#[test_case("// only a comment"; "only a comment")]
+#[test_case("[]"; "a list")]
+#[test_case("null"; "null")]
+#[test_case("{} {}"; "two values")]
+#[test_case("{\"callers\": {"; "cut off")]
+fn a_text_that_is_no_document_is_refused(text: &str) {
+    assert!(parse_document("d.jsonc", text).is_err());
+}
+
+#[test]
+fn deep_nesting_is_refused_before_it_is_parsed() {
+    let text = "[".repeat(1_000_000);
+    let list = parse_document("d.jsonc", &text).expect_err("the text is nested too deeply");
+    assert_eq!(
+        list.to_string(),
+        "d.jsonc:1:33: (root): nested more than 32 levels deep"
+    );
+}
