--- a/crates/gs-standin/src/engine/server.rs
+++ b/crates/gs-standin/src/engine/server.rs
@@ -105,6 +105,6 @@
 }
 
 /// Runs an engine until the process is told to end.
-pub fn run(options: EngineOptions) -> Result<(), StandinError> {
-    actix_rt::System::new().block_on(async { EngineServer::bind(options)?.run().await })
+pub async fn run(options: EngineOptions) -> Result<(), StandinError> {
+    EngineServer::bind(options)?.run().await
 }
--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::platform::PlatformStartError;
+
 /// Why a stand-in could not start or run.
 #[derive(Debug, thiserror::Error)]
 pub enum StandinError {
@@ -20,6 +22,13 @@
         /// Why.
         source: io::Error,
     },
+    /// The platform's stand-in could not start.
+    #[error("the platform's stand-in could not start")]
+    Platform {
+        /// Why.
+        #[from]
+        source: PlatformStartError,
+    },
     /// A role that does not exist.
     #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
     UnknownRole {
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -7,10 +7,11 @@
 use error_stack::Report;
 use gs_standin::StandinError;
 use gs_standin::engine::{self, EngineOptions, engine_options};
+use gs_standin::platform::{self, PlatformOptions, platform_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
 use log::error;
 
-/// Stand-ins for development: engines and services at modelled speed.
+/// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
 /// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
 #[derive(Bpaf, Clone, Debug)]
@@ -29,6 +30,9 @@
     ///   gs-standin service --name counter-desk --run-ms 5
     #[bpaf(command("service"))]
     Service(#[bpaf(external(service_options))] ServiceOptions),
+    /// The platform's object service and VM list
+    #[bpaf(command("platform"))]
+    Platform(#[bpaf(external(platform_options))] PlatformOptions),
 }
 
 /// What is logged without `RUST_LOG`.
@@ -46,9 +50,13 @@
 }
 
 fn run(command: StandinCommand) -> Result<(), Report<StandinError>> {
+    let system = actix_rt::System::new();
     match command {
-        StandinCommand::Engine(options) => engine::run(options)?,
-        StandinCommand::Service(options) => service::run(options)?,
+        StandinCommand::Engine(options) => system.block_on(engine::run(options))?,
+        StandinCommand::Service(options) => system.block_on(service::run(options))?,
+        StandinCommand::Platform(options) => system
+            .block_on(platform::run(options))
+            .map_err(StandinError::from)?,
     }
     Ok(())
 }
--- a/crates/gs-standin/src/service/server.rs
+++ b/crates/gs-standin/src/service/server.rs
@@ -58,6 +58,6 @@
 }
 
 /// Runs a service until the process is told to end.
-pub fn run(options: ServiceOptions) -> Result<(), StandinError> {
-    actix_rt::System::new().block_on(async { ServiceServer::bind(options)?.run().await })
+pub async fn run(options: ServiceOptions) -> Result<(), StandinError> {
+    ServiceServer::bind(options)?.run().await
 }
