Show examples in the stand-ins' help

The doc comments' second paragraphs do not reach the help text; footers do. Ruled out: indented code blocks, which the short help leaves out.

--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -11,6 +11,16 @@
 use gs_standin::service::{self, ServiceOptions, service_options};
 use log::error;
 
+const ENGINE_EXAMPLES: &str = "Examples:
+ gs-standin engine --role prefill --model care-notes
+ gs-standin engine --role decode --max-streams 4 --step-base-us 2000";
+
+const SERVICE_EXAMPLES: &str = "Example:
+ gs-standin service --name counter-desk --run-ms 5";
+
+const PLATFORM_EXAMPLES: &str = "Example:
+ gs-standin platform --listen 127.0.0.1:7000 --writes-per-s 300";
+
 /// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
 /// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
@@ -18,20 +28,13 @@
 #[bpaf(options)]
 enum StandinCommand {
     /// A model engine that prefills or decodes
-    ///
-    /// Examples:
-    ///   gs-standin engine --role prefill --model care-notes
-    ///   gs-standin engine --role decode --max-streams 4 --step-base-us 2000
-    #[bpaf(command("engine"))]
+    #[bpaf(command("engine"), footer(ENGINE_EXAMPLES))]
     Engine(#[bpaf(external(engine_options))] EngineOptions),
     /// A plain service that records what it ran
-    ///
-    /// Example:
-    ///   gs-standin service --name counter-desk --run-ms 5
-    #[bpaf(command("service"))]
+    #[bpaf(command("service"), footer(SERVICE_EXAMPLES))]
     Service(#[bpaf(external(service_options))] ServiceOptions),
     /// The platform's object service and VM list
-    #[bpaf(command("platform"))]
+    #[bpaf(command("platform"), footer(PLATFORM_EXAMPLES))]
     Platform(#[bpaf(external(platform_options))] PlatformOptions),
 }
 
