Add a first dispatch state machine

Cause: the entry's traffic threads need one place that decides which request starts when, and on which engines.

Change: DispatchState takes the events of messages.rs and gives its effects. Waiting requests stand in one fair queue per model (two ranks, guaranteed shares, earliest deadline within a caller); a placement takes a prefill and a decode server together from load-ordered indexes, prefix holders and two random servers. Failed tries go again within a retry budget. The baselines round robin, least load and two choices are variants of PlacementPolicy. EntriesSeen tells how many entries share the fleet.

Nothing is measured yet.

--- /dev/null
+++ b/crates/gs-control/src/dispatch/baseline.rs
@@ -0,0 +1,72 @@
+//! Baseline policies: each server chosen alone, by what servers report or by none of it.
+
+use rand_pcg::Pcg64Mcg;
+
+use super::fleet::FleetTable;
+use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand};
+use super::role_index::RoleIndex;
+use super::server_record::ServerId;
+use super::settings::PlacementPolicy;
+
+/// Servers tried in one choice.
+const MAX_TRIES: usize = 8;
+
+/// Chooses servers by a baseline policy.
+pub fn choose_baseline(
+    fleet: &mut FleetTable,
+    demand: &PlacementDemand<'_>,
+    policy: PlacementPolicy,
+    rng: &mut Pcg64Mcg,
+) -> Result<PlacementChoice, PlacementBlock> {
+    let pool = fleet
+        .pool_mut(demand.model)
+        .ok_or(PlacementBlock::NoServer)?;
+    let decodes = draw_servers(&mut pool.decode, policy, rng);
+    let prefills = draw_servers(&mut pool.prefill, policy, rng);
+    if decodes.is_empty() || (prefills.is_empty() && !demand.resumes) {
+        return Err(PlacementBlock::NoServer);
+    }
+    let has_slot = |server: &ServerId| {
+        let record = fleet.server(*server);
+        record.is_some_and(|record| record.own().streams < record.report.max_streams)
+    };
+    let decode = pick(fleet, policy, &decodes, &has_slot).ok_or(PlacementBlock::Decode)?;
+    let prefill = pick(fleet, policy, &prefills, &|_| true).unwrap_or(decode);
+    Ok(PlacementChoice {
+        decode,
+        prefill,
+        prefill_after: std::time::Duration::ZERO,
+        uncached_tokens: demand.prompt_tokens,
+        predicted: std::time::Duration::ZERO,
+    })
+}
+
+/// Servers in the order in which the policy would have them.
+fn draw_servers(
+    index: &mut RoleIndex,
+    policy: PlacementPolicy,
+    rng: &mut Pcg64Mcg,
+) -> Vec<ServerId> {
+    match policy {
+        PlacementPolicy::RoundRobin => index.take_turn(MAX_TRIES),
+        PlacementPolicy::TwoChoices => (0..2).filter_map(|_| index.random(rng)).collect(),
+        PlacementPolicy::Cost | PlacementPolicy::LeastLoad => {
+            let mut keys: Vec<_> = index.least(MAX_TRIES).collect();
+            keys.sort();
+            keys.into_iter().map(|key| key.server).collect()
+        }
+    }
+}
+
+fn pick(
+    fleet: &FleetTable,
+    policy: PlacementPolicy,
+    servers: &[ServerId],
+    fits: &dyn Fn(&ServerId) -> bool,
+) -> Option<ServerId> {
+    let mut fitting = servers.iter().copied().filter(|server| fits(server));
+    match policy {
+        PlacementPolicy::TwoChoices => fitting.min_by_key(|server| fleet.listed_load(*server)),
+        _ => fitting.next(),
+    }
+}
--- /dev/null
+++ b/crates/gs-control/src/dispatch/endings.rs
@@ -0,0 +1,326 @@
+//! Ends of attempts and requests: what goes again, and what is refused.
+
+use std::time::{Duration, Instant};
+
+use gs_protocol::engine::EngineReason;
+use gs_protocol::ids::{AttemptId, RequestId};
+use gs_protocol::refusal::RefusalReason;
+
+use super::messages::{AttemptEnd, DispatchEffect, RequestStage};
+use super::own_load::ServerWork;
+use super::request_table::{AttemptRecord, RequestPhase};
+use super::server_record::{ServerId, ServerRecord};
+use super::state::DispatchState;
+
+/// What a failed attempt means for its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AttemptFailure {
+    /// Nothing was run.
+    NotRun,
+    /// Work was done or may have been.
+    Wasted,
+    /// No server would do better.
+    Final(RefusalReason),
+}
+
+impl DispatchState {
+    /// The prefill of an attempt has ended well.
+    pub(super) fn end_prefill(&mut self, now: Instant, attempt: AttemptId) {
+        let Some(running) = self.table.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let done = ServerWork {
+            tokens: std::mem::take(&mut running.prefill_work.tokens),
+            ..ServerWork::default()
+        };
+        let server = running.prefill;
+        self.fleet.update(now, server, &self.settings, |record| {
+            record.remove_work(now, done);
+            record.trust();
+        });
+    }
+
+    /// The first token of an attempt has come.
+    pub(super) fn begin_stream(&mut self, now: Instant, attempt: AttemptId) {
+        self.end_prefill(now, attempt);
+        let Some(running) = self.table.attempts.get_mut(&attempt) else {
+            return;
+        };
+        let moved = |work: &mut ServerWork| ServerWork {
+            bytes: std::mem::take(&mut work.bytes),
+            ..ServerWork::default()
+        };
+        let ends = [
+            (running.prefill, moved(&mut running.prefill_work)),
+            (running.decode, moved(&mut running.decode_work)),
+        ];
+        if let Some(record) = self.table.requests.get_mut(&running.request) {
+            record.has_begun = true;
+        }
+        for (server, work) in ends {
+            self.fleet.update(now, server, &self.settings, |record| {
+                record.remove_work(now, work);
+                record.trust();
+            });
+        }
+    }
+
+    /// An attempt has ended; its request ends, goes again or is refused.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(running) = self.table.remove_attempt(attempt) else {
+            return;
+        };
+        self.release(now, &running);
+        match end {
+            AttemptEnd::Whole { .. } => {
+                for server in [running.prefill, running.decode] {
+                    self.update_server(now, server, ServerRecord::trust);
+                }
+                self.finish(running.request);
+            }
+            AttemptEnd::Withdrawn => self.finish(running.request),
+            AttemptEnd::Refused { stage, reason } => {
+                let failure = self.judge_refusal(now, &running, stage, reason);
+                self.go_again(now, &running, stage, failure, effects);
+            }
+            AttemptEnd::Lost { stage, tokens } => {
+                if let Some(record) = self.table.requests.get_mut(&running.request) {
+                    record.has_begun |= tokens > 0;
+                }
+                let hold = self.settings.suspect_hold;
+                self.update_server(now, server_of(&running, stage), |record| {
+                    record.hold_suspect(now, hold);
+                });
+                self.go_again(now, &running, stage, AttemptFailure::Wasted, effects);
+            }
+        }
+    }
+
+    /// The caller of a request is gone: a waiting one ends; a running one is left to its attempt's end.
+    pub(super) fn withdraw(&mut self, _now: Instant, request: RequestId) {
+        let Some(record) = self.table.requests.get_mut(&request) else {
+            return;
+        };
+        match record.phase {
+            RequestPhase::Running(_) => record.is_withdrawn = true,
+            RequestPhase::Waiting | RequestPhase::Returning => self.finish(request),
+        }
+    }
+
+    /// Refuses what has waited for too long, and ends attempts of which nothing was heard.
+    pub(super) fn give_up(&mut self, now: Instant, effects: &mut Vec<DispatchEffect>) {
+        while let Some((at, request)) = self.table.give_ups.first().copied() {
+            if at > now {
+                break;
+            }
+            let (reason, retry_after) = self.late_reason(now, request);
+            self.refuse_held(request, reason, retry_after, effects);
+        }
+        while let Some((at, attempt)) = self.table.expiries.first().copied() {
+            if at > now {
+                break;
+            }
+            let Some(running) = self.table.remove_attempt(attempt) else {
+                break;
+            };
+            self.release(now, &running);
+            self.refuse_held(
+                running.request,
+                RefusalReason::DeadlinePassed,
+                None,
+                effects,
+            );
+        }
+    }
+
+    /// Refuses a request that is known.
+    pub(super) fn refuse_held(
+        &mut self,
+        request: RequestId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        self.finish(request);
+        effects.push(DispatchEffect::Refuse {
+            request,
+            reason,
+            retry_after,
+        });
+    }
+
+    fn late_reason(&self, now: Instant, request: RequestId) -> (RefusalReason, Option<Duration>) {
+        let Some(record) = self.table.requests.get(&request) else {
+            return (RefusalReason::TooLate, None);
+        };
+        if record.has_failed || record.has_begun {
+            return (RefusalReason::ServerFailed, None);
+        }
+        let pool = self.fleet.pool(&record.model);
+        if !pool.is_some_and(|pool| pool.is_whole()) {
+            return (RefusalReason::NoServer, Some(self.settings.report_stale));
+        }
+        let wait = self.queue_wait(now, record.caller, &record.model);
+        (RefusalReason::TooLate, wait)
+    }
+
+    /// Lets a request go again, within its deadline and the retry budget.
+    fn go_again(
+        &mut self,
+        now: Instant,
+        running: &AttemptRecord,
+        stage: RequestStage,
+        failure: AttemptFailure,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let request = running.request;
+        let Some(record) = self.table.requests.get(&request) else {
+            return;
+        };
+        if record.is_withdrawn {
+            self.finish(request);
+            return;
+        }
+        if stage == RequestStage::Prefill {
+            self.fleet.forget_prompt(running.prefill, &record.pieces);
+        }
+        let refusal = match failure {
+            AttemptFailure::Final(reason) => Some(reason),
+            AttemptFailure::NotRun => None,
+            AttemptFailure::Wasted if self.budget.spend() => None,
+            AttemptFailure::Wasted => Some(RefusalReason::ServerFailed),
+        };
+        if let Some(reason) = refusal {
+            self.refuse_held(request, reason, None, effects);
+            return;
+        }
+        self.put_back(now, request, server_of(running, stage), failure);
+    }
+
+    fn put_back(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        avoid: ServerId,
+        failure: AttemptFailure,
+    ) {
+        let Some(record) = self.table.requests.get_mut(&request) else {
+            return;
+        };
+        record.phase = RequestPhase::Returning;
+        record.avoid = Some(avoid);
+        record.has_failed |= failure == AttemptFailure::Wasted;
+        record.gives_up_at = if record.has_begun {
+            now + self.settings.resume_within
+        } else if record.has_failed {
+            record.arrived_at + record.first_token.mul_f64(self.settings.retry_patience)
+        } else {
+            record.deadline
+        };
+        if let Some(caller) = self.callers.get_mut(record.caller) {
+            caller.running = caller.running.saturating_sub(1);
+        }
+        self.table.add_returning(request);
+    }
+
+    /// Marks the server that refused, and says what its refusal means.
+    fn judge_refusal(
+        &mut self,
+        now: Instant,
+        running: &AttemptRecord,
+        stage: RequestStage,
+        reason: EngineReason,
+    ) -> AttemptFailure {
+        let server = server_of(running, stage);
+        let full_hold = self.settings.full_hold;
+        let suspect_hold = self.settings.suspect_hold;
+        match reason {
+            EngineReason::Full => {
+                self.update_server(now, server, |record| record.hold_full(now, full_hold));
+            }
+            EngineReason::Leaving => {
+                let name = self.fleet.server(server).map(|record| record.name.clone());
+                if let Some(name) = name {
+                    self.fleet.see_leaving(now, &name, &self.settings);
+                }
+            }
+            EngineReason::UnknownModel | EngineReason::WrongRole => {
+                self.update_server(now, server, |record| record.hold_suspect(now, suspect_hold));
+            }
+            EngineReason::BadRequest => return AttemptFailure::Final(RefusalReason::BadRequest),
+            EngineReason::NoReservation
+            | EngineReason::KvLost
+            | EngineReason::TransferFailed
+            | EngineReason::Cancelled
+            | EngineReason::OldFence => return AttemptFailure::Wasted,
+        }
+        match stage {
+            RequestStage::Reserve | RequestStage::Prefill => AttemptFailure::NotRun,
+            RequestStage::Transfer | RequestStage::Stream => AttemptFailure::Wasted,
+        }
+    }
+
+    /// Takes an attempt's work off its servers.
+    fn release(&mut self, now: Instant, running: &AttemptRecord) {
+        self.update_server(now, running.prefill, |record| {
+            record.remove_work(now, running.prefill_work);
+        });
+        self.update_server(now, running.decode, |record| {
+            record.remove_work(now, running.decode_work);
+        });
+    }
+
+    fn update_server(
+        &mut self,
+        now: Instant,
+        server: ServerId,
+        change: impl FnOnce(&mut ServerRecord),
+    ) {
+        self.fleet.update(now, server, &self.settings, change);
+    }
+
+    /// Forgets a request wherever it stands.
+    fn finish(&mut self, request: RequestId) {
+        let Some(record) = self.table.requests.get(&request) else {
+            return;
+        };
+        let lane = self.lanes.get_mut(&record.model);
+        match record.phase {
+            RequestPhase::Waiting => {
+                self.table.give_ups.remove(&(record.gives_up_at, request));
+                if let Some(lane) = lane {
+                    let key = record.queue_key(request);
+                    lane.queue
+                        .remove(record.caller, record.class, key, record.cost_us);
+                    lane.remove_target(record.between_tokens);
+                }
+            }
+            RequestPhase::Returning | RequestPhase::Running(_) => {
+                if let Some(lane) = lane {
+                    lane.remove_target(record.between_tokens);
+                }
+            }
+        }
+        if let (RequestPhase::Running(_), Some(caller)) =
+            (record.phase, self.callers.get_mut(record.caller))
+        {
+            caller.running = caller.running.saturating_sub(1);
+        }
+        self.table.remove_returning(request);
+        self.table.requests.remove(&request);
+    }
+}
+
+/// The server that a stage concerns.
+fn server_of(running: &AttemptRecord, stage: RequestStage) -> ServerId {
+    match stage {
+        RequestStage::Prefill => running.prefill,
+        RequestStage::Reserve | RequestStage::Transfer | RequestStage::Stream => running.decode,
+    }
+}
--- /dev/null
+++ b/crates/gs-control/src/dispatch/fair_queue.rs
@@ -0,0 +1,283 @@
+//! Fair queueing of one model's waiting requests between ranks and callers.
+//!
+//! Each caller has a guaranteed share of the work that is started and, beyond it, takes part in the surplus.
+//! A start within the guarantee advances the caller's guarantee tag by `cost / share`; the caller is due
+//! while that tag is not ahead of the total work started. Surplus goes to urgent callers first and within a
+//! rank by start-time fair queueing with the callers' worth as weights.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use gs_document::document::CallerRank;
+use gs_protocol::ids::RequestId;
+
+/// Tag units for one microsecond of engine time.
+const TAG_SCALE: f64 = 256.0;
+
+/// Callers looked at in one choice before the choice is given up.
+const MAX_SKIPS: usize = 8;
+
+/// A caller's place in the caller table.
+pub type CallerId = u32;
+
+/// Whether a prompt may hold up others at a prefill server.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum SizeClass {
+    /// Its prefill takes longer than the configured bound.
+    Long,
+    /// Any other.
+    Short,
+}
+
+/// Where a waiting request stands within its caller's queue: earliest deadline first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct QueueKey {
+    /// When the first token is due.
+    pub deadline: Instant,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// What a caller is owed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerWeight {
+    /// The caller's rank.
+    pub rank: CallerRank,
+    /// The part of the fleet that the caller keeps while it has work.
+    pub share: f64,
+    /// The caller's weight in the surplus.
+    pub worth: f64,
+}
+
+/// Why a request is next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TurnKind {
+    /// Its caller is owed work.
+    Guaranteed,
+    /// Nobody else is owed work.
+    Surplus,
+}
+
+/// The request whose turn it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueueTurn {
+    /// The caller.
+    pub caller: CallerId,
+    /// Why it is next.
+    pub kind: TurnKind,
+    /// The request.
+    pub key: QueueKey,
+}
+
+/// One caller's waiting requests and tags.
+#[derive(Clone, Debug)]
+struct CallerQueue {
+    weight: CallerWeight,
+    long: BTreeSet<QueueKey>,
+    short: BTreeSet<QueueKey>,
+    guaranteed_tag: u64,
+    surplus_tag: u64,
+    cost_us: u64,
+}
+
+impl CallerQueue {
+    fn new(weight: CallerWeight) -> Self {
+        Self {
+            weight,
+            long: BTreeSet::new(),
+            short: BTreeSet::new(),
+            guaranteed_tag: 0,
+            surplus_tag: 0,
+            cost_us: 0,
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.long.len() + self.short.len()
+    }
+
+    fn requests_mut(&mut self, class: SizeClass) -> &mut BTreeSet<QueueKey> {
+        match class {
+            SizeClass::Long => &mut self.long,
+            SizeClass::Short => &mut self.short,
+        }
+    }
+
+    fn head(&self, long_allowed: bool) -> Option<QueueKey> {
+        let short = self.short.first().copied();
+        let long = self.long.first().copied().filter(|_| long_allowed);
+        match (short, long) {
+            (Some(short), Some(long)) => Some(short.min(long)),
+            (short, long) => short.or(long),
+        }
+    }
+}
+
+/// Callers of one rank that have waiting work, by tag.
+#[derive(Clone, Debug, Default)]
+struct RankOrder {
+    guaranteed: BTreeSet<(u64, CallerId)>,
+    surplus: BTreeSet<(u64, CallerId)>,
+    surplus_now: u64,
+}
+
+/// The waiting requests of one model.
+#[derive(Clone, Debug, Default)]
+pub struct FairQueue {
+    callers: BTreeMap<CallerId, CallerQueue>,
+    orders: BTreeMap<CallerRank, RankOrder>,
+    work_now: u64,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Requests of a caller that wait.
+    pub fn caller_len(&self, caller: CallerId) -> usize {
+        self.callers.get(&caller).map_or(0, CallerQueue::len)
+    }
+
+    /// Engine time of a caller's waiting requests, in microseconds.
+    pub fn caller_cost_us(&self, caller: CallerId) -> u64 {
+        self.callers.get(&caller).map_or(0, |queue| queue.cost_us)
+    }
+
+    /// Whether a request of the rank waits.
+    pub fn rank_waits(&self, rank: CallerRank) -> bool {
+        self.orders
+            .get(&rank)
+            .is_some_and(|order| !order.surplus.is_empty())
+    }
+
+    /// Sets what a caller is owed.
+    pub fn set_weight(&mut self, caller: CallerId, weight: CallerWeight) {
+        let queue = self
+            .callers
+            .entry(caller)
+            .or_insert_with(|| CallerQueue::new(weight));
+        if queue.weight == weight {
+            return;
+        }
+        self.unlist(caller);
+        if let Some(queue) = self.callers.get_mut(&caller) {
+            queue.weight = weight;
+        }
+        self.list(caller);
+    }
+
+    /// Adds a request of a caller whose weight is set.
+    pub fn push(&mut self, caller: CallerId, class: SizeClass, key: QueueKey, cost_us: u64) {
+        let Some(queue) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let was_idle = queue.len() == 0;
+        if queue.requests_mut(class).insert(key) {
+            queue.cost_us += cost_us;
+            self.len += 1;
+        }
+        if was_idle {
+            self.wake(caller);
+        }
+    }
+
+    /// Removes a request that is refused or withdrawn, or was started.
+    pub fn remove(&mut self, caller: CallerId, class: SizeClass, key: QueueKey, cost_us: u64) {
+        let Some(queue) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        if !queue.requests_mut(class).remove(&key) {
+            return;
+        }
+        queue.cost_us = queue.cost_us.saturating_sub(cost_us);
+        self.len -= 1;
+        if queue.len() == 0 {
+            self.unlist(caller);
+        }
+    }
+
+    /// The next request, with callers in `skipped` left out.
+    pub fn next_turn(&self, long_allowed: bool, skipped: &[CallerId]) -> Option<QueueTurn> {
+        let pick = |kind, callers: &mut dyn Iterator<Item = CallerId>| {
+            callers
+                .filter(|caller| !skipped.contains(caller))
+                .take(MAX_SKIPS)
+                .find_map(|caller| {
+                    let key = self.callers.get(&caller)?.head(long_allowed)?;
+                    Some(QueueTurn { caller, kind, key })
+                })
+        };
+        let due = self.orders.values().find_map(|order| {
+            let due = order.guaranteed.iter();
+            let mut due = due
+                .take_while(|(tag, _)| *tag <= self.work_now)
+                .map(|(_, caller)| *caller);
+            pick(TurnKind::Guaranteed, &mut due)
+        });
+        due.or_else(|| {
+            self.orders.values().find_map(|order| {
+                let mut callers = order.surplus.iter().map(|(_, caller)| *caller);
+                pick(TurnKind::Surplus, &mut callers)
+            })
+        })
+    }
+
+    /// Removes the request whose turn it was and charges its caller.
+    pub fn start(&mut self, turn: &QueueTurn, class: SizeClass, cost_us: u64) {
+        self.unlist(turn.caller);
+        let work = cost_us as f64 * TAG_SCALE;
+        if let Some(queue) = self.callers.get_mut(&turn.caller) {
+            let order = self.orders.entry(queue.weight.rank).or_default();
+            match turn.kind {
+                TurnKind::Guaranteed => queue.guaranteed_tag += (work / queue.weight.share) as u64,
+                TurnKind::Surplus => {
+                    order.surplus_now = order.surplus_now.max(queue.surplus_tag);
+                    queue.surplus_tag += (work / queue.weight.worth.max(f64::EPSILON)) as u64;
+                }
+            }
+        }
+        self.work_now += work as u64;
+        self.list(turn.caller);
+        self.remove(turn.caller, class, turn.key, cost_us);
+    }
+
+    /// Lists a caller that had no work: what it left unused is not owed to it later.
+    fn wake(&mut self, caller: CallerId) {
+        let work_now = self.work_now;
+        let Some(queue) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let order = self.orders.entry(queue.weight.rank).or_default();
+        queue.guaranteed_tag = queue.guaranteed_tag.max(work_now);
+        queue.surplus_tag = queue.surplus_tag.max(order.surplus_now);
+        self.list(caller);
+    }
+
+    fn list(&mut self, caller: CallerId) {
+        let Some(queue) = self.callers.get(&caller).filter(|queue| queue.len() > 0) else {
+            return;
+        };
+        let order = self.orders.entry(queue.weight.rank).or_default();
+        order.surplus.insert((queue.surplus_tag, caller));
+        if queue.weight.share > 0.0 {
+            order.guaranteed.insert((queue.guaranteed_tag, caller));
+        }
+    }
+
+    fn unlist(&mut self, caller: CallerId) {
+        let Some(queue) = self.callers.get(&caller) else {
+            return;
+        };
+        let order = self.orders.entry(queue.weight.rank).or_default();
+        order.surplus.remove(&(queue.surplus_tag, caller));
+        order.guaranteed.remove(&(queue.guaranteed_tag, caller));
+    }
+}
--- a/crates/gs-control/src/dispatch/messages.rs
+++ b/crates/gs-control/src/dispatch/messages.rs
@@ -118,6 +118,8 @@
         /// How.
         end: AttemptEnd,
     },
+    /// How many entries share the fleet now, this one included.
+    EntriesSeen(u32),
     /// Time has passed.
     Tick,
 }
--- /dev/null
+++ b/crates/gs-control/src/dispatch/server_record.rs
@@ -0,0 +1,245 @@
+//! What is known of one model engine.
+
+use std::time::{Duration, Instant};
+
+use gs_protocol::engine::LoadReport;
+use gs_protocol::ids::{DataCentreName, ServerName};
+use gs_protocol::prefix::KV_TOKEN_BYTES;
+
+use super::messages::ServerSighting;
+use super::own_load::{OtherLoad, OwnLoad, ServerWork};
+use super::settings::DispatchSettings;
+
+/// Rate taken for an engine that reports none, in tokens a second.
+const DEFAULT_PREFILL_RATE: u32 = 10_000;
+
+/// Rate taken for a link that reports none, in bytes a second.
+const DEFAULT_LINK_RATE: u64 = 1_000_000_000;
+
+/// Doublings at most of the time that a failing server gets nothing new.
+const MAX_SUSPECT_DOUBLINGS: u32 = 5;
+
+/// A server's place in the fleet table.
+pub type ServerId = u32;
+
+/// Time that an amount of work takes at a rate a second.
+fn work_time(amount: u64, rate: u64) -> Duration {
+    Duration::from_micros(amount.saturating_mul(1_000_000) / rate.max(1))
+}
+
+/// One model engine.
+#[derive(Clone, Debug)]
+pub struct ServerRecord {
+    /// The engine's name.
+    pub name: ServerName,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// One-way delay from this entry.
+    pub delay: Duration,
+    /// The last load report.
+    pub report: LoadReport,
+    /// Orders servers of equal load, differently at each entry.
+    pub salt: u32,
+    /// Whether it is gone until the next load report.
+    pub lost: bool,
+    /// Until when it gets nothing new.
+    pub held_until: Option<Instant>,
+    /// Which contents of its prefix cache are meant; grows when the engine starts anew.
+    pub cache_epoch: u32,
+    /// Pieces stored in its prefix cache so far, as far as known.
+    pub stored_pieces: u64,
+    /// The last cache event's number.
+    pub cache_last: u64,
+    /// The start of the engine that the cache events belong to.
+    pub cache_boot: u64,
+    seen_at: Instant,
+    own: OwnLoad,
+    others: OtherLoad,
+    prefill_free_at: Instant,
+    failures: u32,
+}
+
+impl ServerRecord {
+    /// A server seen for the first time.
+    pub fn new(now: Instant, sighting: &ServerSighting, salt: u32) -> Self {
+        let own = OwnLoad::default();
+        Self {
+            name: sighting.report.server.clone(),
+            data_centre: sighting.data_centre.clone(),
+            delay: sighting.delay,
+            report: sighting.report.clone(),
+            salt,
+            lost: false,
+            held_until: None,
+            cache_epoch: 0,
+            stored_pieces: 0,
+            cache_last: 0,
+            cache_boot: sighting.report.boot,
+            seen_at: now,
+            others: OtherLoad::judge(&sighting.report, &own, now),
+            own,
+            prefill_free_at: now,
+            failures: 0,
+        }
+    }
+
+    /// Takes in a newer sighting.
+    pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration) {
+        let measured_at = now.checked_sub(lag + sighting.delay).unwrap_or(now);
+        if sighting.report.boot != self.report.boot {
+            self.failures = 0;
+            self.held_until = None;
+        }
+        self.others = OtherLoad::judge(&sighting.report, &self.own, measured_at);
+        self.own.forget(measured_at);
+        self.data_centre = sighting.data_centre.clone();
+        self.delay = sighting.delay;
+        self.report = sighting.report.clone();
+        self.seen_at = now;
+        self.lost = false;
+    }
+
+    /// Forgets what the prefix cache held if the engine has started anew.
+    pub fn enter_boot(&mut self, boot: u64) {
+        if boot == self.cache_boot {
+            return;
+        }
+        self.cache_boot = boot;
+        self.cache_epoch += 1;
+        self.cache_last = 0;
+        self.stored_pieces = 0;
+    }
+
+    /// Whether the server may get new work.
+    pub fn is_open(&self, now: Instant) -> bool {
+        !self.lost && self.held_until.is_none_or(|until| until <= now)
+    }
+
+    /// This entry's work on the server.
+    pub fn own(&self) -> ServerWork {
+        self.own.now()
+    }
+
+    /// Everyone's work on the server, as far as known.
+    pub fn work(&self, now: Instant) -> ServerWork {
+        let age = now.saturating_duration_since(self.seen_at);
+        self.others.now(&self.report, age).plus(self.own.now())
+    }
+
+    /// Whether the last report is too old to be relied on.
+    pub fn is_stale(&self, now: Instant, settings: &DispatchSettings) -> bool {
+        now.saturating_duration_since(self.seen_at) > settings.report_stale
+    }
+
+    /// Prompt tokens prefilled a second.
+    pub fn prefill_rate(&self) -> u32 {
+        match self.report.prefill_rate {
+            0 => DEFAULT_PREFILL_RATE,
+            rate => rate,
+        }
+    }
+
+    /// Time to prefill a number of tokens.
+    pub fn prefill_time(&self, tokens: u32) -> Duration {
+        work_time(u64::from(tokens), u64::from(self.prefill_rate()))
+    }
+
+    /// Time to move the KV cache of a prompt over the link.
+    pub fn transfer_time(&self, prompt_tokens: u32) -> Duration {
+        work_time(u64::from(prompt_tokens) * KV_TOKEN_BYTES, self.link_rate())
+    }
+
+    /// Time until a new prefill would begin.
+    pub fn prefill_wait(&self, now: Instant) -> Duration {
+        let others = self.work(now).minus(self.own.now());
+        self.own_prefill_wait(now) + self.prefill_time(others.tokens)
+    }
+
+    /// Time until a new transfer would begin.
+    pub fn link_wait(&self, now: Instant) -> Duration {
+        work_time(self.work(now).bytes, self.link_rate())
+    }
+
+    /// Time of one decode step with a number of streams.
+    pub fn step_time(&self, streams: u32) -> Duration {
+        let base = u64::from(self.report.step_base_us);
+        let step_us = base + u64::from(self.report.step_stream_us) * u64::from(streams);
+        Duration::from_micros(step_us)
+    }
+
+    /// Streams with which a decode step still takes at most `step`; all that fit if even one takes longer.
+    pub fn stream_limit(&self, step: Duration) -> u32 {
+        let max = self.report.max_streams;
+        if self.step_time(1) > step || self.report.step_stream_us == 0 {
+            return max;
+        }
+        let spare_us = step.as_micros() as u64 - u64::from(self.report.step_base_us);
+        let fit = spare_us / u64::from(self.report.step_stream_us);
+        u32::try_from(fit).unwrap_or(u32::MAX).min(max)
+    }
+
+    /// Adds a stream or reservation of this entry.
+    pub fn add_stream(&mut self, now: Instant, work: ServerWork) {
+        self.own.add(now, work);
+    }
+
+    /// Adds a prefill of this entry that begins after a delay at the earliest.
+    pub fn add_prefill(&mut self, now: Instant, work: ServerWork, after: Duration) {
+        let begins_at = self.prefill_free_at.max(now + after + self.delay);
+        self.prefill_free_at = begins_at + self.prefill_time(work.tokens);
+        self.own.add(now, work);
+    }
+
+    /// Removes work of this entry that has ended.
+    pub fn remove_work(&mut self, now: Instant, work: ServerWork) {
+        if work == ServerWork::default() {
+            return;
+        }
+        self.own.remove(now, work);
+        if work.tokens > 0 {
+            let left = self.prefill_time(self.own.now().tokens);
+            self.prefill_free_at = self.prefill_free_at.min(now + left);
+        }
+    }
+
+    /// Keeps the server from new work for a time; it refused for lack of room.
+    pub fn hold_full(&mut self, now: Instant, hold: Duration) {
+        self.others.add_stream();
+        self.hold(now + hold);
+    }
+
+    /// Keeps the server from new work for a time that doubles with each failure in a row.
+    pub fn hold_suspect(&mut self, now: Instant, hold: Duration) {
+        let doublings = self.failures.min(MAX_SUSPECT_DOUBLINGS);
+        self.failures = self.failures.saturating_add(1);
+        self.hold(now + hold * 2_u32.pow(doublings));
+    }
+
+    /// Clears suspicion: the server did what it was asked.
+    pub fn trust(&mut self) {
+        self.failures = 0;
+    }
+
+    fn hold(&mut self, until: Instant) {
+        self.held_until = Some(self.held_until.map_or(until, |held| held.max(until)));
+    }
+
+    fn own_prefill_wait(&self, now: Instant) -> Duration {
+        if self.own.now().tokens == 0 {
+            return Duration::ZERO;
+        }
+        self.prefill_free_at.saturating_duration_since(now)
+    }
+
+    fn link_rate(&self) -> u64 {
+        match self.report.link_rate {
+            0 => DEFAULT_LINK_RATE,
+            rate => rate,
+        }
+    }
+
+    /// When the server would begin a new prefill.
+    pub fn prefill_free_at(&self, now: Instant) -> Instant {
+        now + self.prefill_wait(now)
+    }
+}
--- /dev/null
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of the dispatch slice.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// How backend servers are chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum PlacementPolicy {
+    /// The cheapest pair by predicted time to the first token, chosen at random among near-best ones.
+    #[default]
+    Cost,
+    /// The least loaded servers as last reported.
+    LeastLoad,
+    /// Every server in turn.
+    RoundRobin,
+    /// The less loaded of two random servers as last reported.
+    TwoChoices,
+}
+
+/// A policy's name that is not known.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("placement policy \"{0}\" is not cost, least-load, round-robin or two-choices")]
+pub struct PolicyError(String);
+
+impl FromStr for PlacementPolicy {
+    type Err = PolicyError;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        match name {
+            "cost" => Ok(Self::Cost),
+            "least-load" => Ok(Self::LeastLoad),
+            "round-robin" => Ok(Self::RoundRobin),
+            "two-choices" => Ok(Self::TwoChoices),
+            _ => Err(PolicyError(name.to_owned())),
+        }
+    }
+}
+
+/// Settings of the dispatch slice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DispatchSettings {
+    /// How servers are chosen.
+    pub policy: PlacementPolicy,
+    /// Entries that share the fleet until [`super::DispatchEvent::EntriesSeen`] says otherwise.
+    pub entries: u32,
+    /// Time between the measurement of a load report and its reading.
+    pub load_lag: Duration,
+    /// Age from which a load report is treated with caution.
+    pub report_stale: Duration,
+    /// How long a server that refused for lack of room gets nothing new.
+    pub full_hold: Duration,
+    /// How long a server that did not answer gets nothing new; doubles with each failure in a row.
+    pub suspect_hold: Duration,
+    /// How long a sign that a server leaves outweighs its load reports.
+    pub leaving_hold: Duration,
+    /// Retries that each first try allows.
+    pub retry_share: f64,
+    /// Retries allowed beyond that share.
+    pub retry_floor: u32,
+    /// Part of the first-token target kept in reserve.
+    pub deadline_margin: f64,
+    /// Part of the between-token target that a decode step may take.
+    pub between_margin: f64,
+    /// Part of the first-token target that may be spent in a prefill engine's queue.
+    pub prefill_lookahead: f64,
+    /// Prefill time from which a prompt counts as long.
+    pub long_prefill: Duration,
+    /// Part of the prefill servers that may be busy with long prompts at a time.
+    pub long_share: f64,
+    /// How often waiting requests are tried again when nothing else happens.
+    pub poll_interval: Duration,
+    /// How long a request whose try failed may go again, in first-token targets since its arrival.
+    pub retry_patience: f64,
+    /// How long a broken stream may wait for another server.
+    pub resume_within: Duration,
+    /// Prefix hashes remembered at most.
+    pub prefix_capacity: usize,
+}
+
+impl Default for DispatchSettings {
+    fn default() -> Self {
+        Self {
+            policy: PlacementPolicy::default(),
+            entries: 1,
+            load_lag: Duration::from_millis(100),
+            report_stale: Duration::from_secs(2),
+            full_hold: Duration::from_millis(20),
+            suspect_hold: Duration::from_millis(500),
+            leaving_hold: Duration::from_secs(10),
+            retry_share: 0.1,
+            retry_floor: 10,
+            deadline_margin: 0.15,
+            between_margin: 0.9,
+            prefill_lookahead: 0.25,
+            long_prefill: Duration::from_millis(200),
+            long_share: 0.5,
+            poll_interval: Duration::from_millis(5),
+            retry_patience: 2.0,
+            resume_within: Duration::from_secs(2),
+            prefix_capacity: 100_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gs-control/tests/dispatch/fixture.rs
@@ -0,0 +1,214 @@
+//! A small fleet, a document and events for the tests of the dispatch slice.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gs_control::dispatch::{
+    AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState, RequestDemand,
+    ServerSighting,
+};
+use gs_document::document::{
+    CallerEntry, CallerRank, EnvironmentDocument, ModelEntry, ServerKindEntry, ServerProtocol,
+};
+use gs_protocol::engine::{EngineRole, LoadReport};
+use gs_protocol::ids::{AttemptId, FenceNumber, RequestId, ServerName};
+use gs_protocol::prefix::PieceHash;
+use gs_protocol::refusal::RefusalReason;
+use uuid::Uuid;
+
+pub const MODEL: &str = "care-notes";
+pub const KIND: &str = "care-notes-engine";
+pub const MAX_STREAMS: u32 = 4;
+
+/// A caller of the document: name, rank, share, first-token target.
+pub fn caller(rank: CallerRank, share: f64, first_token_ms: u64) -> CallerEntry {
+    CallerEntry {
+        token_digests: Vec::new(),
+        rank,
+        first_token: Duration::from_millis(first_token_ms),
+        between_tokens: Duration::from_millis(60),
+        worth: 1.0,
+        guaranteed_share: share,
+        queue_bound: 1_000,
+        models: vec![MODEL.into()],
+        services: Vec::new(),
+    }
+}
+
+pub fn document(callers: &[(&str, CallerEntry)]) -> Arc<EnvironmentDocument> {
+    let model = ModelEntry {
+        server_kind: KIND.into(),
+        max_prompt_tokens: 100_000,
+        max_output_tokens: 10_000,
+    };
+    let kind = ServerKindEntry {
+        protocol: ServerProtocol::Engine,
+        checks_fence: false,
+    };
+    Arc::new(EnvironmentDocument {
+        callers: callers
+            .iter()
+            .map(|(name, entry)| ((*name).into(), entry.clone()))
+            .collect(),
+        models: BTreeMap::from([(MODEL.into(), model)]),
+        services: BTreeMap::new(),
+        server_kinds: BTreeMap::from([(KIND.into(), kind)]),
+        operators: BTreeMap::new(),
+        key_retention: Duration::from_secs(3_600),
+    })
+}
+
+/// A report of an idle engine that prefills 10 000 tokens a second and takes 10 ms and more a step.
+pub fn idle_report(server: &str, role: EngineRole) -> LoadReport {
+    LoadReport {
+        server: server.into(),
+        role,
+        models: vec![MODEL.into()],
+        leaving: false,
+        streams: 0,
+        reservations: 0,
+        max_streams: MAX_STREAMS,
+        prefill_tokens: 0,
+        prefills: 0,
+        free_pieces: 2_000,
+        pieces: 2_000,
+        transfer_bytes: 0,
+        prefill_rate: 10_000,
+        link_rate: 1_000_000_000,
+        step_base_us: 10_000,
+        step_stream_us: 500,
+        fence: FenceNumber(0),
+        boot: 1,
+    }
+}
+
+pub fn sighting(report: LoadReport) -> ServerSighting {
+    ServerSighting {
+        kind: KIND.into(),
+        data_centre: "duluth".into(),
+        delay: Duration::from_micros(200),
+        report,
+    }
+}
+
+pub fn request(number: u64) -> RequestId {
+    RequestId(Uuid::from_u64_pair(0, number))
+}
+
+pub fn demand(number: u64, caller: &str, prompt_tokens: u32) -> RequestDemand {
+    RequestDemand {
+        request: request(number),
+        caller: caller.into(),
+        model: MODEL.into(),
+        prompt_tokens,
+        pieces: (0..u64::from(prompt_tokens / 16))
+            .map(|piece| PieceHash(number << 32 | piece))
+            .collect(),
+        max_tokens: 20,
+    }
+}
+
+/// A started attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Started {
+    pub request: RequestId,
+    pub attempt: AttemptId,
+    pub decode: ServerName,
+    pub prefill: ServerName,
+}
+
+/// A dispatch state with a clock of its own.
+pub struct Bench {
+    pub state: DispatchState,
+    pub now: Instant,
+    pub effects: Vec<DispatchEffect>,
+}
+
+impl Bench {
+    pub fn new(settings: DispatchSettings, callers: &[(&str, CallerEntry)]) -> Self {
+        let mut bench = Self {
+            state: DispatchState::new(settings, 7),
+
+            now: Instant::now(),
+            effects: Vec::new(),
+        };
+        bench.send(DispatchEvent::DocumentApplied(document(callers)));
+        bench
+    }
+
+    /// A bench whose fleet has idle servers `p0…` and `d0…`.
+    pub fn with_servers(mut self, prefills: usize, decodes: usize) -> Self {
+        for index in 0..prefills {
+            self.see(idle_report(&format!("p{index}"), EngineRole::Prefill));
+        }
+        for index in 0..decodes {
+            self.see(idle_report(&format!("d{index}"), EngineRole::Decode));
+        }
+        self
+    }
+
+    pub fn see(&mut self, report: LoadReport) {
+        self.send(DispatchEvent::LoadSeen(sighting(report)));
+    }
+
+    pub fn send(&mut self, event: DispatchEvent) {
+        self.state.handle(self.now, event, &mut self.effects);
+    }
+
+    pub fn arrive(&mut self, number: u64, caller: &str, prompt_tokens: u32) {
+        self.send(DispatchEvent::Arrived(demand(
+            number,
+            caller,
+            prompt_tokens,
+        )));
+    }
+
+    pub fn end(&mut self, attempt: AttemptId, end: AttemptEnd) {
+        self.send(DispatchEvent::Ended { attempt, end });
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.send(DispatchEvent::Tick);
+    }
+
+    /// Takes the starts since the last call.
+    pub fn take_starts(&mut self) -> Vec<Started> {
+        let mut starts = Vec::new();
+        self.effects.retain(|effect| match effect {
+            DispatchEffect::Start {
+                request,
+                attempt,
+                decode,
+                prefill,
+                ..
+            } => {
+                starts.push(Started {
+                    request: *request,
+                    attempt: *attempt,
+                    decode: decode.clone(),
+                    prefill: prefill.clone(),
+                });
+                false
+            }
+            DispatchEffect::Refuse { .. } => true,
+        });
+        starts
+    }
+
+    /// Takes the refusals since the last call.
+    pub fn take_refusals(&mut self) -> Vec<(RequestId, RefusalReason)> {
+        let mut refusals = Vec::new();
+        self.effects.retain(|effect| match effect {
+            DispatchEffect::Refuse {
+                request, reason, ..
+            } => {
+                refusals.push((*request, *reason));
+                false
+            }
+            DispatchEffect::Start { .. } => true,
+        });
+        refusals
+    }
+}
--- /dev/null
+++ b/crates/gs-control/tests/dispatch/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the dispatch slice.
+
+mod fixture;
+mod lifecycle;
