Serve the whole path through separate processes

Cause: the slices had no daemon around them. Change: gs-entry with traffic threads (completions, services, entry list, metrics), one control thread (dispatch, membership, reclaim, server polls), proved peer links, and a rig that starts a deployment as separate processes. Non-idempotent calls are refused as not run until the ledger is wired.

--- /dev/null
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -0,0 +1,138 @@
+//! Drives the dispatch slice and hands its decisions to the requests.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use gs_control::dispatch::{
+    DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
+    PlacementPolicy as DispatchPolicy,
+};
+use gs_document::settings::{EntrySettings, PlacementPolicy};
+use gs_protocol::ids::RequestId;
+use gs_protocol::refusal::RefusalReason;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::messages::RequestDecision;
+use crate::servers::ServerDirectory;
+
+/// The requests of this entry that wait or run, and the slice that decides for them.
+pub struct RequestDesk {
+    state: DispatchState,
+    open: HashMap<RequestId, UnboundedSender<RequestDecision>>,
+    effects: Vec<DispatchEffect>,
+}
+
+impl RequestDesk {
+    /// A desk without requests.
+    pub fn new(settings: &EntrySettings, seed: u64) -> Self {
+        let settings = DispatchSettings {
+            policy: dispatch_policy(settings.placement),
+            ..DispatchSettings::default()
+        };
+        Self {
+            state: DispatchState::new(settings, seed),
+            open: HashMap::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Remembers where the decisions of a request go.
+    pub fn open(&mut self, request: RequestId, decisions: UnboundedSender<RequestDecision>) {
+        self.open.insert(request, decisions);
+    }
+
+    /// Forgets a request; returns whether it was still known.
+    pub fn close(&mut self, request: RequestId) -> bool {
+        self.open.remove(&request).is_some()
+    }
+
+    /// When the slice wants to be told the time.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.state.next_wakeup()
+    }
+
+    /// Tells the slice what happened and carries out what it decides.
+    pub fn handle(&mut self, now: Instant, event: DispatchEvent, directory: &ServerDirectory) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.state.handle(now, event, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect, directory);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: DispatchEffect, directory: &ServerDirectory) {
+        match effect {
+            DispatchEffect::Start { request, .. } => {
+                let decision = start_decision(effect, directory);
+                self.send(request, decision);
+            }
+            DispatchEffect::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                self.send(
+                    request,
+                    RequestDecision::Refuse {
+                        reason,
+                        retry_after,
+                    },
+                );
+                self.open.remove(&request);
+            }
+        }
+    }
+
+    fn send(&self, request: RequestId, decision: RequestDecision) {
+        let Some(decisions) = self.open.get(&request) else {
+            return;
+        };
+        // A failed send means that the request is ending; its `Finished` message follows.
+        let _ = decisions.send(decision);
+    }
+}
+
+/// Adds the addresses of the chosen engines.
+fn start_decision(effect: DispatchEffect, directory: &ServerDirectory) -> RequestDecision {
+    let refused = RequestDecision::Refuse {
+        reason: RefusalReason::NoServer,
+        retry_after: None,
+    };
+    let DispatchEffect::Start {
+        attempt,
+        decode,
+        prefill,
+        priority,
+        prefill_after,
+        first_token_within,
+        ..
+    } = effect
+    else {
+        return refused;
+    };
+    let endpoints = directory
+        .endpoint(&decode)
+        .zip(directory.endpoint(&prefill));
+    let Some((decode, prefill)) = endpoints else {
+        return refused;
+    };
+    RequestDecision::Start {
+        attempt,
+        decode,
+        prefill,
+        priority,
+        prefill_after,
+        first_token_within,
+    }
+}
+
+/// The policy that the settings name.
+fn dispatch_policy(policy: PlacementPolicy) -> DispatchPolicy {
+    match policy {
+        PlacementPolicy::Cost => DispatchPolicy::Cost,
+        PlacementPolicy::LeastLoad => DispatchPolicy::LeastLoad,
+        PlacementPolicy::RoundRobin => DispatchPolicy::RoundRobin,
+        PlacementPolicy::TwoChoices => DispatchPolicy::TwoChoices,
+    }
+}
--- /dev/null
+++ b/crates/gs-entry/src/control/messages.rs
@@ -0,0 +1,105 @@
+//! Messages between the control thread and the traffic threads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Message;
+use gs_control::dispatch::{DispatchEvent, RequestDemand};
+use gs_protocol::engine::EnginePriority;
+use gs_protocol::ids::{AttemptId, EntryIdentity, RequestId, ServerKindName, ServerName};
+use gs_protocol::peer::{PeerCall, PeerIdentity, PeerReply, PeerState};
+use gs_protocol::refusal::RefusalReason;
+use gs_protocol::vm::VmRecord;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::documents::AppliedDocument;
+use crate::reclaim::ReclaimCall;
+
+/// A server and where it is reached.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEndpoint {
+    /// The server.
+    pub name: ServerName,
+    /// Where it serves HTTP.
+    pub address: SocketAddr,
+}
+
+/// What the control thread decided for a request.
+#[derive(Clone, Debug)]
+pub enum RequestDecision {
+    /// Try the request at these engines.
+    Start {
+        /// The identity of the try.
+        attempt: AttemptId,
+        /// The engine for the stream.
+        decode: ServerEndpoint,
+        /// The engine for the prefill.
+        prefill: ServerEndpoint,
+        /// The place in the engines' queues.
+        priority: EnginePriority,
+        /// How long to wait between the reservation and the prefill.
+        prefill_after: Duration,
+        /// The time after which a try without a first token is given up.
+        first_token_within: Duration,
+    },
+    /// Answer with a refusal.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When another try is worth it.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// What the control thread is told.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum ControlMessage {
+    /// A request has come; its decisions go to the sender.
+    Arrived {
+        /// What it asks.
+        demand: RequestDemand,
+        /// Where its decisions go.
+        decisions: UnboundedSender<RequestDecision>,
+    },
+    /// A request has been answered, refused or given up by its caller.
+    Finished(RequestId),
+    /// Something happened to an attempt or a server.
+    Dispatch(DispatchEvent),
+    /// A document has come into force.
+    DocumentApplied(Arc<AppliedDocument>),
+    /// The platform's list of VMs was read.
+    VmsSeen(Vec<VmRecord>),
+    /// An engine did not answer a load poll.
+    LoadMissed(ServerName),
+    /// What an attempt holds must be freed.
+    Reclaim(ReclaimCall),
+    /// A peer was heard.
+    PeerHeard {
+        /// Who.
+        peer: PeerIdentity,
+        /// What it says of itself.
+        state: PeerState,
+    },
+    /// The entry begins to shut down.
+    Leave,
+}
+
+/// Asks for the servers of a kind that take new work.
+#[derive(Debug, Message)]
+#[rtype(result = "Vec<ServerEndpoint>")]
+pub struct ReadSnapshot {
+    /// The kind.
+    pub kind: ServerKindName,
+}
+
+/// Answers what a peer asks; `None` if the entry is ending.
+#[derive(Debug, Message)]
+#[rtype(result = "Option<PeerReply>")]
+pub struct AnswerPeer {
+    /// Who asks.
+    pub from: EntryIdentity,
+    /// What is asked.
+    pub call: PeerCall,
+}
--- /dev/null
+++ b/crates/gs-entry/src/control/mod.rs
@@ -0,0 +1,9 @@
+//! The control thread: owns all decision state of the entry.
+
+mod actor;
+mod dispatch;
+mod messages;
+mod peers;
+
+pub use actor::ControlActor;
+pub use messages::{AnswerPeer, ControlMessage, ReadSnapshot, RequestDecision, ServerEndpoint};
--- /dev/null
+++ b/crates/gs-entry/src/control/peers.rs
@@ -0,0 +1,151 @@
+//! Drives the membership slice and keeps the links that it asks for.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gs_control::membership::{
+    MemberCandidate, MemberStatus, MembershipEffect, MembershipEvent, MembershipSettings,
+    MembershipState,
+};
+use gs_document::settings::EntrySettings;
+use gs_protocol::ids::SequenceNumber;
+use gs_protocol::peer::{PeerIdentity, PeerState};
+use gs_protocol::vm::{VmDuty, VmRecord, VmState};
+use tokio::sync::watch;
+
+use crate::peers::{FleetView, PeerLinks, PeerParts};
+
+/// How much longer than until suspicion an entry must be silent to count as dead.
+const DEAD_FACTOR: u32 = 3;
+
+/// The other entries, as the control thread sees them.
+pub struct PeerDesk {
+    membership: MembershipState,
+    links: PeerLinks,
+    parts: PeerParts,
+    state: Rc<Cell<PeerState>>,
+    fleet: watch::Sender<Arc<FleetView>>,
+    configured: Vec<VmRecord>,
+}
+
+impl PeerDesk {
+    /// A desk that knows the entries that the settings name.
+    pub fn new(
+        settings: &EntrySettings,
+        parts: PeerParts,
+        fleet: watch::Sender<Arc<FleetView>>,
+    ) -> Self {
+        let times = MembershipSettings {
+            suspect_after: settings.intervals.suspect_after,
+            dead_after: dead_after(settings),
+        };
+        Self {
+            membership: MembershipState::new(settings.name.clone(), times),
+            links: PeerLinks::default(),
+            state: Rc::clone(&parts.state),
+            parts,
+            fleet,
+            configured: settings.vm_records(),
+        }
+    }
+
+    /// Takes in a newer VM list.
+    pub fn see_vms(&mut self, now: Instant, records: &[VmRecord]) -> Vec<MembershipEffect> {
+        let listed = self.configured.iter().chain(records);
+        let candidates = listed.filter_map(read_candidate).collect();
+        self.handle(now, MembershipEvent::CandidatesSeen(candidates))
+    }
+
+    /// Takes in that a peer was heard.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        peer: PeerIdentity,
+        state: PeerState,
+    ) -> Vec<MembershipEffect> {
+        self.handle(now, MembershipEvent::PeerHeard { peer, state })
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) -> Vec<MembershipEffect> {
+        self.handle(now, MembershipEvent::Tick)
+    }
+
+    /// Tells peers that this entry is shutting down.
+    pub fn leave(&self) {
+        self.state.set(PeerState {
+            leaving: true,
+            ..self.state.get()
+        });
+    }
+
+    /// Tells peers which document is in force here.
+    pub fn set_sequence(&self, sequence: SequenceNumber) {
+        self.state.set(PeerState {
+            sequence,
+            ..self.state.get()
+        });
+    }
+
+    /// Entries that take part in the fleet, this one included.
+    pub fn count_entries(&self) -> u32 {
+        let taking_part = |status| matches!(status, MemberStatus::Alive | MemberStatus::Leaving);
+        let others = self
+            .membership
+            .members()
+            .filter(|record| taking_part(record.status))
+            .count();
+        u32::try_from(others + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Carries out what concerns links, and returns all effects for the other slices.
+    fn handle(&mut self, now: Instant, event: MembershipEvent) -> Vec<MembershipEffect> {
+        let mut effects = Vec::new();
+        self.membership.handle(now, event, &mut effects);
+        for effect in &effects {
+            self.carry_out(effect);
+        }
+        let view = FleetView {
+            entries: self.membership.usable(),
+        };
+        self.fleet.send_if_modified(|current| {
+            let changed = **current != view;
+            if changed {
+                *current = Arc::new(view);
+            }
+            changed
+        });
+        effects
+    }
+
+    fn carry_out(&mut self, effect: &MembershipEffect) {
+        match effect {
+            MembershipEffect::Connect { name, peer_address } => {
+                self.links.connect(name, *peer_address, self.parts.clone());
+            }
+            MembershipEffect::Disconnect(name) => self.links.disconnect(name),
+            MembershipEffect::StatusChanged { peer, status } => {
+                log::info!(target: "peers", peer:% = peer.identity; "Entry is {status:?}.");
+            }
+        }
+    }
+}
+
+fn dead_after(settings: &EntrySettings) -> Duration {
+    settings.intervals.suspect_after * DEAD_FACTOR
+}
+
+fn read_candidate(vm: &VmRecord) -> Option<MemberCandidate> {
+    let VmDuty::Entry { name, peer_address } = &vm.duty else {
+        return None;
+    };
+    Some(MemberCandidate {
+        name: name.clone(),
+        data_centre: vm.data_centre.clone(),
+        address: vm.address,
+        peer_address: *peer_address,
+        leaving: vm.state == VmState::Leaving,
+    })
+}
--- /dev/null
+++ b/crates/gs-entry/src/documents/mod.rs
@@ -0,0 +1,7 @@
+//! The document in force at this entry.
+
+mod applied;
+mod follow;
+
+pub use applied::AppliedDocument;
+pub use follow::follow_documents;
--- /dev/null
+++ b/crates/gs-entry/src/engine/events.rs
@@ -0,0 +1,81 @@
+//! Reads the server-sent events of a stream.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use gs_protocol::engine::StreamEvent;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, LinesCodec};
+
+use super::EngineFailure;
+
+/// The longest line of an event, in bytes.
+const MAX_LINE_BYTES: usize = 65_536;
+
+/// The start of a line that carries an event.
+const DATA_PREFIX: &str = "data: ";
+
+/// The body of an open stream.
+pub type EventBody = Pin<Box<dyn Stream<Item = Result<Bytes, awc::error::PayloadError>>>>;
+
+/// The events of one open stream. Dropping it closes the connection.
+pub struct EventReader {
+    body: EventBody,
+    buffer: BytesMut,
+    codec: LinesCodec,
+}
+
+impl EventReader {
+    /// Reads events from a response body.
+    pub fn new(body: EventBody) -> Self {
+        Self {
+            body,
+            buffer: BytesMut::new(),
+            codec: LinesCodec::new_with_max_length(MAX_LINE_BYTES),
+        }
+    }
+
+    /// Waits until bytes come, and returns all events that are whole by then. Never empty.
+    pub async fn next_events(
+        &mut self,
+        silence: Duration,
+        events: &mut Vec<StreamEvent>,
+    ) -> Result<(), EngineFailure> {
+        events.clear();
+        while events.is_empty() {
+            let Ok(chunk) = timeout(silence, self.body.next()).await else {
+                let waited_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+                return Err(EngineFailure::Silent { waited_ms });
+            };
+            let Some(chunk) = chunk else {
+                return Err(EngineFailure::Broken {
+                    detail: "the stream ended early".to_owned(),
+                });
+            };
+            let chunk = chunk.map_err(|error| EngineFailure::Broken {
+                detail: error.to_string(),
+            })?;
+            self.buffer.extend_from_slice(&chunk);
+            self.decode_lines(events)?;
+        }
+        Ok(())
+    }
+
+    fn decode_lines(&mut self, events: &mut Vec<StreamEvent>) -> Result<(), EngineFailure> {
+        let malformed = |detail: String| EngineFailure::Malformed { detail };
+        while let Some(line) = self
+            .codec
+            .decode(&mut self.buffer)
+            .map_err(|error| malformed(error.to_string()))?
+        {
+            let Some(data) = line.strip_prefix(DATA_PREFIX) else {
+                continue;
+            };
+            let event = serde_json::from_str(data).map_err(|error| malformed(error.to_string()))?;
+            events.push(event);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gs-entry/src/servers/directory.rs
@@ -0,0 +1,99 @@
+//! Which backend servers there are.
+
+use std::collections::BTreeMap;
+
+use gs_control::dispatch::DispatchEvent;
+use gs_document::settings::EntrySettings;
+use gs_protocol::ids::{DataCentreName, ServerKindName, ServerName};
+use gs_protocol::vm::{VmDuty, VmRecord, VmState};
+
+use crate::control::ServerEndpoint;
+
+/// One backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerRecord {
+    /// Where it is reached.
+    pub endpoint: ServerEndpoint,
+    /// Its kind.
+    pub kind: ServerKindName,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Whether it is leaving.
+    pub state: VmState,
+}
+
+/// The backend servers that settings and the VM list name.
+#[derive(Debug, Default)]
+pub struct ServerDirectory {
+    records: BTreeMap<ServerName, ServerRecord>,
+}
+
+impl ServerDirectory {
+    /// The servers that the settings name.
+    pub fn new(settings: &EntrySettings) -> Self {
+        let records = settings
+            .vm_records()
+            .iter()
+            .filter_map(read_server)
+            .collect();
+        Self { records }
+    }
+
+    /// Takes over a newer VM list; returns what changed for the dispatch slice.
+    pub fn apply(&mut self, vms: &[VmRecord], settings: &EntrySettings) -> Vec<DispatchEvent> {
+        let configured = settings.vm_records();
+        let listed = configured.iter().chain(vms);
+        let fresh: BTreeMap<_, _> = listed.filter_map(read_server).collect();
+        let mut events = Vec::new();
+        for name in self
+            .records
+            .keys()
+            .filter(|name| !fresh.contains_key(*name))
+        {
+            events.push(DispatchEvent::ServerLost(name.clone()));
+        }
+        for (name, record) in &fresh {
+            if record.state == VmState::Leaving {
+                events.push(DispatchEvent::ServerLeaving(name.clone()));
+            }
+        }
+        self.records = fresh;
+        events
+    }
+
+    /// Where a server is reached.
+    pub fn endpoint(&self, name: &ServerName) -> Option<ServerEndpoint> {
+        self.records.get(name).map(|record| record.endpoint.clone())
+    }
+
+    /// The servers of a kind that take new work.
+    pub fn usable(&self, kind: &ServerKindName) -> Vec<ServerEndpoint> {
+        self.records
+            .values()
+            .filter(|record| record.kind == *kind && record.state == VmState::Live)
+            .map(|record| record.endpoint.clone())
+            .collect()
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.records.values()
+    }
+}
+
+fn read_server(vm: &VmRecord) -> Option<(ServerName, ServerRecord)> {
+    let VmDuty::Server { name, kind } = &vm.duty else {
+        return None;
+    };
+    let endpoint = ServerEndpoint {
+        name: name.clone(),
+        address: vm.address,
+    };
+    let record = ServerRecord {
+        endpoint,
+        kind: kind.clone(),
+        data_centre: vm.data_centre.clone(),
+        state: vm.state,
+    };
+    Some((name.clone(), record))
+}
--- /dev/null
+++ b/crates/gs-entry/src/servers/load.rs
@@ -0,0 +1,159 @@
+//! Polls the load and the cache events of engines.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use gs_control::dispatch::{DispatchEvent, ServerSighting};
+use gs_document::document::{EnvironmentDocument, ServerProtocol};
+use gs_document::settings::EntrySettings;
+use gs_protocol::ids::ServerName;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::ServerDirectory;
+use super::directory::ServerRecord;
+use crate::control::{ControlActor, ControlMessage};
+use crate::engine::{ClientPool, EngineClient};
+
+/// The one-way delay to a data centre that the settings do not name.
+const UNKNOWN_DELAY: Duration = Duration::from_millis(5);
+
+/// One running poll, for one engine.
+struct EnginePoll {
+    record: ServerRecord,
+    task: JoinHandle<()>,
+}
+
+/// The polls of all engines that the directory names.
+pub struct ServerPolls {
+    settings: Arc<EntrySettings>,
+    client: EngineClient,
+    polls: BTreeMap<ServerName, EnginePoll>,
+}
+
+impl ServerPolls {
+    /// No poll yet.
+    pub fn new(settings: Arc<EntrySettings>) -> Self {
+        let pool = Rc::new(ClientPool::new(settings.timeouts.connect));
+        Self {
+            settings,
+            client: EngineClient::new(pool),
+            polls: BTreeMap::new(),
+        }
+    }
+
+    /// Starts polls for engines that are new, and ends those of engines that are gone.
+    pub fn follow(
+        &mut self,
+        directory: &ServerDirectory,
+        document: &EnvironmentDocument,
+        control: &Addr<ControlActor>,
+    ) {
+        let wanted: BTreeMap<_, _> = directory
+            .iter()
+            .filter(|record| is_engine(record, document))
+            .map(|record| (record.endpoint.name.clone(), record.clone()))
+            .collect();
+        self.polls.retain(|name, poll| {
+            let keep = wanted.get(name) == Some(&poll.record);
+            if !keep {
+                poll.task.abort();
+            }
+            keep
+        });
+        for (name, record) in wanted {
+            if !self.polls.contains_key(&name) {
+                let poll = self.start(record, control.clone());
+                self.polls.insert(name, poll);
+            }
+        }
+    }
+
+    fn start(&self, record: ServerRecord, control: Addr<ControlActor>) -> EnginePoll {
+        let settings = Arc::clone(&self.settings);
+        let client = self.client.clone();
+        let polled = record.clone();
+        let task = actix_rt::spawn(async move {
+            let loads = poll_load(&settings, &client, &polled, &control);
+            let caches = poll_cache(&settings, &client, &polled, &control);
+            futures_util::future::join(loads, caches).await;
+        });
+        EnginePoll { record, task }
+    }
+}
+
+fn is_engine(record: &ServerRecord, document: &EnvironmentDocument) -> bool {
+    let kind = document.server_kinds.get(&record.kind);
+    kind.is_some_and(|kind| kind.protocol == ServerProtocol::Engine)
+}
+
+async fn poll_load(
+    settings: &EntrySettings,
+    client: &EngineClient,
+    record: &ServerRecord,
+    control: &Addr<ControlActor>,
+) {
+    let name = &record.endpoint.name;
+    let delay = settings
+        .delay_to(&record.data_centre)
+        .unwrap_or(UNKNOWN_DELAY);
+    loop {
+        let message = match client
+            .load(record.endpoint.address, settings.timeouts.reserve)
+            .await
+        {
+            Ok(report) => {
+                let leaving = report
+                    .leaving
+                    .then(|| DispatchEvent::ServerLeaving(name.clone()));
+                let sighting = ServerSighting {
+                    kind: record.kind.clone(),
+                    data_centre: record.data_centre.clone(),
+                    delay,
+                    report,
+                };
+                control.do_send(ControlMessage::Dispatch(DispatchEvent::LoadSeen(sighting)));
+                leaving.map(ControlMessage::Dispatch)
+            }
+            Err(error) => {
+                log::warn!(target: "servers", server = name.as_str(); "Load poll failed: {error}.");
+                Some(ControlMessage::LoadMissed(name.clone()))
+            }
+        };
+        if let Some(message) = message {
+            control.do_send(message);
+        }
+        sleep(settings.intervals.load_poll).await;
+    }
+}
+
+async fn poll_cache(
+    settings: &EntrySettings,
+    client: &EngineClient,
+    record: &ServerRecord,
+    control: &Addr<ControlActor>,
+) {
+    let mut after = 0;
+    let mut boot = None;
+    loop {
+        sleep(settings.intervals.cache_poll).await;
+        let address = record.endpoint.address;
+        let Ok(events) = client
+            .cache_events(address, after, settings.timeouts.reserve)
+            .await
+        else {
+            continue;
+        };
+        let restarted = boot.is_some_and(|boot| boot != events.boot);
+        after = if restarted { 0 } else { events.last };
+        boot = Some(events.boot);
+        let server = record.endpoint.name.clone();
+        control.do_send(ControlMessage::Dispatch(DispatchEvent::CacheSeen {
+            server,
+            events,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/gs-entry/src/services/handler.rs
@@ -0,0 +1,154 @@
+//! `/services/{service}/{path}`: checks a call and answers it.
+
+use std::time::Instant;
+
+use actix_web::http::StatusCode;
+use actix_web::http::header::CONTENT_TYPE;
+use actix_web::web::{Data, Path, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use gs_protocol::ids::{IdempotencyKey, RequestId, ServiceName};
+use gs_protocol::refusal::RefusalReason;
+use gs_protocol::service::KEY_HEADER;
+use uuid::Uuid;
+
+use super::call::{ServiceAnswer, ServiceCall};
+use super::forward::forward_idempotent;
+use super::routes::find_route;
+use crate::telemetry;
+use crate::traffic::{CallerRefusal, RequestContext, TrafficState, read_body};
+
+/// The version of UUIDs that idempotency keys have.
+const KEY_VERSION: usize = 7;
+
+/// Answers a call of a service.
+pub async fn call_service(
+    http: HttpRequest,
+    path: Path<(String, String)>,
+    payload: Payload,
+    state: Data<TrafficState>,
+) -> HttpResponse {
+    let request = RequestId::generate();
+    let context = match RequestContext::authenticate(&http, &state, request) {
+        Ok(context) => context,
+        Err(refusal) => {
+            telemetry::count_refusal(None, refusal.reason);
+            return refusal.response(request);
+        }
+    };
+    let (service, path) = path.into_inner();
+    let target = CallTarget {
+        service: ServiceName::new(service),
+        path: format!("/{path}"),
+    };
+    match answer(&http, &target, &context, payload, &state).await {
+        Ok(answer) => respond(&context, answer),
+        Err(refusal) => {
+            context.note_refusal(&refusal);
+            refusal.response(request)
+        }
+    }
+}
+
+/// What a call names.
+struct CallTarget {
+    service: ServiceName,
+    path: String,
+}
+
+async fn answer(
+    http: &HttpRequest,
+    target: &CallTarget,
+    context: &RequestContext,
+    payload: Payload,
+    state: &Data<TrafficState>,
+) -> Result<ServiceAnswer, CallerRefusal> {
+    let mut call = check_call(http, target, context)?;
+    call.body = read_body(payload, state.settings.limits.max_body_bytes).await?;
+    if call.idempotent {
+        return forward_idempotent(&call, state).await;
+    }
+    let detail = "non-idempotent calls are not served yet";
+    Err(CallerRefusal::not_run(
+        RefusalReason::PlatformUnavailable,
+        detail,
+    ))
+}
+
+fn check_call(
+    http: &HttpRequest,
+    target: &CallTarget,
+    context: &RequestContext,
+) -> Result<ServiceCall, CallerRefusal> {
+    let name = &target.service;
+    let unknown = |detail| CallerRefusal::not_run(RefusalReason::UnknownRoute, detail);
+    let Some(service) = context.document.document.services.get(name) else {
+        return Err(unknown(format!(
+            "service \"{name}\" does not exist in the document in force"
+        )));
+    };
+    if !context
+        .entry()
+        .is_some_and(|caller| caller.services.contains(name))
+    {
+        let detail = format!(
+            "caller \"{}\" may not use service \"{name}\"",
+            context.caller
+        );
+        return Err(CallerRefusal::not_run(RefusalReason::Forbidden, detail));
+    }
+    let method = http.method().clone();
+    let Some(route) = find_route(service, method.as_str(), &target.path) else {
+        let path = &target.path;
+        return Err(unknown(format!(
+            "service \"{name}\" has no route {method} {path}"
+        )));
+    };
+    let key = read_key(http)?;
+    if !route.idempotent && key.is_none() {
+        let detail = format!("{method} {} needs an Idempotency-Key", route.path);
+        return Err(CallerRefusal::not_run(RefusalReason::KeyRequired, detail));
+    }
+    let query = http.query_string();
+    let separator = if query.is_empty() { "" } else { "?" };
+    let content_type = http
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    Ok(ServiceCall {
+        request: context.request,
+        caller: context.caller.clone(),
+        kind: service.server_kind.clone(),
+        method,
+        path: format!("{}{separator}{query}", target.path),
+        content_type: content_type.map(str::to_owned),
+        body: bytes::Bytes::new(),
+        key,
+        idempotent: route.idempotent,
+        deadline: Instant::now() + route.deadline,
+    })
+}
+
+/// Reads the key: a UUIDv7, with or without the quotes of a structured header string.
+fn read_key(http: &HttpRequest) -> Result<Option<IdempotencyKey>, CallerRefusal> {
+    let Some(value) = http.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim_matches('"');
+    match Uuid::try_parse(text) {
+        Ok(uuid) if uuid.get_version_num() == KEY_VERSION => Ok(Some(IdempotencyKey(uuid))),
+        _ => {
+            let detail = format!("Idempotency-Key \"{text}\" is not a UUIDv7");
+            Err(CallerRefusal::not_run(RefusalReason::KeyInvalid, detail))
+        }
+    }
+}
+
+fn respond(context: &RequestContext, answer: ServiceAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    context.stamp(&mut builder);
+    if let Some(content_type) = &answer.content_type {
+        builder.content_type(content_type.as_str());
+    }
+    builder.body(answer.body)
+}
--- /dev/null
+++ b/crates/gs-entry/src/telemetry.rs
@@ -0,0 +1,96 @@
+//! Names of the metrics, and the handles that requests record into.
+
+use std::sync::OnceLock;
+
+use gs_document::document::CallerRank;
+use gs_protocol::ids::CallerName;
+use gs_protocol::refusal::RefusalReason;
+use metrics::{Counter, Histogram, counter, histogram};
+use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Seconds from the request to its first token.
+pub const FIRST_TOKEN_SECONDS: &str = "gs_first_token_seconds";
+/// Seconds between two tokens of a stream.
+pub const BETWEEN_TOKENS_SECONDS: &str = "gs_between_tokens_seconds";
+/// Seconds that a request waited before it was started.
+pub const QUEUE_WAIT_SECONDS: &str = "gs_queue_wait_seconds";
+/// Refused requests.
+pub const REFUSALS_TOTAL: &str = "gs_refusals_total";
+/// Whole answers.
+pub const ANSWERS_TOTAL: &str = "gs_answers_total";
+/// Prompt tokens prefilled for a try that brought no token.
+pub const WASTED_PREFILL_TOKENS_TOTAL: &str = "gs_wasted_prefill_tokens_total";
+/// Events of an older try that came late and were dropped.
+pub const LATE_EVENTS_TOTAL: &str = "gs_late_events_total";
+/// Streams that ended in an explicit error.
+pub const BROKEN_STREAMS_TOTAL: &str = "gs_broken_streams_total";
+/// The sequence number of the document in force.
+pub const DOCUMENT_SEQUENCE: &str = "gs_document_sequence";
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKET_SECONDS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0,
+    10.0,
+];
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder of this process.
+pub fn install_recorder() -> Result<(), BuildError> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), BUCKET_SECONDS)?
+        .install_recorder()?;
+    // A second call in one process keeps the first recorder.
+    let _ = RECORDER.set(handle);
+    Ok(())
+}
+
+/// All metrics in Prometheus text form.
+pub fn render() -> String {
+    RECORDER
+        .get()
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+/// Moves recorded values into the buckets, so that memory stays bounded between two reads.
+pub fn run_upkeep() {
+    if let Some(handle) = RECORDER.get() {
+        handle.run_upkeep();
+    }
+}
+
+/// Handles for the requests of one caller.
+#[derive(Clone)]
+pub struct CallerMeters {
+    /// [`FIRST_TOKEN_SECONDS`]
+    pub first_token: Histogram,
+    /// [`BETWEEN_TOKENS_SECONDS`]
+    pub between_tokens: Histogram,
+    /// [`QUEUE_WAIT_SECONDS`]
+    pub queue_wait: Histogram,
+    /// [`ANSWERS_TOTAL`]
+    pub answers: Counter,
+}
+
+impl CallerMeters {
+    /// The handles of a caller and its rank.
+    pub fn new(caller: &CallerName, rank: CallerRank) -> Self {
+        let caller = caller.as_str().to_owned();
+        let rank = rank.label();
+        let histogram_of =
+            |name: &'static str| histogram!(name, "caller" => caller.clone(), "rank" => rank);
+        Self {
+            first_token: histogram_of(FIRST_TOKEN_SECONDS),
+            between_tokens: histogram_of(BETWEEN_TOKENS_SECONDS),
+            queue_wait: histogram_of(QUEUE_WAIT_SECONDS),
+            answers: counter!(ANSWERS_TOTAL, "caller" => caller.clone(), "rank" => rank),
+        }
+    }
+}
+
+/// Counts a refusal.
+pub fn count_refusal(caller: Option<&CallerName>, reason: RefusalReason) {
+    let caller = caller.map_or("none", CallerName::as_str).to_owned();
+    counter!(REFUSALS_TOTAL, "caller" => caller, "reason" => reason.label()).increment(1);
+}
--- /dev/null
+++ b/crates/gs-entry/src/traffic/routes.rs
@@ -0,0 +1,32 @@
+//! The routes of the caller API.
+
+use actix_web::web::{self, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use gs_protocol::ids::RequestId;
+use gs_protocol::refusal::RefusalReason;
+
+use super::{CallerRefusal, entries, health};
+use crate::{completion, services};
+
+/// Registers all routes.
+pub fn configure_routes(config: &mut ServiceConfig) {
+    config
+        .route("/ready", web::get().to(health::ready))
+        .route("/metrics", web::get().to(health::metrics))
+        .route("/v1/entries", web::get().to(entries::list_entries))
+        .route("/v1/completions", web::post().to(completion::complete_text))
+        .route(
+            "/v1/chat/completions",
+            web::post().to(completion::complete_chat),
+        )
+        .route(
+            "/services/{service}/{path:.*}",
+            web::to(services::call_service),
+        )
+        .default_service(web::to(refuse_unknown));
+}
+
+async fn refuse_unknown(http: HttpRequest) -> HttpResponse {
+    let detail = format!("there is no route {} {}", http.method(), http.path());
+    CallerRefusal::not_run(RefusalReason::UnknownRoute, detail).response(RequestId::generate())
+}
--- /dev/null
+++ b/crates/gs-entry/tests/path.rs
@@ -0,0 +1,142 @@
+//! A request goes from a caller to engines and services through separate processes.
+
+mod support;
+
+use bytes::Bytes;
+use gs_protocol::caller::EntryList;
+use gs_protocol::engine::HeldRecord;
+use gs_protocol::refusal::{RefusalReason, RequestOutcome};
+use gs_standin::rig::{FleetRig, RigError};
+use serde_json::{Value, json};
+use support::{CLERK, completion};
+use test_case::test_case;
+
+type TestResult = Result<(), RigError>;
+
+async fn held(rig: &FleetRig) -> Vec<HeldRecord> {
+    let mut records = Vec::new();
+    for server in rig
+        .servers
+        .iter()
+        .filter(|server| server.name.as_str().starts_with("notes"))
+    {
+        let held = rig
+            .client
+            .get::<Vec<HeldRecord>>(server.process.address, "/v1/held")
+            .await;
+        records.extend(held.expect("engine lists what it holds"));
+    }
+    records
+}
+
+#[actix_rt::test]
+async fn a_caller_finds_all_entries_and_is_answered_by_each() -> TestResult {
+    let rig = support::start(2, &json!({})).await?;
+    let bearer = format!("Bearer {CLERK}");
+    let first = rig.entries[0].process.address;
+    let list = async || {
+        let headers = [("authorization", bearer.as_str())];
+        let call = rig
+            .client
+            .call(first, "GET", "/v1/entries", &headers, Bytes::new());
+        call.await
+            .and_then(|answer| answer.json::<EntryList>())
+            .expect("entry list")
+            .entries
+    };
+    rig.wait_for("both entries in the list", async || list().await.len() == 2)
+        .await?;
+    let mut texts = Vec::new();
+    for entry in list().await {
+        let body = completion("what became of ticket 12", 8, true);
+        let answer = rig
+            .client
+            .ask(entry.address, "/v1/completions", CLERK, &body)
+            .await?;
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("x-document-sequence"), Some("1"));
+        let streamed = answer.streamed();
+        assert!(streamed.whole);
+        assert_eq!(streamed.tokens.len(), 8);
+        texts.push(streamed.tokens);
+    }
+    assert_eq!(texts[0], texts[1], "the same request has the same answer");
+    rig.wait_for("freed engines", async || held(&rig).await.is_empty())
+        .await
+}
+
+#[actix_rt::test]
+async fn a_whole_answer_has_the_text_of_the_stream() -> TestResult {
+    let rig = support::start(1, &json!({})).await?;
+    let entry = rig.entries[0].process.address;
+    let streamed = completion("wash notes for batch 4", 12, true);
+    let streamed = rig
+        .client
+        .ask(entry, "/v1/completions", CLERK, &streamed)
+        .await?
+        .streamed();
+    let whole = completion("wash notes for batch 4", 12, false);
+    let whole: Value = rig
+        .client
+        .ask(entry, "/v1/completions", CLERK, &whole)
+        .await?
+        .json()?;
+    assert_eq!(whole["choices"][0]["text"], streamed.tokens.concat());
+    assert_eq!(whole["usage"]["completion_tokens"], 12);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn an_idempotent_service_call_is_passed_on() -> TestResult {
+    let rig = support::start(1, &json!({})).await?;
+    let entry = rig.entries[0].process.address;
+    let bearer = format!("Bearer {CLERK}");
+    let headers = [("authorization", bearer.as_str())];
+    let path = "/services/desk/tickets/12?view=short";
+    let answer = rig
+        .client
+        .call(entry, "GET", path, &headers, Bytes::new())
+        .await?;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.json::<Value>()?["path"], "/tickets/12");
+    Ok(())
+}
+
+fn text(body: &Value) -> String {
+    body.to_string()
+}
+
+#[test_case("nobody", "/v1/completions", &text(&completion("x", 4, true)), RefusalReason::Unauthorized; "unknown token")]
+#[test_case(CLERK, "/v1/completions", "{\"model\": ", RefusalReason::BadRequest; "broken json")]
+#[test_case(CLERK, "/v1/completions", &text(&json!({"model": "none", "prompt": "x"})), RefusalReason::UnknownModel; "unknown model")]
+#[test_case(CLERK, "/v1/completions", &text(&completion(&"word ".repeat(4000), 4, true)), RefusalReason::PromptTooLong; "long prompt")]
+#[test_case(CLERK, "/v1/completions", &text(&completion("x", 5000, true)), RefusalReason::PromptTooLong; "long output")]
+#[test_case(CLERK, "/v1/completions", &"x".repeat(2_000_000), RefusalReason::TooLarge; "large body")]
+#[test_case(CLERK, "/v1/nothing", "", RefusalReason::UnknownRoute; "unknown route")]
+#[test_case(CLERK, "/services/desk/nothing", "", RefusalReason::UnknownRoute; "unknown service route")]
+#[test_case(CLERK, "/services/desk/charges", "{}", RefusalReason::KeyRequired; "missing key")]
+fn bad_input_is_refused(token: &str, path: &str, body: &str, reason: RefusalReason) {
+    let check = async {
+        let rig = support::start(1, &json!({})).await?;
+        let entry = rig.entries[0].process.address;
+        let bearer = format!("Bearer {token}");
+        let headers = [("authorization", bearer.as_str())];
+        let body = Bytes::from(body.to_owned());
+        let answer = rig.client.call(entry, "POST", path, &headers, body).await?;
+        let problem = answer.problem()?;
+        assert_eq!(answer.status, reason.status());
+        assert_eq!(problem.reason, reason);
+        assert_eq!(problem.outcome, RequestOutcome::NotRun);
+        assert!(held(&rig).await.is_empty());
+        let again = completion("still there", 4, true);
+        let again = rig
+            .client
+            .ask(entry, "/v1/completions", CLERK, &again)
+            .await?;
+        assert!(again.streamed().whole);
+        TestResult::Ok(())
+    };
+    actix_rt::System::new()
+        .block_on(check)
+        .expect("the deployment answers");
+}
--- /dev/null
+++ b/crates/gs-entry/tests/support/mod.rs
@@ -0,0 +1,87 @@
+//! Starts deployments for the tests of the entry.
+
+#![allow(dead_code)]
+
+use gs_standin::rig::{FleetRig, RigError, RigPrograms, ServerShape};
+use serde_json::{Value, json};
+
+/// The token of the urgent caller.
+pub const CLERK: &str = "test-clerk";
+
+/// The token of the other caller.
+pub const BATCH: &str = "test-batch";
+
+/// A document with an urgent and a normal caller, one model and one service.
+pub fn document() -> Value {
+    let caller = |token: &str, rank: &str, first_token_ms: u64| {
+        json!({
+            "tokenDigests": [gs_document::digest_token(token)],
+            "rank": rank,
+            "firstTokenMs": first_token_ms,
+            "betweenTokensMs": 1000,
+            "guaranteedShare": 0.2,
+            "models": ["notes"],
+            "services": ["desk"],
+        })
+    };
+    json!({
+        "callers": {
+            "batch": caller(BATCH, "normal", 10_000),
+            "clerk": caller(CLERK, "urgent", 5_000),
+        },
+        "models": {
+            "notes": { "serverKind": "notes", "maxPromptTokens": 4000, "maxOutputTokens": 400 },
+        },
+        "services": {
+            "desk": {
+                "serverKind": "desk",
+                "routes": [
+                    { "method": "GET", "path": "/tickets/*", "idempotent": true },
+                    { "method": "POST", "path": "/charges", "idempotent": false },
+                ],
+            },
+        },
+        "serverKinds": {
+            "desk": { "protocol": "service" },
+            "notes": { "protocol": "engine", "checksFence": true },
+        },
+    })
+}
+
+/// Engines fast enough that a test is short.
+pub const FAST_ENGINE: &[&str] = &[
+    "--prefill-rate",
+    "100000",
+    "--step-base-us",
+    "1000",
+    "--step-stream-us",
+    "50",
+];
+
+/// Starts one prefill and one decode engine, a service, and entries.
+pub async fn start(entries: usize, changes: &Value) -> Result<FleetRig, RigError> {
+    let programs = RigPrograms::beside(env!("CARGO_BIN_EXE_gs-entry"));
+    let mut rig = FleetRig::start(programs, &[])?;
+    for (name, role) in [("notes-p1", "prefill"), ("notes-d1", "decode")] {
+        let shape = ServerShape::Engine {
+            role,
+            model: "notes",
+            arguments: FAST_ENGINE,
+        };
+        rig.add_server(name, "north", &shape).await?;
+    }
+    rig.add_server("desk-1", "north", &ServerShape::Service { kind: "desk" })
+        .await?;
+    rig.accept(&document()).await?;
+    for number in 0..entries {
+        rig.add_entry(&format!("entry-{number}"), "north", changes)
+            .await?;
+    }
+    rig.wait_ready().await?;
+    Ok(rig)
+}
+
+/// A completion request for the model `notes`.
+pub fn completion(prompt: &str, max_tokens: u32, stream: bool) -> Value {
+    json!({ "model": "notes", "prompt": prompt, "max_tokens": max_tokens, "stream": stream })
+}
--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod ids;
 pub mod objects;
+pub mod peer;
 pub mod platform;
 pub mod prefix;
 pub mod refusal;
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod rig;
 pub mod service;
 
 pub use error::StandinError;
--- /dev/null
+++ b/crates/gs-standin/src/rig/fleet.rs
@@ -0,0 +1,311 @@
+//! A whole deployment on loopback.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use gs_protocol::ids::{
+    DataCentreName, EntryName, OperationId, OperatorName, SequenceNumber, ServerKindName,
+    ServerName,
+};
+use gs_protocol::objects::{HeadRecord, body_key, head_key};
+use gs_protocol::vm::{VmDuty, VmRecord, VmState};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use uuid::Uuid;
+
+use super::{RigClient, RigError, RigProcess, RigPrograms};
+use crate::platform::VmChange;
+
+/// The environment of a rig.
+const ENVIRONMENT: &str = "production";
+
+/// The secret of a rig's entries.
+const PEER_KEY: &str = "rig-peer-key-0123456789";
+
+/// How long a test waits for something to happen.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Numbers the folders of one test process.
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// What kind of server to start.
+#[derive(Clone, Debug)]
+pub enum ServerShape<'a> {
+    /// An engine with a role, a model and further arguments.
+    Engine {
+        /// `prefill` or `decode`
+        role: &'a str,
+        /// The model, which is the server kind's name too.
+        model: &'a str,
+        /// Further arguments.
+        arguments: &'a [&'a str],
+    },
+    /// A plain service of a kind.
+    Service {
+        /// The server kind.
+        kind: &'a str,
+    },
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct ServerHandle {
+    /// The server.
+    pub name: ServerName,
+    /// Its process.
+    pub process: RigProcess,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryHandle {
+    /// The entry.
+    pub name: EntryName,
+    /// Its process.
+    pub process: RigProcess,
+}
+
+/// The processes of one deployment. All are ended when this is dropped.
+pub struct FleetRig {
+    /// Calls the processes.
+    pub client: RigClient,
+    /// The platform's service.
+    pub platform: RigProcess,
+    /// The servers.
+    pub servers: Vec<ServerHandle>,
+    /// The entries.
+    pub entries: Vec<EntryHandle>,
+    programs: RigPrograms,
+    folder: PathBuf,
+    sequence: SequenceNumber,
+}
+
+impl FleetRig {
+    /// Starts the platform alone.
+    pub fn start(programs: RigPrograms, platform: &[&str]) -> Result<Self, RigError> {
+        let mut arguments = vec!["platform", "--vm-lag-ms", "0"];
+        arguments.extend_from_slice(platform);
+        let platform = RigProcess::start(&programs, "gs-standin", &arguments)?;
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("gs-rig-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(RigError::system("making a folder"))?;
+        Ok(Self {
+            client: RigClient::default(),
+            platform,
+            servers: Vec::new(),
+            entries: Vec::new(),
+            programs,
+            folder,
+            sequence: SequenceNumber::default(),
+        })
+    }
+
+    /// Starts a server and lists it.
+    pub async fn add_server(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        shape: &ServerShape<'_>,
+    ) -> Result<(), RigError> {
+        let (arguments, kind) = match shape {
+            ServerShape::Engine {
+                role,
+                model,
+                arguments,
+            } => {
+                let fixed = ["engine", "--name", name, "--role", role, "--model", model];
+                ([&fixed, *arguments].concat(), *model)
+            }
+            ServerShape::Service { kind } => (vec!["service", "--name", name], *kind),
+        };
+        let process = RigProcess::start(&self.programs, "gs-standin", &arguments)?;
+        let name = ServerName::from(name);
+        let kind = ServerKindName::from(kind);
+        let duty = VmDuty::Server {
+            name: name.clone(),
+            kind,
+        };
+        self.list(duty, process.address, data_centre, VmState::Live)
+            .await?;
+        self.servers.push(ServerHandle { name, process });
+        Ok(())
+    }
+
+    /// Starts an entry and lists it. `changes` are merged over the rig's settings.
+    pub async fn add_entry(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        changes: &Value,
+    ) -> Result<(), RigError> {
+        let process = self.start_entry(name, data_centre, changes)?;
+        let name = EntryName::from(name);
+        if let Some(peer_address) = process.peer_address {
+            let duty = VmDuty::Entry {
+                name: name.clone(),
+                peer_address,
+            };
+            self.list(duty, process.address, data_centre, VmState::Live)
+                .await?;
+        }
+        self.entries.push(EntryHandle { name, process });
+        Ok(())
+    }
+
+    fn start_entry(
+        &self,
+        name: &str,
+        data_centre: &str,
+        changes: &Value,
+    ) -> Result<RigProcess, RigError> {
+        let mut settings = json!({
+            "name": name,
+            "dataCentre": data_centre,
+            "environment": ENVIRONMENT,
+            "listen": "127.0.0.1:0",
+            "peerListen": "127.0.0.1:0",
+            "platform": self.platform.address,
+            "peerKey": PEER_KEY,
+            "seed": 1,
+            "intervals": { "vmPollMs": 200, "headPollMs": 200 },
+        });
+        merge(&mut settings, changes);
+        let path = self.folder.join(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string())
+            .map_err(RigError::system("writing settings"))?;
+        let path = path.display().to_string();
+        RigProcess::start(&self.programs, "gs-entry", &["--settings", &path])
+    }
+
+    /// Adds or changes a record of the VM list.
+    pub async fn list(
+        &self,
+        duty: VmDuty,
+        address: SocketAddr,
+        data_centre: &str,
+        state: VmState,
+    ) -> Result<(), RigError> {
+        let data_centre = DataCentreName::from(data_centre);
+        let change = VmChange::Set(VmRecord {
+            duty,
+            address,
+            data_centre,
+            state,
+        });
+        self.client
+            .post(self.platform.address, "/control/vms", &change)
+            .await?;
+        Ok(())
+    }
+
+    /// Writes a document into the platform as its next head, as an operator's promotion does.
+    pub async fn accept(&mut self, document: &Value) -> Result<HeadRecord, RigError> {
+        let body = Bytes::from(document.to_string());
+        let digest = format!("sha256:{:x}", Sha256::digest(&body));
+        self.put(&body_key(&digest), body).await?;
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        self.sequence = self.sequence.next();
+        let head = HeadRecord {
+            sequence: self.sequence,
+            digest,
+            previous: None,
+            accepted_at_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            operator: OperatorName::from("rig"),
+            operation: OperationId(Uuid::now_v7()),
+            roll_back: false,
+        };
+        let value = serde_json::to_vec(&head).map_err(|error| RigError::Call {
+            path: "head".to_owned(),
+            detail: error.to_string(),
+        })?;
+        self.put(&head_key(ENVIRONMENT), value.into()).await?;
+        Ok(head)
+    }
+
+    /// Writes an object, whatever its version is.
+    async fn put(&self, key: &str, value: Bytes) -> Result<(), RigError> {
+        let path = format!("/objects/{key}");
+        let address = self.platform.address;
+        let found = self
+            .client
+            .call(address, "GET", &path, &[], Bytes::new())
+            .await?;
+        let condition = match found.header("etag") {
+            Some(version) => ("if-match", version.to_owned()),
+            None => ("if-none-match", "*".to_owned()),
+        };
+        let headers = [(condition.0, condition.1.as_str())];
+        let answer = self
+            .client
+            .call(address, "PUT", &path, &headers, value)
+            .await?;
+        if answer.status == 200 {
+            return Ok(());
+        }
+        Err(RigError::Call {
+            path,
+            detail: format!("status {}", answer.status),
+        })
+    }
+
+    /// Waits until every entry answers `GET /ready` with 200.
+    pub async fn wait_ready(&self) -> Result<(), RigError> {
+        for entry in &self.entries {
+            let address = entry.process.address;
+            let what = format!("readiness of {}", entry.name);
+            self.wait_for(&what, async || {
+                let call = self
+                    .client
+                    .call(address, "GET", "/ready", &[], Bytes::new());
+                call.await.is_ok_and(|answer| answer.status == 200)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until something holds.
+    pub async fn wait_for(
+        &self,
+        what: &str,
+        holds: impl AsyncFn() -> bool,
+    ) -> Result<(), RigError> {
+        let deadline = Instant::now() + PATIENCE;
+        while !holds().await {
+            if Instant::now() > deadline {
+                return Err(RigError::NotInTime {
+                    what: what.to_owned(),
+                });
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for FleetRig {
+    fn drop(&mut self) {
+        // The folder only holds settings.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Replaces the fields of an object by those of another, objects within objects alike.
+fn merge(target: &mut Value, changes: &Value) {
+    match (target, changes) {
+        (Value::Object(target), Value::Object(changes)) => {
+            for (name, change) in changes {
+                merge(target.entry(name).or_insert(Value::Null), change);
+            }
+        }
+        (target, change) => *target = change.clone(),
+    }
+}
