Add annotated example documents and settings

Cause: operators need a document to start from for each of the two deployments, and settings for each process, that stay right as the code changes. Change: examples/ holds two documents and the settings of the entry and of the administration API. A test reads them, compares the settings shown with the defaults, and the digests with the tokens that the notes name.

--- /dev/null
+++ b/crates/gs-document/tests/examples.rs
@@ -0,0 +1,67 @@
+//! The example files are right, and say what their notes say.
+
+use gs_document::document::{CallerRank, EnvironmentDocument};
+use gs_document::settings::{
+    AdminLimits, ClaimSettings, EntryLimits, EnvironmentNames, IntervalSettings, TimeoutSettings,
+    parse_admin_settings, parse_entry_settings,
+};
+use gs_document::{digest_token, parse_document};
+use test_case::test_case;
+
+const GREAT_LAKES: &str = include_str!("../../../examples/great-lakes.jsonc");
+const KLANG_VALLEY: &str = include_str!("../../../examples/klang-valley.jsonc");
+const ENTRY: &str = include_str!("../../../examples/entry.jsonc");
+const ADMIN: &str = include_str!("../../../examples/admin.jsonc");
+
+fn read_example(text: &str) -> EnvironmentDocument {
+    parse_document("example", text).unwrap_or_else(|list| panic!("{list}"))
+}
+
+#[test_case(GREAT_LAKES, "counter-clerk", &["POST /charges", "POST /pickups"]; "great lakes")]
+#[test_case(KLANG_VALLEY, "franchise-owner", &["POST /bookings", "POST /orders"]; "klang valley")]
+fn an_example_names_urgent_callers_and_non_idempotent_routes(
+    text: &str,
+    urgent: &str,
+    non_idempotent: &[&str],
+) {
+    let document = read_example(text);
+    let caller = &document.callers[&urgent.into()];
+    assert_eq!(caller.rank, CallerRank::Urgent);
+    let routes = document.services.values().flat_map(|entry| &entry.routes);
+    let found: Vec<String> = routes
+        .filter(|route| !route.idempotent)
+        .map(|route| format!("{:?} {}", route.method, route.path).replace("Post", "POST"))
+        .collect();
+    assert_eq!(found, non_idempotent);
+}
+
+#[test_case(GREAT_LAKES; "great lakes")]
+#[test_case(KLANG_VALLEY; "klang valley")]
+fn the_digests_of_an_example_belong_to_its_example_tokens(text: &str) {
+    let document = read_example(text);
+    let callers = document.callers.iter();
+    let callers = callers.map(|(name, entry)| (name.as_str(), &entry.token_digests));
+    let operators = document.operators.iter();
+    let operators = operators.map(|(name, entry)| (name.as_str(), &entry.token_digests));
+    for (name, digests) in callers.chain(operators) {
+        let expected = digest_token(&format!("{name}-example-token"));
+        assert_eq!(digests, &[expected], "{name}");
+    }
+}
+
+#[test]
+fn the_entry_example_shows_the_defaults() {
+    let settings = parse_entry_settings("entry", ENTRY).unwrap_or_else(|list| panic!("{list}"));
+    assert_eq!(settings.limits, EntryLimits::default());
+    assert_eq!(settings.intervals, IntervalSettings::default());
+    assert_eq!(settings.timeouts, TimeoutSettings::default());
+    assert_eq!(settings.claims, ClaimSettings::default());
+    assert_eq!(settings.traffic_threads.get(), 2);
+}
+
+#[test]
+fn the_admin_example_shows_the_defaults() {
+    let settings = parse_admin_settings("admin", ADMIN).unwrap_or_else(|list| panic!("{list}"));
+    assert_eq!(settings.environments, EnvironmentNames::default());
+    assert_eq!(settings.limits, AdminLimits::default());
+}
