Define the administration API and its objects

Cause: the daemon and the command line share the calls' bodies, and the monitor wants to see since when each document was in force at each entry.

Change: gs_protocol::admin holds calls, answers and typed problems. An operation names the sequence number that the operator has seen, so that a repeat is found by one read of history however late it comes. Objects for drains and for the proof that a digest was accepted; status records keep earlier sequences.

--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate depends on no other crate of the workspace.
 
+pub mod admin;
 pub mod caller;
 pub mod engine;
 pub mod ids;
--- a/crates/gs-protocol/src/objects.rs
+++ b/crates/gs-protocol/src/objects.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{OperationId, OperatorName, SequenceNumber};
+use crate::ids::{OperationId, OperatorName, SequenceNumber, ServerName};
 
 /// The key of an environment's head.
 pub fn head_key(environment: &str) -> String {
@@ -19,6 +19,26 @@
     format!("gs/bodies/{digest}")
 }
 
+/// The key of the proof that a document was accepted in an environment.
+pub fn proof_key(environment: &str, digest: &str) -> String {
+    format!("gs/{environment}/proofs/{digest}")
+}
+
+/// The key of the record that a server is out of use.
+pub fn drain_key(environment: &str, server: &ServerName) -> String {
+    format!("{}{server}", drain_prefix(environment))
+}
+
+/// The prefix of the keys of servers that are out of use.
+pub fn drain_prefix(environment: &str) -> String {
+    format!("gs/{environment}/drains/")
+}
+
+/// The prefix of the keys of what entries report of themselves.
+pub fn status_prefix(environment: &str) -> String {
+    format!("gs/{environment}/status/")
+}
+
 /// The key of what an entry reports of itself.
 pub fn status_key(environment: &str, entry: &str) -> String {
     format!("gs/{environment}/status/{entry}")
@@ -66,4 +86,27 @@
     pub digest: String,
     /// Milliseconds since 1970 at which it came into force there.
     pub since_ms: u64,
+    /// Documents that were in force there before, latest first, as far as they are kept.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<AppliedRecord>,
+}
+
+/// Since when an entry applied an earlier document.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct AppliedRecord {
+    /// The sequence number.
+    pub sequence: SequenceNumber,
+    /// Milliseconds since 1970 at which it came into force there.
+    pub since_ms: u64,
+}
+
+/// A server that an operator has taken out of use.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct DrainRecord {
+    /// Who did it.
+    pub operator: OperatorName,
+    /// Milliseconds since 1970 at which it was done.
+    pub at_ms: u64,
 }
