Add the operator's command line

Cause: operators check documents offline and have them accepted through the administration API, whose answers may be lost after the change took effect. Change: gs-ctl with check, digest, token-digest, diff, try, promote, rollback, drain, status, history, head and show; tables or JSON; exit codes 0 to 5. A change names the head that it builds on and carries one operation identity through all repeats. After a lost answer, only acceptance or the loss of the sequence number settles it; any other refusal may come from the change's own effect and ends in exit code 5 with the options that repeat it. Documents are limited to the platform's largest value, and bytes that are not UTF-8 are refused with their place. Ruled out: taking a refusal of a repeat as "not done", as a change can remove its own operator's right.

--- /dev/null
+++ b/crates/gs-ctl/src/commands/drain.rs
@@ -0,0 +1,54 @@
+//! `gs-ctl drain`: takes a backend server out of use, or puts it back.
+
+use bpaf::Bpaf;
+use error_stack::Report;
+use gs_protocol::admin::DrainRequest;
+use gs_protocol::ids::ServerName;
+
+use crate::client::{
+    AdminCall, AdminClient, AdminOptions, CallBody, CallFailure, admin_options, decode_answer,
+};
+use crate::error::CtlError;
+use crate::output::print_result;
+use crate::view::DrainView;
+
+use super::PRODUCTION;
+
+const FOOTER: &str = "Examples:
+   gs-ctl drain --admin 127.0.0.1:8090 --token-file operator.token care-notes-1
+   gs-ctl drain --admin 127.0.0.1:8090 --token-file operator.token --off care-notes-1";
+
+/// Takes a backend server out of use, or puts it back with --off
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(command("drain"), footer(FOOTER))]
+pub(crate) struct DrainCommand {
+    #[bpaf(external(admin_options))]
+    pub(crate) admin: AdminOptions,
+    /// The environment
+    #[bpaf(argument("NAME"), fallback(PRODUCTION.to_owned()), display_fallback)]
+    environment: String,
+    /// Put the server back
+    off: bool,
+    /// The server
+    #[bpaf(positional("SERVER"))]
+    server: String,
+}
+
+impl DrainCommand {
+    /// Changes whether the server takes new work; harmless to repeat.
+    pub(crate) async fn run(&self) -> Result<(), Report<CtlError>> {
+        let client = AdminClient::open(&self.admin)?;
+        let request = DrainRequest {
+            environment: Some(self.environment.clone()),
+            server: ServerName::new(self.server.as_str()),
+            on: !self.off,
+        };
+        let call = AdminCall::post("drain", CallBody::json(&request)?);
+        let answer = match client.send_until_settled(&call).await {
+            Ok(answer) => decode_answer(&call, &answer)?,
+            Err(CallFailure::NothingDone(error)) => return Err(Report::new(error)),
+            Err(CallFailure::Unsettled) => return Err(Report::new(CtlError::DrainUnknown)),
+        };
+        print_result(&DrainView(answer), self.admin.json)
+    }
+}
--- /dev/null
+++ b/crates/gs-ctl/src/commands/status.rs
@@ -0,0 +1,35 @@
+//! `gs-ctl status`: how far an environment has applied its document.
+
+use bpaf::Bpaf;
+use error_stack::Report;
+
+use crate::client::{AdminCall, AdminClient, AdminOptions, admin_options};
+use crate::error::CtlError;
+use crate::output::print_result;
+use crate::view::StatusTable;
+
+use super::PRODUCTION;
+
+const FOOTER: &str = "Example:
+   gs-ctl status --admin 127.0.0.1:8090 --token-file operator.token";
+
+/// Shows which document each entry applies, and which servers are out of use
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(command("status"), footer(FOOTER))]
+pub(crate) struct StatusCommand {
+    #[bpaf(external(admin_options))]
+    pub(crate) admin: AdminOptions,
+    /// The environment
+    #[bpaf(argument("NAME"), fallback(PRODUCTION.to_owned()), display_fallback)]
+    environment: String,
+}
+
+impl StatusCommand {
+    /// Reads and prints.
+    pub(crate) async fn run(&self) -> Result<(), Report<CtlError>> {
+        let client = AdminClient::open(&self.admin)?;
+        let call = AdminCall::get("status").with_query("environment", self.environment.clone());
+        let view = client.read(&call).await?;
+        print_result(&StatusTable(view), self.admin.json)
+    }
+}
--- /dev/null
+++ b/crates/gs-ctl/src/view/accept.rs
@@ -0,0 +1,48 @@
+//! What an operation had accepted.
+
+use std::fmt;
+
+use gs_protocol::admin::AcceptAnswer;
+use serde::Serialize;
+
+use super::columns::time_text;
+
+/// The answer to an operation and the environment that it changed.
+#[derive(Serialize)]
+pub(crate) struct AcceptView {
+    environment: String,
+    #[serde(flatten)]
+    answer: AcceptAnswer,
+}
+
+impl AcceptView {
+    /// The view of an answer.
+    pub(crate) fn new(environment: String, answer: AcceptAnswer) -> Self {
+        Self {
+            environment,
+            answer,
+        }
+    }
+}
+
+impl fmt::Display for AcceptView {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let head = &self.answer.head;
+        let (environment, sequence) = (&self.environment, head.sequence);
+        writeln!(
+            formatter,
+            "accepted into {environment}: sequence {sequence}"
+        )?;
+        writeln!(formatter, "digest     {}", head.digest)?;
+        writeln!(formatter, "operator   {}", head.operator)?;
+        writeln!(formatter, "operation  {}", head.operation)?;
+        write!(formatter, "at         {}", time_text(head.accepted_at_ms))?;
+        if self.answer.repeated {
+            write!(
+                formatter,
+                "\nan earlier call of this operation had it accepted"
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gs-ctl/src/view/drain.rs
@@ -0,0 +1,18 @@
+//! What holds after a drain call.
+
+use std::fmt;
+
+use gs_protocol::admin::DrainAnswer;
+use serde::Serialize;
+
+/// Whether a server is out of use.
+#[derive(Serialize)]
+#[serde(transparent)]
+pub(crate) struct DrainView(pub(crate) DrainAnswer);
+
+impl fmt::Display for DrainView {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = if self.0.on { "out of use" } else { "in use" };
+        write!(formatter, "{} is {state}", self.0.server)
+    }
+}
--- /dev/null
+++ b/crates/gs-ctl/src/view/mod.rs
@@ -0,0 +1,14 @@
+//! Answers of the administration API as tables.
+
+mod accept;
+mod columns;
+mod drain;
+mod head;
+mod history;
+mod status;
+
+pub(crate) use accept::AcceptView;
+pub(crate) use drain::DrainView;
+pub(crate) use head::HeadTable;
+pub(crate) use history::HistoryTable;
+pub(crate) use status::StatusTable;
--- a/crates/gs-document/src/digest.rs
+++ b/crates/gs-document/src/digest.rs
@@ -11,3 +11,10 @@
 pub fn digest_token(token: &str) -> String {
     format!("sha256:{:x}", Sha256::digest(token.as_bytes()))
 }
+
+/// Whether a text is `sha256:` and 64 lower-case hexadecimal digits.
+pub fn is_digest(text: &str) -> bool {
+    let is_hex = |digit: u8| matches!(digit, b'0'..=b'9' | b'a'..=b'f');
+    text.strip_prefix("sha256:")
+        .is_some_and(|digits| digits.len() == 64 && digits.bytes().all(is_hex))
+}
--- a/crates/gs-document/src/lib.rs
+++ b/crates/gs-document/src/lib.rs
@@ -11,6 +11,6 @@
 mod source;
 
 pub use diff::{ChangeKind, DocumentChange, diff_documents};
-pub use digest::{digest_document, digest_token};
+pub use digest::{digest_document, digest_token, is_digest};
 pub use parse::parse_document;
-pub use source::{FieldPath, MistakeKind, MistakeList, PathSegment, SourceMistake};
+pub use source::{FieldPath, MistakeKind, MistakeList, PathSegment, SourceMistake, decode_text};
--- a/crates/gs-document/src/parse/mod.rs
+++ b/crates/gs-document/src/parse/mod.rs
@@ -5,11 +5,20 @@
 mod shape;
 
 use crate::document::EnvironmentDocument;
-use crate::source::{MistakeList, read_source};
+use gs_protocol::platform::MAX_VALUE_BYTES;
+
+use crate::source::{MistakeKind, MistakeList, mistake_at_start, read_source};
 
 pub(crate) use shape::OPERATOR_MAP;
 
 /// Reads a document. `file` is only used to name the place of a mistake.
 pub fn parse_document(file: &str, text: &str) -> Result<EnvironmentDocument, MistakeList> {
+    if text.len() > MAX_VALUE_BYTES {
+        let kind = MistakeKind::TooLarge {
+            found: text.len(),
+            allowed: MAX_VALUE_BYTES,
+        };
+        return Err(mistake_at_start(file, kind));
+    }
     read_source(file, text, &shape::DOCUMENT, cross::check_document)
 }
--- a/crates/gs-document/src/source/check.rs
+++ b/crates/gs-document/src/source/check.rs
@@ -12,7 +12,7 @@
 use super::text::SourceText;
 
 /// Similarity from 0 to 1 at which a name is suggested.
-const MIN_SIMILARITY: f64 = 0.7;
+const MIN_SIMILARITY: f64 = 0.8;
 
 /// Characters of a value that a mistake shows.
 const MAX_FOUND_CHARS: usize = 60;
--- a/crates/gs-document/src/source/mistake.rs
+++ b/crates/gs-document/src/source/mistake.rs
@@ -21,6 +21,17 @@
         /// What the parser expected or found.
         detail: String,
     },
+    /// The bytes are not UTF-8.
+    #[error("the bytes are not UTF-8")]
+    NotText,
+    /// The file is larger than the platform's service holds.
+    #[error("the file has {found} bytes; allowed are {allowed}")]
+    TooLarge {
+        /// The file's bytes.
+        found: usize,
+        /// The most bytes.
+        allowed: usize,
+    },
     /// Objects and lists are nested too deeply.
     #[error("nested more than {limit} levels deep")]
     TooDeep {
@@ -216,6 +227,18 @@
     }
 }
 
+/// A mistake about a file as a whole.
+pub(crate) fn mistake_at_start(file: &str, kind: MistakeKind) -> MistakeList {
+    let mistake = SourceMistake {
+        file: file.to_owned(),
+        line: 1,
+        column: 1,
+        path: FieldPath::default(),
+        kind,
+    };
+    mistake.into()
+}
+
 impl fmt::Display for MistakeList {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (place, mistake) in self.mistakes.iter().enumerate() {
--- a/crates/gs-document/src/source/mod.rs
+++ b/crates/gs-document/src/source/mod.rs
@@ -9,7 +9,9 @@
 mod tokens;
 
 pub(crate) use check::{CheckReport, NodeView};
+pub(crate) use mistake::mistake_at_start;
 pub use mistake::{MistakeKind, MistakeList, SourceMistake};
 pub use path::{FieldPath, PathSegment};
 pub(crate) use read::read_source;
 pub(crate) use shape::{FieldShape, ValueShape};
+pub use text::decode_text;
--- a/crates/gs-document/src/source/read.rs
+++ b/crates/gs-document/src/source/read.rs
@@ -4,7 +4,7 @@
 use serde::de::DeserializeOwned;
 
 use super::check::{CheckReport, NodeView};
-use super::mistake::{MistakeKind, MistakeList};
+use super::mistake::{MistakeKind, MistakeList, mistake_at_start};
 use super::shape::ValueShape;
 use super::text::SourceText;
 use super::tokens::{check_tokens, syntax_mistake};
@@ -29,9 +29,7 @@
     let parsed = parse_to_ast(text, &CollectOptions::default(), &options)
         .map_err(|error| syntax_mistake(&source, &error))?;
     let Some(value) = parsed.value else {
-        return Err(source
-            .mistake(0, Default::default(), MistakeKind::Empty)
-            .into());
+        return Err(mistake_at_start(file, MistakeKind::Empty));
     };
     let root = NodeView::root(&value);
     let mut report = CheckReport::new(&source);
@@ -43,6 +41,6 @@
     serde_json::from_value(value.into()).map_err(|error| {
         let detail = error.to_string();
         let kind = MistakeKind::Unreadable { detail };
-        source.mistake(0, Default::default(), kind).into()
+        mistake_at_start(file, kind)
     })
 }
--- a/crates/gs-document/src/source/shape.rs
+++ b/crates/gs-document/src/source/shape.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::digest::is_digest;
+
 /// What a value may be.
 #[derive(Debug)]
 pub(crate) enum ValueShape {
@@ -142,12 +144,6 @@
     starts_well && text.len() <= MAX_NAME_CHARS && text.chars().all(is_part)
 }
 
-fn is_digest(text: &str) -> bool {
-    let is_hex = |digit: u8| matches!(digit, b'0'..=b'9' | b'a'..=b'f');
-    text.strip_prefix("sha256:")
-        .is_some_and(|digits| digits.len() == 64 && digits.bytes().all(is_hex))
-}
-
 fn is_route_path(text: &str) -> bool {
     let Some(rest) = text.strip_prefix('/') else {
         return false;
--- a/crates/gs-document/src/source/text.rs
+++ b/crates/gs-document/src/source/text.rs
@@ -1,8 +1,20 @@
 //! Turns byte offsets of a text into lines and columns.
 
-use super::mistake::{MistakeKind, SourceMistake};
+use super::mistake::{MistakeKind, MistakeList, SourceMistake};
 use super::path::FieldPath;
 
+/// Reads bytes as UTF-8. `file` is only used to name the place of a mistake.
+pub fn decode_text<'a>(file: &str, bytes: &'a [u8]) -> Result<&'a str, MistakeList> {
+    std::str::from_utf8(bytes).map_err(|error| {
+        let valid = &bytes[..error.valid_up_to()];
+        let valid = std::str::from_utf8(valid).unwrap_or_default();
+        let source = SourceText::new(file, valid);
+        source
+            .mistake(valid.len(), FieldPath::default(), MistakeKind::NotText)
+            .into()
+    })
+}
+
 /// A file's text with the offsets at which its lines start.
 pub(crate) struct SourceText<'a> {
     file: &'a str,
--- a/crates/gs-document/tests/mistakes.rs
+++ b/crates/gs-document/tests/mistakes.rs
@@ -1,6 +1,6 @@
 //! Every kind of mistake is found, at its place, with what was found and what is allowed.
 
-use gs_document::parse_document;
+use gs_document::{decode_text, parse_document};
 use test_case::test_case;
 
 const DOCUMENT: &str = include_str!("fixtures/document.jsonc");
@@ -81,6 +81,22 @@
     assert!(parse_document("d.jsonc", text).is_err());
 }
 
+#[test]
+fn bytes_that_are_not_text_are_refused_at_their_place() {
+    let list = decode_text("d.jsonc", b"{\n\"\xff").expect_err("the bytes are not UTF-8");
+    assert_eq!(
+        list.to_string(),
+        "d.jsonc:2:2: (root): the bytes are not UTF-8"
+    );
+}
+
+#[test]
+fn a_document_larger_than_the_platform_holds_is_refused() {
+    let text = format!("//{}\n{DOCUMENT}", " ".repeat(1_048_576));
+    let list = parse_document("d.jsonc", &text).expect_err("the text is too large");
+    assert!(list.to_string().ends_with("allowed are 1048576"), "{list}");
+}
+
 #[test]
 fn deep_nesting_is_refused_before_it_is_parsed() {
     let text = "[".repeat(1_000_000);
