--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -1,32 +1,65 @@
 //! Stand-ins of engines, services and the platform, and a load tool.
 
+use std::process::ExitCode;
+
 use bpaf::Bpaf;
+use env_logger::Env;
+use error_stack::Report;
+use gs_standin::StandinError;
+use gs_standin::engine::{self, EngineOptions, engine_options};
 use gs_standin::platform::{self, PlatformOptions, platform_options};
+use gs_standin::service::{self, ServiceOptions, service_options};
 use log::error;
 
-/// What is logged unless `RUST_LOG` says otherwise.
-const DEFAULT_LOG_FILTER: &str = "info,actix_server=warn";
+const ENGINE_EXAMPLES: &str = "Examples:
+ gs-standin engine --role prefill --model care-notes
+ gs-standin engine --role decode --max-streams 4 --step-base-us 2000";
+
+const SERVICE_EXAMPLES: &str = "Example:
+ gs-standin service --name counter-desk --run-ms 5";
 
-/// Stand-ins for development and tests
+const PLATFORM_EXAMPLES: &str = "Example:
+ gs-standin platform --listen 127.0.0.1:7000 --writes-per-s 300";
+
+/// Stand-ins for development: engines, services and the platform at modelled speed.
+///
+/// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 enum StandinCommand {
+    /// A model engine that prefills or decodes
+    #[bpaf(command("engine"), footer(ENGINE_EXAMPLES))]
+    Engine(#[bpaf(external(engine_options))] EngineOptions),
+    /// A plain service that records what it ran
+    #[bpaf(command("service"), footer(SERVICE_EXAMPLES))]
+    Service(#[bpaf(external(service_options))] ServiceOptions),
     /// The platform's object service and VM list
-    #[bpaf(command("platform"))]
+    #[bpaf(command("platform"), footer(PLATFORM_EXAMPLES))]
     Platform(#[bpaf(external(platform_options))] PlatformOptions),
 }
 
-fn main() {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER))
-        .init();
-    let command = standin_command().run();
-    let outcome = actix_rt::System::new().block_on(async move {
-        match command {
-            StandinCommand::Platform(options) => platform::run(options).await,
+/// What is logged without `RUST_LOG`.
+const LOG_FILTER: &str = "info,actix_server=warn";
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(Env::default().default_filter_or(LOG_FILTER)).init();
+    match run(standin_command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            error!(target: "standin", cause:? = report; "failed");
+            ExitCode::FAILURE
         }
-    });
-    if let Err(error) = outcome {
-        error!(target: "standin", "{error}");
-        std::process::exit(1);
     }
 }
+
+fn run(command: StandinCommand) -> Result<(), Report<StandinError>> {
+    let system = actix_rt::System::new();
+    match command {
+        StandinCommand::Engine(options) => system.block_on(engine::run(options))?,
+        StandinCommand::Service(options) => system.block_on(service::run(options))?,
+        StandinCommand::Platform(options) => system
+            .block_on(platform::run(options))
+            .map_err(StandinError::from)?,
+    }
+    Ok(())
+}
