Cancel what dead entries left at engines

Cause: only the entry that owns an attempt cancelled it, so a killed entry left slots and results held where the engine does not notice a closed connection. Change: each engine has one home entry (rendezvous hash, its own data centre first) that lists what the engine holds and cancels what belongs to dead, superseded or long unknown starts of entries. Measured: crates/gs-entry/tests/reclaim.rs (caller gone and entry killed at each stage, first cancel lost).

--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -5,7 +5,7 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, SpawnHandle};
 use gs_control::dispatch::DispatchEvent;
-use gs_control::membership::MembershipEffect;
+use gs_control::membership::{MemberStatus, MembershipEffect};
 use gs_document::settings::EntrySettings;
 use gs_protocol::peer::{PeerCall, PeerReply};
 use gs_protocol::vm::VmRecord;
@@ -16,7 +16,7 @@
 use super::peers::PeerDesk;
 use crate::documents::AppliedDocument;
 use crate::peers::{FleetView, PeerParts};
-use crate::reclaim::ReclaimLoop;
+use crate::reclaim::{OrphanLoop, ReclaimLoop};
 use crate::servers::{ServerDirectory, ServerPolls};
 
 /// How often time is told to the state machines when nothing else happens.
@@ -31,6 +31,7 @@
     directory: ServerDirectory,
     polls: ServerPolls,
     reclaim: ReclaimLoop,
+    orphans: OrphanLoop,
     wakeup: Option<(Instant, SpawnHandle)>,
 }
 
@@ -42,12 +43,14 @@
         parts: PeerParts,
         fleet: watch::Sender<Arc<FleetView>>,
     ) -> Self {
+        let own = parts.credentials.own.identity.clone();
         Self {
             requests: RequestDesk::new(&settings, seed),
             peers: PeerDesk::new(&settings, parts, fleet),
             directory: ServerDirectory::new(&settings),
             polls: ServerPolls::new(Arc::clone(&settings)),
             reclaim: ReclaimLoop::new(&settings),
+            orphans: OrphanLoop::new(own, &settings),
             document: None,
             wakeup: None,
             settings,
@@ -84,6 +87,21 @@
         let effects = self.peers.tick(now);
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
+        if self.orphans.is_due(now) {
+            self.look_for_orphans(context);
+        }
+    }
+
+    /// Asks the engines that this entry is the home of what they hold.
+    fn look_for_orphans(&self, context: &mut Context<Self>) {
+        let Some(document) = &self.document else {
+            return;
+        };
+        let engines = self.directory.engines(&document.document);
+        for server in engines.filter(|server| self.peers.is_home_of(server)) {
+            self.orphans
+                .look(server.endpoint.address, context.address());
+        }
     }
 
     fn apply_document(&mut self, document: Arc<AppliedDocument>, context: &mut Context<Self>) {
@@ -116,9 +134,17 @@
 
     /// Tells the other slices which entries have come or gone.
     fn follow_members(&mut self, effects: &[MembershipEffect], context: &mut Context<Self>) {
-        let changed =
-            |effect: &MembershipEffect| matches!(effect, MembershipEffect::StatusChanged { .. });
-        if effects.iter().any(changed) {
+        let mut changed = false;
+        for effect in effects {
+            let MembershipEffect::StatusChanged { peer, status } = effect else {
+                continue;
+            };
+            changed = true;
+            let alive = *status != MemberStatus::Dead;
+            self.orphans
+                .note_owner(Instant::now(), peer.identity.clone(), alive);
+        }
+        if changed {
             let entries = self.peers.count_entries();
             self.dispatch(DispatchEvent::EntriesSeen(entries), context);
         }
@@ -165,6 +191,12 @@
                 let effects = self.peers.hear(Instant::now(), peer, state);
                 self.follow_members(&effects, context);
             }
+            ControlMessage::HeldSeen { engine, records } => {
+                let now = Instant::now();
+                for call in self.orphans.take_held(now, engine, records) {
+                    self.reclaim.add(now, call);
+                }
+            }
             ControlMessage::Leave => self.peers.leave(),
         }
     }
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -6,7 +6,7 @@
 
 use actix::Message;
 use gs_control::dispatch::{DispatchEvent, RequestDemand};
-use gs_protocol::engine::EnginePriority;
+use gs_protocol::engine::{EnginePriority, HeldRecord};
 use gs_protocol::ids::{AttemptId, EntryIdentity, RequestId, ServerKindName, ServerName};
 use gs_protocol::peer::{PeerCall, PeerIdentity, PeerReply, PeerState};
 use gs_protocol::refusal::RefusalReason;
@@ -82,6 +82,13 @@
         /// What it says of itself.
         state: PeerState,
     },
+    /// An engine listed what it holds.
+    HeldSeen {
+        /// The engine.
+        engine: SocketAddr,
+        /// What it holds.
+        records: Vec<HeldRecord>,
+    },
     /// The entry begins to shut down.
     Leave,
 }
--- a/crates/gs-entry/src/control/peers.rs
+++ b/crates/gs-entry/src/control/peers.rs
@@ -7,18 +7,19 @@
 
 use gs_control::membership::{
     MemberCandidate, MemberStatus, MembershipEffect, MembershipEvent, MembershipSettings,
-    MembershipState,
+    MembershipState, choose_home,
 };
 use gs_document::settings::EntrySettings;
-use gs_protocol::ids::SequenceNumber;
+use gs_protocol::ids::{EntryName, SequenceNumber};
 use gs_protocol::peer::{PeerIdentity, PeerState};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
 use tokio::sync::watch;
 
 use crate::peers::{FleetView, PeerLinks, PeerParts};
+use crate::servers::ServerRecord;
 
 /// How much longer than until suspicion an entry must be silent to count as dead.
-const DEAD_FACTOR: u32 = 3;
+const DEAD_FACTOR: u32 = 2;
 
 /// The other entries, as the control thread sees them.
 pub struct PeerDesk {
@@ -100,6 +101,27 @@
         u32::try_from(others + 1).unwrap_or(u32::MAX)
     }
 
+    /// The entry that looks after a server, among those that are alive.
+    pub fn home_of(&self, server: &ServerRecord) -> Option<EntryName> {
+        let own = &self.parts.credentials.own;
+        let alive = self
+            .membership
+            .members()
+            .filter(|record| record.status == MemberStatus::Alive);
+        let mut entries: Vec<_> = alive
+            .map(|record| (&record.peer.identity.entry, &record.peer.data_centre))
+            .collect();
+        if !self.state.get().leaving {
+            entries.push((&own.identity.entry, &own.data_centre));
+        }
+        choose_home(&server.endpoint.name, &server.data_centre, &entries).cloned()
+    }
+
+    /// Whether this entry looks after a server.
+    pub fn is_home_of(&self, server: &ServerRecord) -> bool {
+        self.home_of(server).as_ref() == Some(&self.parts.credentials.own.identity.entry)
+    }
+
     /// Carries out what concerns links, and returns all effects for the other slices.
     fn handle(&mut self, now: Instant, event: MembershipEvent) -> Vec<MembershipEffect> {
         let mut effects = Vec::new();
--- a/crates/gs-entry/src/servers/directory.rs
+++ b/crates/gs-entry/src/servers/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use gs_control::dispatch::DispatchEvent;
+use gs_document::document::{EnvironmentDocument, ServerProtocol};
 use gs_document::settings::EntrySettings;
 use gs_protocol::ids::{DataCentreName, ServerKindName, ServerName};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
@@ -75,9 +76,13 @@
             .collect()
     }
 
-    /// All servers.
-    pub fn iter(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.records.values()
+    /// The servers that are engines.
+    pub fn engines(&self, document: &EnvironmentDocument) -> impl Iterator<Item = &ServerRecord> {
+        let is_engine = |record: &&ServerRecord| {
+            let kind = document.server_kinds.get(&record.kind);
+            kind.is_some_and(|kind| kind.protocol == ServerProtocol::Engine)
+        };
+        self.records.values().filter(is_engine)
     }
 }
 
--- a/crates/gs-entry/src/servers/load.rs
+++ b/crates/gs-entry/src/servers/load.rs
@@ -7,7 +7,7 @@
 
 use actix::Addr;
 use gs_control::dispatch::{DispatchEvent, ServerSighting};
-use gs_document::document::{EnvironmentDocument, ServerProtocol};
+use gs_document::document::EnvironmentDocument;
 use gs_document::settings::EntrySettings;
 use gs_protocol::ids::ServerName;
 use tokio::task::JoinHandle;
@@ -53,8 +53,7 @@
         control: &Addr<ControlActor>,
     ) {
         let wanted: BTreeMap<_, _> = directory
-            .iter()
-            .filter(|record| is_engine(record, document))
+            .engines(document)
             .map(|record| (record.endpoint.name.clone(), record.clone()))
             .collect();
         self.polls.retain(|name, poll| {
@@ -85,11 +84,6 @@
     }
 }
 
-fn is_engine(record: &ServerRecord, document: &EnvironmentDocument) -> bool {
-    let kind = document.server_kinds.get(&record.kind);
-    kind.is_some_and(|kind| kind.protocol == ServerProtocol::Engine)
-}
-
 async fn poll_load(
     settings: &EntrySettings,
     client: &EngineClient,
--- a/crates/gs-entry/src/servers/mod.rs
+++ b/crates/gs-entry/src/servers/mod.rs
@@ -4,6 +4,6 @@
 mod load;
 mod vms;
 
-pub use directory::ServerDirectory;
+pub use directory::{ServerDirectory, ServerRecord};
 pub use load::ServerPolls;
 pub use vms::poll_vms;
--- /dev/null
+++ b/crates/gs-entry/tests/reclaim.rs
@@ -0,0 +1,121 @@
+//! No engine memory stays held by a request that is gone.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gs_protocol::engine::{HeldKind, HeldRecord};
+use gs_standin::rig::{FleetRig, ProcessSignal, RigError};
+use serde_json::{Value, json};
+use support::{CLERK, completion};
+use test_case::test_case;
+
+type TestResult = Result<(), RigError>;
+
+/// At which stage the request goes.
+#[derive(Clone, Copy, Debug)]
+enum GoneAt {
+    Prefill,
+    Stream,
+    Transfer,
+}
+
+/// How the request goes.
+#[derive(Clone, Copy, Debug)]
+enum GoneBy {
+    CallerLeft,
+    EntryKilled,
+}
+
+/// Everything that both engines hold.
+async fn held(rig: &FleetRig) -> Vec<HeldRecord> {
+    let mut records = Vec::new();
+    for engine in engines(rig) {
+        let held = rig.client.get::<Vec<HeldRecord>>(engine, "/v1/held").await;
+        records.extend(held.expect("engine lists what it holds"));
+    }
+    records
+}
+
+fn engines(rig: &FleetRig) -> [SocketAddr; 2] {
+    [0, 1].map(|index| rig.servers[index].process.address)
+}
+
+async fn set_faults(rig: &FleetRig, faults: &Value) -> TestResult {
+    for engine in engines(rig) {
+        rig.client.post(engine, "/control/faults", faults).await?;
+    }
+    Ok(())
+}
+
+/// What an engine holds once the request has come to a stage.
+fn has_reached(stage: GoneAt, records: &[HeldRecord]) -> bool {
+    let holds = |kind| records.iter().any(|record| record.kind == kind);
+    match stage {
+        GoneAt::Prefill => holds(HeldKind::Prefill),
+        GoneAt::Stream => holds(HeldKind::Stream) && !holds(HeldKind::Result),
+        GoneAt::Transfer => holds(HeldKind::Stream) && holds(HeldKind::Result),
+    }
+}
+
+#[test_case(GoneAt::Prefill, GoneBy::CallerLeft; "caller leaves during the prefill")]
+#[test_case(GoneAt::Transfer, GoneBy::CallerLeft; "caller leaves during the transfer")]
+#[test_case(GoneAt::Stream, GoneBy::CallerLeft; "caller leaves during the stream")]
+#[test_case(GoneAt::Prefill, GoneBy::EntryKilled; "entry is killed during the prefill")]
+#[test_case(GoneAt::Transfer, GoneBy::EntryKilled; "entry is killed during the transfer")]
+#[test_case(GoneAt::Stream, GoneBy::EntryKilled; "entry is killed during the stream")]
+fn engines_are_freed(stage: GoneAt, cause: GoneBy) {
+    let check = async {
+        let mut rig = support::start(2, &json!({})).await?;
+        // The engines do not notice by themselves, and the first cancel of each is lost.
+        set_faults(&rig, &json!({ "keepOrphans": true, "dropCancels": 1 })).await?;
+        let slow = match stage {
+            GoneAt::Prefill | GoneAt::Stream => json!({ "slowFactor": 50.0 }),
+            GoneAt::Transfer => json!({ "stallTransfers": true }),
+        };
+        set_faults(&rig, &slow).await?;
+        let entry = rig.entries[0].process.address;
+        let client = rig.client.clone();
+        let asked = actix_rt::spawn(async move {
+            let body = completion(&"word ".repeat(600), 400, true);
+            client.ask(entry, "/v1/completions", CLERK, &body).await
+        });
+        rig.wait_for("the stage", async || has_reached(stage, &held(&rig).await))
+            .await?;
+        match cause {
+            GoneBy::CallerLeft => asked.abort(),
+            GoneBy::EntryKilled => rig.entries.remove(0).process.close(),
+        }
+        set_faults(&rig, &json!({ "slowFactor": 1.0, "stallTransfers": false })).await?;
+        rig.wait_for("freed engines", async || held(&rig).await.is_empty())
+            .await
+    };
+    actix_rt::System::new()
+        .block_on(check)
+        .expect("everything is freed");
+}
+
+#[actix_rt::test]
+async fn a_paused_entry_that_goes_on_holds_nothing_for_long() -> TestResult {
+    let rig = support::start(2, &json!({})).await?;
+    set_faults(&rig, &json!({ "keepOrphans": true, "slowFactor": 20.0 })).await?;
+    let entry = rig.entries[0].process.address;
+    let client = rig.client.clone();
+    actix_rt::spawn(async move {
+        let body = completion("label", 300, true);
+        client.ask(entry, "/v1/completions", CLERK, &body).await
+    });
+    rig.wait_for("the stream", async || {
+        has_reached(GoneAt::Stream, &held(&rig).await)
+    })
+    .await?;
+    rig.entries[0].process.signal(ProcessSignal::Stop)?;
+    rig.wait_for("freed engines", async || held(&rig).await.is_empty())
+        .await?;
+    rig.entries[0].process.signal(ProcessSignal::Continue)?;
+    set_faults(&rig, &json!({ "slowFactor": 1.0 })).await?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    rig.wait_for("freed engines", async || held(&rig).await.is_empty())
+        .await
+}
