Add the load tool: mixes, paired overhead and stream throughput

The measures of the product need a client that does not slow down with the server: arrivals are planned ahead from a seed and sent open-loop from several threads; answers are checked against the text that belongs to the prompt; latency counts from the scheduled arrival.

--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::load::LoadError;
 use crate::platform::PlatformStartError;
 
 /// Why a stand-in could not start or run.
@@ -22,6 +23,13 @@
         /// Why.
         source: io::Error,
     },
+    /// The load run could not be made.
+    #[error("the load run could not be made")]
+    Load {
+        /// Why.
+        #[from]
+        source: LoadError,
+    },
     /// The platform's stand-in could not start.
     #[error("the platform's stand-in could not start")]
     Platform {
--- /dev/null
+++ b/crates/gs-standin/src/load/mix.rs
@@ -0,0 +1,186 @@
+//! What a load run sends: classes of callers, floods and service calls.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::error::LoadError;
+use super::options::MixOptions;
+
+/// The classes of one run.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "camelCase")]
+pub struct LoadMix {
+    /// Callers of models.
+    pub classes: Vec<ClassMix>,
+    /// Callers of plain services.
+    pub services: Vec<ServiceMix>,
+}
+
+/// Requests of one class.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct ClassMix {
+    /// The name in the measures.
+    pub name: String,
+    /// The rank in the measures.
+    #[serde(default)]
+    pub rank: String,
+    /// The caller's bearer token.
+    pub token: String,
+    /// The model.
+    pub model: String,
+    /// Arrivals a second.
+    pub rate_per_s: f64,
+    /// Prompt sizes.
+    pub prompt_tokens: TokenRange,
+    /// Output sizes.
+    pub output_tokens: TokenRange,
+    /// Prefixes that prompts share.
+    #[serde(default)]
+    pub shared_prefix: SharedPrefix,
+    /// Target for the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Target between tokens, in milliseconds.
+    pub between_tokens_ms: u64,
+    /// Share of requests that the client gives up.
+    #[serde(default)]
+    pub cancel_share: f64,
+    /// Floods of this class.
+    #[serde(default)]
+    pub floods: Vec<FloodSpan>,
+}
+
+/// Calls of a plain service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct ServiceMix {
+    /// The name in the measures.
+    pub name: String,
+    /// The caller's bearer token.
+    pub token: String,
+    /// The path at the entry, such as `/services/counter-desk/bookings`.
+    pub path: String,
+    /// Calls a second.
+    pub rate_per_s: f64,
+    /// Whether each call carries an idempotency key.
+    #[serde(default)]
+    pub keyed: bool,
+    /// Tries of one call at most; each is sent to another entry.
+    #[serde(default = "default_tries")]
+    pub tries: u32,
+    /// Target for the answer, in milliseconds.
+    pub answer_ms: u64,
+    /// Floods of this service.
+    #[serde(default)]
+    pub floods: Vec<FloodSpan>,
+}
+
+/// A range of sizes in tokens.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct TokenRange {
+    /// The smallest size.
+    pub min: u32,
+    /// The largest size.
+    pub max: u32,
+    /// How sizes spread.
+    #[serde(default)]
+    pub spread: TokenSpread,
+}
+
+/// How sizes spread over a range.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TokenSpread {
+    /// Each size is as likely as another.
+    #[default]
+    Uniform,
+    /// Each doubling is as likely as another.
+    Log,
+}
+
+/// Prefixes that several prompts share.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct SharedPrefix {
+    /// Share of the requests that have one.
+    pub share: f64,
+    /// Its size.
+    pub tokens: u32,
+    /// How many there are.
+    pub variants: u32,
+}
+
+/// A time in which a class sends more.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct FloodSpan {
+    /// Begin, in seconds from the start.
+    pub from_s: f64,
+    /// End, in seconds from the start.
+    pub to_s: f64,
+    /// Multiplies the rate.
+    pub factor: f64,
+}
+
+/// Tries of a service call if the mix names no number.
+fn default_tries() -> u32 {
+    3
+}
+
+impl LoadMix {
+    /// The mix of a run: from the file, or one class from the flags.
+    pub fn from_options(options: &MixOptions) -> Result<Self, LoadError> {
+        match &options.mix {
+            Some(path) => Self::read(path),
+            None => Ok(Self {
+                classes: vec![flag_class(options)],
+                services: Vec::new(),
+            }),
+        }
+    }
+
+    fn read(path: &Path) -> Result<Self, LoadError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| LoadError::ReadMix {
+            path: name.clone(),
+            source,
+        })?;
+        let value = jsonc_parser::parse_to_serde_value(&text, &Default::default());
+        let value = value.map_err(|source| LoadError::ParseMix {
+            path: name.clone(),
+            source,
+        })?;
+        serde_json::from_value(value.unwrap_or_default())
+            .map_err(|source| LoadError::MixField { path: name, source })
+    }
+}
+
+impl TokenRange {
+    /// A range of one size.
+    pub fn exactly(tokens: u32) -> Self {
+        Self {
+            min: tokens,
+            max: tokens,
+            spread: TokenSpread::Uniform,
+        }
+    }
+}
+
+fn flag_class(options: &MixOptions) -> ClassMix {
+    ClassMix {
+        name: "requests".to_owned(),
+        rank: String::new(),
+        token: options.token.clone(),
+        model: options.model.clone(),
+        rate_per_s: options.rate,
+        prompt_tokens: TokenRange::exactly(options.prompt_tokens),
+        output_tokens: TokenRange::exactly(options.output_tokens),
+        shared_prefix: SharedPrefix::default(),
+        first_token_ms: options.first_token_ms,
+        between_tokens_ms: options.between_tokens_ms,
+        cancel_share: 0.0,
+        floods: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/gs-standin/src/load/recorder.rs
@@ -0,0 +1,163 @@
+//! Counts and histograms of one class, kept by each thread and merged at the end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use uuid::Uuid;
+
+use super::exchange::{CallEnd, CallOutcome};
+use super::mix::{ClassMix, ServiceMix};
+use super::service::{ServiceEnd, ServiceOutcome};
+
+/// The longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Significant digits of recorded times.
+const DIGITS: u8 = 3;
+
+/// Share of a stream's gaps that have to be within the target.
+const GAP_SHARE: f64 = 0.95;
+
+/// A histogram of times in microseconds.
+#[derive(Clone, Debug)]
+pub struct TimeRecord {
+    histogram: Histogram<u64>,
+}
+
+impl Default for TimeRecord {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_max(LONGEST_US, DIGITS);
+        Self {
+            // The bounds are constants that the histogram allows.
+            histogram: histogram.unwrap_or_else(|_| unreachable!("constant bounds are valid")),
+        }
+    }
+}
+
+impl TimeRecord {
+    /// Adds a time; longer ones count as the longest.
+    pub fn add(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.histogram.saturating_record(micros);
+    }
+
+    /// Adds the times of another record.
+    pub fn merge(&mut self, other: &Self) {
+        // Both have the same bounds.
+        let _ = self.histogram.add(&other.histogram);
+    }
+
+    /// The time that this share of the times does not exceed, in milliseconds.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.histogram.value_at_quantile(share) as f64 / 1e3
+    }
+}
+
+/// What came of the completions of one class.
+#[derive(Clone, Debug, Default)]
+pub struct ClassRecord {
+    pub sent: u64,
+    pub good: u64,
+    pub ends: BTreeMap<&'static str, u64>,
+    pub refused: BTreeMap<String, u64>,
+    pub first: TimeRecord,
+    pub between: TimeRecord,
+}
+
+impl ClassRecord {
+    /// Adds one call.
+    pub fn add(&mut self, class: &ClassMix, outcome: &CallOutcome) {
+        *self.ends.entry(outcome.end.label()).or_default() += 1;
+        if let CallEnd::Refused(reason) = &outcome.end {
+            *self.refused.entry(reason.clone()).or_default() += 1;
+        }
+        if let Some(first) = outcome.first {
+            self.first.add(first);
+        }
+        for &gap in &outcome.gaps {
+            self.between.add(gap);
+        }
+        self.good += u64::from(is_good(class, outcome));
+    }
+
+    /// Adds the calls of another record.
+    pub fn merge(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.good += other.good;
+        merge_counts(&mut self.ends, &other.ends);
+        merge_counts(&mut self.refused, &other.refused);
+        self.first.merge(&other.first);
+        self.between.merge(&other.between);
+    }
+}
+
+/// What came of the calls of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceRecord {
+    pub sent: u64,
+    pub done: u64,
+    pub in_time: u64,
+    pub wrong: u64,
+    pub retries: u64,
+    pub not_run: BTreeMap<String, u64>,
+    pub unknown: BTreeMap<String, u64>,
+    pub answer: TimeRecord,
+    pub keys: Vec<Uuid>,
+    pub not_run_keys: Vec<Uuid>,
+}
+
+impl ServiceRecord {
+    /// Adds one call.
+    pub fn add(&mut self, service: &ServiceMix, outcome: &ServiceOutcome) {
+        self.retries += u64::from(outcome.retries);
+        self.keys.extend(outcome.key);
+        match &outcome.end {
+            ServiceEnd::Done => {
+                self.done += 1;
+                let target = Duration::from_millis(service.answer_ms);
+                self.in_time += u64::from(outcome.time <= target);
+                self.answer.add(outcome.time);
+            }
+            ServiceEnd::Wrong => self.wrong += 1,
+            ServiceEnd::NotRun(reason) => {
+                *self.not_run.entry(reason.clone()).or_default() += 1;
+                self.not_run_keys.extend(outcome.key);
+            }
+            ServiceEnd::Unknown(reason) => {
+                *self.unknown.entry(reason.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    /// Adds the calls of another record.
+    pub fn merge(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.done += other.done;
+        self.in_time += other.in_time;
+        self.wrong += other.wrong;
+        self.retries += other.retries;
+        merge_counts(&mut self.not_run, &other.not_run);
+        merge_counts(&mut self.unknown, &other.unknown);
+        self.answer.merge(&other.answer);
+        self.keys.extend(&other.keys);
+        self.not_run_keys.extend(&other.not_run_keys);
+    }
+}
+
+/// Whether an answer is whole and within both targets of its class.
+fn is_good(class: &ClassMix, outcome: &CallOutcome) -> bool {
+    let first_target = Duration::from_millis(class.first_token_ms);
+    let gap_target = Duration::from_millis(class.between_tokens_ms);
+    let in_time = outcome.gaps.iter().filter(|gap| **gap <= gap_target);
+    let needed = outcome.gaps.len() as f64 * GAP_SHARE;
+    outcome.end == CallEnd::Whole
+        && outcome.first.is_some_and(|first| first <= first_target)
+        && in_time.count() as f64 >= needed
+}
+
+fn merge_counts<K: Clone + Ord>(counts: &mut BTreeMap<K, u64>, others: &BTreeMap<K, u64>) {
+    for (name, count) in others {
+        *counts.entry(name.clone()).or_default() += count;
+    }
+}
--- /dev/null
+++ b/crates/gs-standin/src/load/service.rs
@@ -0,0 +1,160 @@
+//! Calls of plain services through entries, with retries at other entries.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::Client;
+use awc::error::SendRequestError;
+use awc::http::header;
+use gs_protocol::refusal::{ProblemBody, RequestOutcome};
+use gs_protocol::service::KEY_HEADER;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use super::entries::EntryPool;
+use super::mix::ServiceMix;
+
+/// How long a client waits before it tries again.
+const RETRY_WAIT: Duration = Duration::from_millis(100);
+
+/// How long a client waits for one answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How a call ended, as its client knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ServiceEnd {
+    /// It ran, and the answer is the caller's own.
+    Done,
+    /// The answer is not the caller's own.
+    Wrong,
+    /// It did not run, for a reason.
+    NotRun(String),
+    /// It may have run, for a reason.
+    Unknown(String),
+}
+
+/// What came of one call.
+#[derive(Clone, Debug)]
+pub struct ServiceOutcome {
+    /// How it ended.
+    pub end: ServiceEnd,
+    /// The idempotency key.
+    pub key: Option<Uuid>,
+    /// From the start of the call to its answer.
+    pub time: Duration,
+    /// Tries after the first one.
+    pub retries: u32,
+}
+
+/// The body that is sent and echoed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct CallBody {
+    call: u64,
+}
+
+/// The part of a service's answer that is checked.
+#[derive(Debug, Deserialize)]
+struct EchoAnswer {
+    echo: CallBody,
+}
+
+/// One call, with all its tries.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceCall<'a> {
+    /// The service's description.
+    pub service: &'a ServiceMix,
+    /// Determines the body.
+    pub seed: u64,
+    /// When the call began.
+    pub start: Instant,
+}
+
+/// Calls a service until the call is settled or its tries are used up.
+pub async fn call_service(
+    client: &Client,
+    pool: &EntryPool,
+    random: &mut Pcg64Mcg,
+    call: ServiceCall<'_>,
+) -> ServiceOutcome {
+    let key = call.service.keyed.then(Uuid::now_v7);
+    let mut last = None;
+    let mut retries = 0;
+    let mut maybe_run = false;
+    let end = loop {
+        let Some(entry) = pool.choose(random, last) else {
+            break ServiceEnd::NotRun("no-entry".to_owned());
+        };
+        last = Some(entry);
+        let tried = tokio::time::timeout(ANSWER_TIMEOUT, try_call(client, entry, call, key)).await;
+        let end = tried.unwrap_or(ServiceEnd::Unknown("timed-out".to_owned()));
+        maybe_run |= matches!(end, ServiceEnd::Unknown(_));
+        let safe = key.is_some() || matches!(end, ServiceEnd::NotRun(_));
+        let settled = matches!(end, ServiceEnd::Done | ServiceEnd::Wrong);
+        if settled || !safe || retries + 1 >= call.service.tries {
+            break end;
+        }
+        retries += 1;
+        tokio::time::sleep(RETRY_WAIT).await;
+    };
+    ServiceOutcome {
+        end: settle(end, maybe_run),
+        key,
+        time: call.start.elapsed(),
+        retries,
+    }
+}
+
+/// A try that did not run says nothing of an earlier one whose end is not known.
+fn settle(end: ServiceEnd, maybe_run: bool) -> ServiceEnd {
+    match end {
+        ServiceEnd::NotRun(reason) if maybe_run => ServiceEnd::Unknown(reason),
+        end => end,
+    }
+}
+
+async fn try_call(
+    client: &Client,
+    entry: SocketAddr,
+    call: ServiceCall<'_>,
+    key: Option<Uuid>,
+) -> ServiceEnd {
+    let service = call.service;
+    let mut request = client
+        .post(format!("http://{entry}{}", service.path))
+        .insert_header((header::AUTHORIZATION, format!("Bearer {}", service.token)));
+    if let Some(key) = key {
+        request = request.insert_header((KEY_HEADER, key.to_string()));
+    }
+    let body = CallBody { call: call.seed };
+    let mut answer = match request.send_json(&body).await {
+        Ok(answer) => answer,
+        Err(SendRequestError::Connect(_)) => return ServiceEnd::NotRun("unreachable".to_owned()),
+        Err(_) => return ServiceEnd::Unknown("cut".to_owned()),
+    };
+    let status = answer.status();
+    let Ok(bytes) = answer.body().await else {
+        return ServiceEnd::Unknown("cut".to_owned());
+    };
+    if status.is_success() {
+        let echoed = serde_json::from_slice::<EchoAnswer>(&bytes);
+        let own = echoed.is_ok_and(|answer| answer.echo == body);
+        return if own {
+            ServiceEnd::Done
+        } else {
+            ServiceEnd::Wrong
+        };
+    }
+    read_problem(status.as_u16(), &bytes)
+}
+
+fn read_problem(status: u16, bytes: &[u8]) -> ServiceEnd {
+    let Ok(problem) = serde_json::from_slice::<ProblemBody>(bytes) else {
+        return ServiceEnd::Unknown(format!("status-{status}"));
+    };
+    let reason = problem.reason.label().to_owned();
+    match problem.outcome {
+        RequestOutcome::NotRun => ServiceEnd::NotRun(reason),
+        RequestOutcome::Unknown => ServiceEnd::Unknown(reason),
+    }
+}
--- /dev/null
+++ b/crates/gs-standin/src/load/sse.rs
@@ -0,0 +1,118 @@
+//! Reads streams of server-sent events.
+
+use std::borrow::Cow;
+
+use bytes::BytesMut;
+use gs_protocol::engine::StreamEvent;
+use serde::Deserialize;
+
+/// Which events a stream has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamFormat {
+    /// OpenAI-style completions, as callers get them.
+    Completion,
+    /// The engines' own events.
+    Engine,
+}
+
+/// What one event says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamItem<'a> {
+    /// Generated text.
+    Text(Cow<'a, str>),
+    /// The stream is whole.
+    End,
+    /// The stream was given up and says so.
+    Error,
+    /// Nothing that matters.
+    Other,
+}
+
+/// A chunk of an OpenAI-style stream.
+#[derive(Debug, Deserialize)]
+struct CompletionChunk<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<CompletionChoice<'a>>,
+    #[serde(default)]
+    error: Option<serde::de::IgnoredAny>,
+}
+
+/// One choice of a chunk: completions have a text, chats a delta.
+#[derive(Debug, Deserialize)]
+struct CompletionChoice<'a> {
+    #[serde(borrow, default)]
+    text: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    delta: Option<ChatDelta<'a>>,
+}
+
+/// The text that a chat's chunk adds.
+#[derive(Debug, Deserialize)]
+struct ChatDelta<'a> {
+    #[serde(borrow, default)]
+    content: Option<Cow<'a, str>>,
+}
+
+/// The data of the last event of a whole OpenAI-style stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// Cuts a byte stream into lines.
+#[derive(Debug, Default)]
+pub struct LineBuffer {
+    bytes: BytesMut,
+}
+
+impl LineBuffer {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole line, without its end.
+    pub fn next_line(&mut self) -> Option<BytesMut> {
+        let end = self.bytes.iter().position(|&byte| byte == b'\n')?;
+        let mut line = self.bytes.split_to(end + 1);
+        line.truncate(end);
+        if line.last() == Some(&b'\r') {
+            line.truncate(end - 1);
+        }
+        Some(line)
+    }
+}
+
+/// Reads one line of a stream.
+pub fn parse_line(format: StreamFormat, line: &[u8]) -> StreamItem<'_> {
+    if line == b"event: error" {
+        return StreamItem::Error;
+    }
+    let Some(data) = line.strip_prefix(b"data: ") else {
+        return StreamItem::Other;
+    };
+    match format {
+        StreamFormat::Completion => parse_completion(data),
+        StreamFormat::Engine => parse_engine(data),
+    }
+}
+
+fn parse_completion(data: &[u8]) -> StreamItem<'_> {
+    if data == DONE {
+        return StreamItem::End;
+    }
+    let Ok(chunk) = serde_json::from_slice::<CompletionChunk<'_>>(data) else {
+        return StreamItem::Error;
+    };
+    if chunk.error.is_some() {
+        return StreamItem::Error;
+    }
+    let choice = chunk.choices.into_iter().next();
+    let text = choice.and_then(|choice| choice.text.or(choice.delta?.content));
+    text.map_or(StreamItem::Other, StreamItem::Text)
+}
+
+fn parse_engine(data: &[u8]) -> StreamItem<'_> {
+    match serde_json::from_slice(data) {
+        Ok(StreamEvent::Token { text, .. }) => StreamItem::Text(Cow::Owned(text)),
+        Ok(StreamEvent::End { .. }) => StreamItem::End,
+        Ok(StreamEvent::Failed { .. }) | Err(_) => StreamItem::Error,
+    }
+}
--- /dev/null
+++ b/crates/gs-standin/src/load/streams.rs
@@ -0,0 +1,176 @@
+//! Tokens a second of many long streams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use super::client::build_client;
+use super::completion::{CompletionCall, call_entry};
+use super::direct::{EnginePair, call_engines};
+use super::error::LoadError;
+use super::exchange::{CallEnd, CallOutcome};
+use super::options::StreamsOptions;
+use super::prompt::make_text;
+
+/// How often the tokens are counted.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The shortest useful measurement, in samples.
+const FEW_SAMPLES: usize = 4;
+
+/// Where the streams come from.
+#[derive(Clone, Copy, Debug)]
+enum StreamSource {
+    Entry(SocketAddr),
+    Engines(EnginePair),
+}
+
+/// The measures.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StreamsReport {
+    streams: u32,
+    whole: u32,
+    tokens: u64,
+    seconds: f64,
+    /// All tokens over all the time.
+    tokens_per_s: f64,
+    /// The median of the counts in short intervals, the first and last left out.
+    median_tokens_per_s: f64,
+}
+
+/// Counts that the threads share.
+#[derive(Debug, Default)]
+struct StreamCounts {
+    tokens: AtomicU64,
+    whole: AtomicU32,
+    ended: AtomicU32,
+}
+
+/// Measures and prints.
+pub fn run(options: &StreamsOptions) -> Result<(), LoadError> {
+    let source = match (options.entry, options.prefill, options.decode) {
+        (Some(entry), _, _) => StreamSource::Entry(entry),
+        (None, Some(prefill), Some(decode)) => {
+            StreamSource::Engines(EnginePair { prefill, decode })
+        }
+        _ => return Err(LoadError::NoEntries),
+    };
+    let report = measure(options, source)?;
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+        return Ok(());
+    }
+    println!(
+        "{} of {} streams whole, {} tokens in {:.2} s: {:.0} tokens/s, median {:.0} tokens/s",
+        report.whole,
+        report.streams,
+        report.tokens,
+        report.seconds,
+        report.tokens_per_s,
+        report.median_tokens_per_s
+    );
+    Ok(())
+}
+
+fn measure(options: &StreamsOptions, source: StreamSource) -> Result<StreamsReport, LoadError> {
+    let counts = Arc::new(StreamCounts::default());
+    let start = Instant::now();
+    let threads = options.threads.clamp(1, options.count.max(1) as usize);
+    let handles: Vec<_> = (0..threads)
+        .map(|number| {
+            let options = options.clone();
+            let counts = Arc::clone(&counts);
+            thread::spawn(move || {
+                let streams = (number as u32..options.count).step_by(threads);
+                let run = run_streams(&options, source, &counts, streams);
+                actix_rt::System::new().block_on(run);
+            })
+        })
+        .collect();
+    let samples = sample(&counts, options.count);
+    for handle in handles {
+        handle.join().map_err(|_| LoadError::ThreadEnded)?;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let tokens = counts.tokens.load(Ordering::Relaxed);
+    Ok(StreamsReport {
+        streams: options.count,
+        whole: counts.whole.load(Ordering::Relaxed),
+        tokens,
+        seconds,
+        tokens_per_s: tokens as f64 / seconds,
+        median_tokens_per_s: median_rate(samples),
+    })
+}
+
+async fn run_streams(
+    options: &StreamsOptions,
+    source: StreamSource,
+    counts: &StreamCounts,
+    streams: impl Iterator<Item = u32>,
+) {
+    let client = build_client();
+    let calls = streams.map(|number| {
+        let client = client.clone();
+        async move {
+            let outcome = run_stream(&client, options, source, counts, number).await;
+            counts.ended.fetch_add(1, Ordering::Relaxed);
+            let whole = u32::from(outcome.end == CallEnd::Whole);
+            counts.whole.fetch_add(whole, Ordering::Relaxed);
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
+async fn run_stream(
+    client: &awc::Client,
+    options: &StreamsOptions,
+    source: StreamSource,
+    counts: &StreamCounts,
+    number: u32,
+) -> CallOutcome {
+    let seed = options.seed.wrapping_add(u64::from(number));
+    let prompt = make_text(seed, options.prompt_tokens);
+    let call = CompletionCall {
+        token: &options.token,
+        model: &options.model,
+        prompt: &prompt,
+        output_tokens: options.tokens,
+        cancel_after: None,
+        start: Instant::now(),
+        counter: Some(&counts.tokens),
+    };
+    match source {
+        StreamSource::Entry(entry) => call_entry(client, entry, &call).await,
+        StreamSource::Engines(pair) => call_engines(client, pair, &call).await,
+    }
+}
+
+/// Counts tokens until all streams have ended; returns the rate of each interval.
+fn sample(counts: &StreamCounts, streams: u32) -> Vec<f64> {
+    let mut rates = Vec::new();
+    let mut last = (Instant::now(), 0);
+    while counts.ended.load(Ordering::Relaxed) < streams {
+        thread::sleep(SAMPLE_INTERVAL);
+        let tokens = counts.tokens.load(Ordering::Relaxed);
+        let now = Instant::now();
+        let seconds = now.duration_since(last.0).as_secs_f64();
+        rates.push((tokens - last.1) as f64 / seconds);
+        last = (now, tokens);
+    }
+    rates
+}
+
+fn median_rate(mut rates: Vec<f64>) -> f64 {
+    if rates.len() >= FEW_SAMPLES {
+        rates.remove(0);
+        rates.pop();
+    }
+    rates.sort_by(f64::total_cmp);
+    rates.get(rates.len() / 2).copied().unwrap_or(0.0)
+}
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -7,6 +7,7 @@
 use error_stack::Report;
 use gs_standin::StandinError;
 use gs_standin::engine::{self, EngineOptions, engine_options};
+use gs_standin::load::{self, LoadCommand, load_command};
 use gs_standin::platform::{self, PlatformOptions, platform_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
 use log::error;
@@ -36,6 +37,9 @@
     /// The platform's object service and VM list
     #[bpaf(command("platform"), footer(PLATFORM_EXAMPLES))]
     Platform(#[bpaf(external(platform_options))] PlatformOptions),
+    /// Drives callers and prints the measures
+    #[bpaf(command("load"))]
+    Load(#[bpaf(external(load_command))] LoadCommand),
 }
 
 /// What is logged without `RUST_LOG`.
@@ -60,6 +64,7 @@
         StandinCommand::Platform(options) => system
             .block_on(platform::run(options))
             .map_err(StandinError::from)?,
+        StandinCommand::Load(command) => load::run(command).map_err(StandinError::from)?,
     }
     Ok(())
 }
