Add the claim ledger: sharded logs fenced by the object's version

Cause: a non-idempotent request must run at most once whichever entries its caller tries. Change: gs_protocol::claims has the calls between entries; gs_control::ledger keeps claims in shards. A shard is a log of the platform's service: a head object (owner, fencing number, open and newest claims, horizon) and immutable segments of ended claims. Every write of the head is conditional on its version and keeps its bytes until it is settled by reading back, so copies that land late mean the same thing. Keys at or before the written horizon are refused, so no clock decides whether a key may run again. Measured: nothing yet.

--- /dev/null
+++ b/crates/gs-control/tests/ledger/store.rs
@@ -0,0 +1,59 @@
+//! An object store whose calls take effect late, twice never, and whose answers may be lost.
+
+use std::collections::BTreeMap;
+
+use gs_control::ledger::{LedgerEffect, OperationNumber, StoreReply};
+use gs_protocol::ids::{EntryIdentity, ObjectVersion};
+
+/// A call on its way.
+#[derive(Clone, Debug)]
+pub struct StoreCall {
+    pub from: EntryIdentity,
+    pub operation: OperationNumber,
+    pub effect: LedgerEffect,
+}
+
+/// The objects.
+#[derive(Default)]
+pub struct ObjectStore {
+    objects: BTreeMap<String, (ObjectVersion, Vec<u8>)>,
+    revision: u64,
+}
+
+impl ObjectStore {
+    /// Carries out a call.
+    pub fn apply(&mut self, effect: &LedgerEffect) -> StoreReply {
+        match effect {
+            LedgerEffect::Read { key, .. } => StoreReply::Read(self.objects.get(key).cloned()),
+            LedgerEffect::Write {
+                key,
+                value,
+                expected,
+                ..
+            } => self.write(key, value, *expected),
+            LedgerEffect::Remove { key, version, .. } => {
+                if self.version(key) != Some(*version) {
+                    return StoreReply::Conflict;
+                }
+                self.objects.remove(key);
+                StoreReply::Removed
+            }
+            other => panic!("{other:?} is no call of the store"),
+        }
+    }
+
+    fn version(&self, key: &str) -> Option<ObjectVersion> {
+        self.objects.get(key).map(|(version, _)| *version)
+    }
+
+    fn write(&mut self, key: &str, value: &[u8], expected: Option<ObjectVersion>) -> StoreReply {
+        if self.version(key) != expected {
+            return StoreReply::Conflict;
+        }
+        self.revision += 1;
+        let version = ObjectVersion(self.revision);
+        self.objects
+            .insert(key.to_owned(), (version, value.to_vec()));
+        StoreReply::Written(version)
+    }
+}
--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate depends on no other crate of the workspace.
 
 pub mod caller;
+pub mod claims;
 pub mod engine;
 pub mod ids;
 pub mod objects;
