--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod caller;
+pub mod claims;
 pub mod engine;
 pub mod ids;
 pub mod objects;
