Add the TCP relay, and tests of relay and load tool

Failures of links have to be brought about on purpose: delay with jitter, stalls as after a lost packet, cuts, and connections that stay open and silent while new ones work. A silent connection is neither read nor closed, so that neither end hears of it; discarding its bytes was ruled out, as the sender's buffers would then never fill. The load tool is tested against a small entry that answers wholly, wrongly, cut, broken or refused.

--- a/crates/gs-standin/src/load/sse.rs
+++ b/crates/gs-standin/src/load/sse.rs
@@ -53,6 +53,12 @@
     content: Option<Cow<'a, str>>,
 }
 
+impl<'a> CompletionChoice<'a> {
+    fn into_text(self) -> Option<Cow<'a, str>> {
+        self.text.or_else(|| self.delta?.content)
+    }
+}
+
 /// The data of the last event of a whole OpenAI-style stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -105,7 +111,7 @@
         return StreamItem::Error;
     }
     let choice = chunk.choices.into_iter().next();
-    let text = choice.and_then(|choice| choice.text.or(choice.delta?.content));
+    let text = choice.and_then(CompletionChoice::into_text);
     text.map_or(StreamItem::Other, StreamItem::Text)
 }
 
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -9,6 +9,7 @@
 use gs_standin::engine::{self, EngineOptions, engine_options};
 use gs_standin::load::{self, LoadCommand, load_command};
 use gs_standin::platform::{self, PlatformOptions, platform_options};
+use gs_standin::relay::{self, RelayOptions, relay_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
 use log::error;
 
@@ -22,6 +23,9 @@
 const PLATFORM_EXAMPLES: &str = "Example:
  gs-standin platform --listen 127.0.0.1:7000 --writes-per-s 300";
 
+const RELAY_EXAMPLES: &str = "Example:
+ gs-standin relay --to 127.0.0.1:9001 --delay-ms 5 --jitter-ms 2 --stall-share 0.001";
+
 /// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
 /// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
@@ -37,6 +41,9 @@
     /// The platform's object service and VM list
     #[bpaf(command("platform"), footer(PLATFORM_EXAMPLES))]
     Platform(#[bpaf(external(platform_options))] PlatformOptions),
+    /// A TCP relay that delays, cuts and silences connections
+    #[bpaf(command("relay"), footer(RELAY_EXAMPLES))]
+    Relay(#[bpaf(external(relay_options))] RelayOptions),
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
@@ -64,6 +71,7 @@
         StandinCommand::Platform(options) => system
             .block_on(platform::run(options))
             .map_err(StandinError::from)?,
+        StandinCommand::Relay(options) => system.block_on(relay::run(options))?,
         StandinCommand::Load(command) => load::run(command).map_err(StandinError::from)?,
     }
     Ok(())
--- a/crates/gs-standin/tests/support/mod.rs
+++ b/crates/gs-standin/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 };
 use gs_protocol::ids::{AttemptId, EntryIdentity, Incarnation};
 use gs_standin::engine::{EngineServer, engine_options};
+use gs_standin::relay::{RelayServer, relay_options};
 use gs_standin::service::{ServiceServer, service_options};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -25,29 +27,49 @@
 
 /// Starts an engine with the given arguments.
 pub fn start_engine(arguments: &[&str]) -> SocketAddr {
-    let options = engine_options().to_options();
-    let options = options.run_inner(Args::from(arguments)).expect("arguments");
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || {
-        actix_rt::System::new().block_on(async {
-            let server = EngineServer::bind(options).expect("bind");
-            sender.send(server.address()).expect("send");
-            server.run().await.expect("serve");
-        });
-    });
-    receiver.recv().expect("address")
+    let options = parse(engine_options(), arguments);
+    start(async move || {
+        let server = EngineServer::bind(options).expect("bind");
+        (server.address(), server.run())
+    })
 }
 
 /// Starts a service.
 pub fn start_service() -> SocketAddr {
-    let options = service_options().to_options();
-    let options = options.run_inner(Args::from(&[])).expect("arguments");
+    let options = parse(service_options(), &[]);
+    start(async move || {
+        let server = ServiceServer::bind(options).expect("bind");
+        (server.address(), server.run())
+    })
+}
+
+/// Starts a relay; returns its own address and the one for control calls.
+pub fn start_relay(to: SocketAddr, arguments: &[&str]) -> (SocketAddr, SocketAddr) {
+    let to = to.to_string();
+    let arguments = [&["--to", to.as_str()], arguments].concat();
+    let options = parse(relay_options(), &arguments);
+    start(async move || {
+        let server = RelayServer::bind(options).await.expect("bind");
+        ((server.address(), server.control_address()), server.run())
+    })
+}
+
+/// Reads options as from a command line.
+pub fn parse<T: 'static>(parser: impl Parser<T> + 'static, arguments: &[&str]) -> T {
+    let options = parser.to_options();
+    options.run_inner(Args::from(arguments)).expect("arguments")
+}
+
+/// Runs a server on its own thread; returns where it listens.
+pub fn start<A: Send + 'static, E: Debug, R: Future<Output = Result<(), E>>>(
+    bind: impl AsyncFnOnce() -> (A, R) + Send + 'static,
+) -> A {
     let (sender, receiver) = mpsc::channel();
     std::thread::spawn(move || {
         actix_rt::System::new().block_on(async {
-            let server = ServiceServer::bind(options).expect("bind");
-            sender.send(server.address()).expect("send");
-            server.run().await.expect("serve");
+            let (address, run) = bind().await;
+            sender.send(address).expect("send");
+            run.await.expect("serve");
         });
     });
     receiver.recv().expect("address")
@@ -79,13 +101,22 @@
 
 /// Waits until an engine holds what the test asks for.
 pub async fn wait_held(address: SocketAddr, wanted: impl Fn(&[HeldRecord]) -> bool) {
+    let held = |held: &Vec<HeldRecord>| wanted(held);
+    wait_until(address, "/v1/held", held).await;
+}
+
+/// Gets JSON until it is what the test asks for.
+pub async fn wait_until<T>(address: SocketAddr, path: &str, wanted: impl Fn(&T) -> bool)
+where
+    T: Debug + DeserializeOwned,
+{
     let start = Instant::now();
     loop {
-        let held: Vec<HeldRecord> = get(address, "/v1/held").await;
-        if wanted(&held) {
+        let found: T = get(address, path).await;
+        if wanted(&found) {
             return;
         }
-        assert!(start.elapsed() < PATIENCE, "still held: {held:?}");
+        assert!(start.elapsed() < PATIENCE, "still {found:?}");
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
