Check the stand-in engine's memory, and mend its cut streams

A cut stream lost the tokens before the cut, since the server drops unflushed bytes on a body's error; the body now waits once so that they are flushed. Servers set TCP_NODELAY and keep idle connections longer than clients do.

--- a/crates/gs-standin/src/engine/guard.rs
+++ b/crates/gs-standin/src/engine/guard.rs
@@ -8,7 +8,7 @@
 use gs_protocol::ids::AttemptId;
 use tokio::sync::mpsc;
 
-use super::batch::StreamPart;
+use super::batch::{StreamCut, StreamPart};
 use super::server::EngineShared;
 
 /// Gives a prefill up unless it is closed first.
@@ -71,6 +71,7 @@
 /// A stream's events as the body of an answer.
 pub struct StreamBody {
     receiver: mpsc::Receiver<StreamPart>,
+    cut: Option<StreamCut>,
     _guard: StreamGuard,
 }
 
@@ -79,6 +80,7 @@
     pub fn new(receiver: mpsc::Receiver<StreamPart>, guard: StreamGuard) -> Self {
         Self {
             receiver,
+            cut: None,
             _guard: guard,
         }
     }
@@ -88,7 +90,18 @@
     type Item = StreamPart;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<StreamPart>> {
-        self.receiver.poll_recv(context)
+        if let Some(cut) = self.cut.take() {
+            return Poll::Ready(Some(Err(cut)));
+        }
+        match self.receiver.poll_recv(context) {
+            Poll::Ready(Some(Err(cut))) => {
+                // The server drops what is not flushed on an error, and flushes when the body waits.
+                self.cut = Some(cut);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
     }
 }
 
--- a/crates/gs-standin/src/engine/memory.rs
+++ b/crates/gs-standin/src/engine/memory.rs
@@ -17,6 +17,11 @@
         count(self.pinned.len()) + self.private
     }
 
+    /// Pieces that no other work shares.
+    pub fn private(&self) -> u32 {
+        self.private
+    }
+
     /// Pieces that were found in the prefix cache.
     pub fn cached(&self) -> u32 {
         count(self.pinned.len())
@@ -110,6 +115,18 @@
         std::mem::take(&mut self.evicted)
     }
 
+    /// Panics unless the pieces add up; `private` is the sum over all leases.
+    pub fn assert_consistent(&self, private: u32) {
+        assert_eq!(self.private, private, "private pieces");
+        let unpinned = count(self.unpinned.len());
+        assert_eq!(
+            self.pinned + unpinned,
+            count(self.cached.len()),
+            "cached pieces"
+        );
+        assert!(self.private + self.pinned <= self.total, "too many pieces");
+    }
+
     fn pin_found(&mut self, hashes: &[PieceHash]) -> Vec<PieceHash> {
         let found: Vec<_> = hashes
             .iter()
--- a/crates/gs-standin/src/engine/mod.rs
+++ b/crates/gs-standin/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod guard;
 mod http;
 mod import;
+mod invariants;
 mod load;
 mod memory;
 mod options;
--- a/crates/gs-standin/src/engine/prefill.rs
+++ b/crates/gs-standin/src/engine/prefill.rs
@@ -77,6 +77,11 @@
         self.lease.as_ref().map_or(0, PieceLease::pieces)
     }
 
+    /// Memory held so far.
+    pub fn lease(&self) -> Option<&PieceLease> {
+        self.lease.as_ref()
+    }
+
     /// Tokens that are not computed yet.
     pub fn tokens_left(&self) -> u32 {
         self.left
--- a/crates/gs-standin/src/engine/server.rs
+++ b/crates/gs-standin/src/engine/server.rs
@@ -14,6 +14,7 @@
 use super::prefill::ChunkWork;
 use super::state::EngineState;
 use super::timers;
+use crate::KEEP_ALIVE;
 use crate::error::StandinError;
 
 /// Seconds that a shutdown waits for open connections.
@@ -71,6 +72,8 @@
         })
         .workers(workers)
         .h1_allow_half_closed(false)
+        .keep_alive(KEEP_ALIVE)
+        .tcp_nodelay(true)
         .shutdown_timeout(SHUTDOWN_S)
         .bind(listen)
         .map_err(|source| StandinError::Listen {
--- a/crates/gs-standin/src/engine/state.rs
+++ b/crates/gs-standin/src/engine/state.rs
@@ -175,6 +175,7 @@
         {
             self.role = role;
         }
+        self.assert_consistent();
         let report = self.measure(now);
         self.history.record(now, report);
     }
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -8,3 +8,7 @@
 pub mod service;
 
 pub use error::StandinError;
+
+/// How long an engine or service keeps an idle connection open: longer than clients do, so that none
+/// sends a request on a connection that is being closed.
+const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(75);
--- a/crates/gs-standin/src/load/client.rs
+++ b/crates/gs-standin/src/load/client.rs
@@ -11,6 +11,9 @@
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long an idle connection may be used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Bytes of an answer from a control call at most.
 const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 
@@ -19,7 +22,10 @@
 
 /// Builds a client without a limit on connections or time.
 pub fn build_client() -> Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    let connector = awc::Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE_TIMEOUT)
+        .limit(0);
     Client::builder()
         .connector(connector)
         .disable_timeout()
--- a/crates/gs-standin/src/load/service.rs
+++ b/crates/gs-standin/src/load/service.rs
@@ -137,12 +137,11 @@
         return ServiceEnd::Unknown("cut".to_owned());
     };
     if status.is_success() {
-        let echoed = serde_json::from_slice::<EchoAnswer>(&bytes);
-        let own = echoed.is_ok_and(|answer| answer.echo == body);
-        return if own {
-            ServiceEnd::Done
-        } else {
-            ServiceEnd::Wrong
+        // The client ends a body that was cut between two chunks without an error.
+        return match serde_json::from_slice::<EchoAnswer>(&bytes) {
+            Ok(answer) if answer.echo == body => ServiceEnd::Done,
+            Ok(_) => ServiceEnd::Wrong,
+            Err(_) => ServiceEnd::Unknown("malformed".to_owned()),
         };
     }
     read_problem(status.as_u16(), &bytes)
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -57,7 +57,7 @@
     match run(standin_command().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            error!(target: "standin", cause:? = report; "failed");
+            error!(target: "standin", cause:% = format_args!("{report:#}"); "failed");
             ExitCode::FAILURE
         }
     }
--- a/crates/gs-standin/src/service/server.rs
+++ b/crates/gs-standin/src/service/server.rs
@@ -9,6 +9,7 @@
 
 use super::http::{ServiceShared, configure};
 use super::options::ServiceOptions;
+use crate::KEEP_ALIVE;
 use crate::error::StandinError;
 
 /// Seconds that a shutdown waits for open connections.
@@ -30,6 +31,8 @@
             HttpServer::new(move || App::new().app_data(data.clone()).configure(configure))
                 .workers(options.workers.max(1))
                 .h1_allow_half_closed(false)
+                .keep_alive(KEEP_ALIVE)
+                .tcp_nodelay(true)
                 .shutdown_timeout(SHUTDOWN_S)
                 .bind(listen)
                 .map_err(|source| StandinError::Listen {
--- a/crates/gs-standin/tests/engine.rs
+++ b/crates/gs-standin/tests/engine.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use futures_util::StreamExt;
 use gs_protocol::engine::{
     CacheChange, CacheEvents, CancelOrder, EngineOrder, EnginePriority, EngineReason,
     EngineRefusal, HeldKind, KvSource, OrderKind, PrefillAnswer, StreamEvent,
@@ -215,3 +216,43 @@
     assert_eq!(changes(CacheChange::Stored).count(), 20);
     assert_eq!(changes(CacheChange::Evicted).count(), 10);
 }
+
+#[actix_rt::test]
+async fn cut_stream_has_no_end() {
+    let decode = start_engine(&["--step-base-us", "0"]);
+    set_faults(decode, json!({ "cutStreamsAfter": 2 })).await;
+    post(decode, "/v1/reservations", &reserve_order(attempt(1))).await;
+    let source = KvSource::Recompute { prompt: prompt() };
+    let call = awc::Client::new().post(format!("http://{decode}/v1/streams"));
+    let call = call.send_json(&stream_order(attempt(1), source, 0, 6));
+    let answer = call.await.expect("answer");
+    let parts: Vec<_> = answer.collect().await;
+    // The client ends a body that was cut between two chunks without an error.
+    let body: Vec<_> = parts.into_iter().flatten().flatten().collect();
+    assert_eq!(parse_events(&body), whole_events(1, 0)[..2]);
+    wait_held(decode, <[_]>::is_empty).await;
+}
+
+#[actix_rt::test]
+async fn stalled_transfer_is_cancelled_at_both_ends() {
+    let prefill = start_engine(&["--role", "prefill", "--kv-ttl-ms", "20000"]);
+    let decode = start_engine(&[]);
+    set_faults(prefill, json!({ "stallTransfers": true })).await;
+    let order = prefill_order(attempt(1), EnginePriority::Urgent, &prompt());
+    post(prefill, "/v1/prefills", &order).await;
+    let source = KvSource::Engine { address: prefill };
+    let stalled = actix_rt::spawn(stream(decode, 1, source, 0));
+    wait_held(decode, |held| {
+        held.iter().any(|held| held.kind == HeldKind::Stream)
+    })
+    .await;
+    cancel(decode, 1).await;
+    cancel(prefill, 1).await;
+    let failed = StreamEvent::Failed {
+        attempt: attempt(1),
+        reason: EngineReason::Cancelled,
+    };
+    assert_eq!(stalled.await.expect("task"), vec![failed]);
+    wait_held(decode, <[_]>::is_empty).await;
+    wait_held(prefill, <[_]>::is_empty).await;
+}
