Put requests that did not run back in their queue, and test shares and ends with random events

Cause: a request that a full server refused went ahead of urgent work, and its caller had been charged for work that never ran. Servers that look full on lagged reports would leave an entry without slots for ever.

Change: such a request returns to its queue and its charge is taken back; only failures after work was done use the retry budget. A refusal for lack of room holds the server for a time that doubles, until an own stream ends. An entry always tries its part of a server's slots. Normal work beyond its share leaves 6% of the slots to urgent callers. Bounds on prefill queues and long prompts follow from the tightest target.

Tests: random events against what must hold for every request (one end, deadlines, slots, retry budget, same effects for the same seed), and shares of four callers under a standing backlog.

--- a/crates/gs-control/src/dispatch/arrivals.rs
+++ b/crates/gs-control/src/dispatch/arrivals.rs
@@ -47,6 +47,7 @@
                 self.refuse_held(request, RefusalReason::Forbidden, None, effects);
             }
         }
+        self.apply_targets();
         for (caller, record) in self.callers.iter() {
             for lane in self.lanes.values_mut() {
                 lane.queue.set_weight(caller, record.weight());
@@ -54,6 +55,24 @@
         }
     }
 
+    /// Derives the bounds that follow from the tightest targets.
+    fn apply_targets(&mut self) {
+        let Some(document) = &self.document else {
+            return;
+        };
+        let mut tightest = Duration::MAX;
+        for model in document.models.keys() {
+            let users = document.callers.values();
+            let users = users.filter(|entry| entry.models.contains(model));
+            let lane = self.lanes.entry(model.clone()).or_default();
+            lane.set_users(users);
+            tightest = tightest.min(lane.first_token());
+        }
+        let long = tightest.as_secs_f64() * self.settings.long_prefill;
+        let bound = Duration::try_from_secs_f64(long).unwrap_or(Duration::MAX);
+        self.fleet.set_long_bound(bound);
+    }
+
     /// Queues a request or refuses it.
     pub(super) fn arrive(
         &mut self,
@@ -123,7 +142,7 @@
         let deadline = now + entry.first_token;
         let reserve = entry.first_token.mul_f64(self.settings.deadline_margin);
         let needed = reserve + prefill + rates.least_step();
-        let class = match prefill > self.settings.long_prefill {
+        let class = match prefill > self.fleet.long_bound() {
             true => SizeClass::Long,
             false => SizeClass::Short,
         };
@@ -142,6 +161,7 @@
             gives_up_at: now + entry.first_token.saturating_sub(needed),
             cost_us: rates.cost_us(uncached, demand.max_tokens),
             phase: RequestPhase::Waiting,
+            was_started: false,
             has_begun: false,
             has_failed: false,
             is_withdrawn: false,
--- a/crates/gs-control/src/dispatch/callers.rs
+++ b/crates/gs-control/src/dispatch/callers.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Takes back work that was started and did not run.
+    pub fn uncount(&mut self, cost_us: u64) {
+        self.work_us = (self.work_us - cost_us as f64).max(0.0);
+    }
+
     /// Stops: no work waits.
     pub fn stop(&mut self) {
         *self = Self::default();
--- a/crates/gs-control/src/dispatch/endings.rs
+++ b/crates/gs-control/src/dispatch/endings.rs
@@ -17,7 +17,7 @@
 enum AttemptFailure {
     /// Nothing was run.
     NotRun,
-    /// Work was done or may have been.
+    /// Work was done, or may have been.
     Wasted,
     /// No server would do better.
     Final(RefusalReason),
@@ -163,7 +163,8 @@
             return (RefusalReason::ServerFailed, None);
         }
         let pool = self.fleet.pool(&record.model);
-        if !pool.is_some_and(|pool| pool.is_whole()) {
+        let is_whole = pool.is_some_and(|pool| pool.is_whole());
+        if !is_whole && !self.fleet.has_held() {
             return (RefusalReason::NoServer, Some(self.settings.report_stale));
         }
         let wait = self.queue_wait(now, record.caller, &record.model);
@@ -190,38 +191,57 @@
         if stage == RequestStage::Prefill {
             self.fleet.forget_prompt(running.prefill, &record.pieces);
         }
-        let refusal = match failure {
-            AttemptFailure::Final(reason) => Some(reason),
-            AttemptFailure::NotRun => None,
-            AttemptFailure::Wasted if self.budget.spend() => None,
-            AttemptFailure::Wasted => Some(RefusalReason::ServerFailed),
+        match failure {
+            AttemptFailure::NotRun => self.put_back(now, running),
+            AttemptFailure::Wasted if self.budget.spend() => {
+                self.put_aside(now, request, server_of(running, stage));
+            }
+            AttemptFailure::Wasted => {
+                self.refuse_held(request, RefusalReason::ServerFailed, None, effects);
+            }
+            AttemptFailure::Final(reason) => self.refuse_held(request, reason, None, effects),
+        }
+    }
+
+    /// Puts a request that did not run back to where it was taken from.
+    fn put_back(&mut self, now: Instant, running: &AttemptRecord) {
+        let Some(record) = self.table.requests.get_mut(&running.request) else {
+            return;
         };
-        if let Some(reason) = refusal {
-            self.refuse_held(request, reason, None, effects);
+        if let Some(caller) = self.callers.get_mut(record.caller) {
+            caller.running = caller.running.saturating_sub(1);
+        }
+        let Some(started) = &running.turn else {
+            record.phase = RequestPhase::Returning;
+            self.table.add_returning(running.request);
             return;
+        };
+        record.phase = RequestPhase::Waiting;
+        self.table
+            .give_ups
+            .insert((record.gives_up_at, running.request));
+        if let Some(lane) = self.lanes.get_mut(&record.model) {
+            lane.queue.put_back(started, record.class, record.cost_us);
+        }
+        let caller = self.callers.get_mut(record.caller);
+        if let Some(drain) = caller.and_then(|caller| caller.drains.get_mut(&record.model)) {
+            drain.uncount(record.cost_us);
+            drain.open(now);
         }
-        self.put_back(now, request, server_of(running, stage), failure);
     }
 
-    fn put_back(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        avoid: ServerId,
-        failure: AttemptFailure,
-    ) {
+    /// Lets a request go again before all that has not been started.
+    fn put_aside(&mut self, now: Instant, request: RequestId, avoid: ServerId) {
         let Some(record) = self.table.requests.get_mut(&request) else {
             return;
         };
         record.phase = RequestPhase::Returning;
         record.avoid = Some(avoid);
-        record.has_failed |= failure == AttemptFailure::Wasted;
-        record.gives_up_at = if record.has_begun {
-            now + self.settings.resume_within
-        } else if record.has_failed {
-            record.arrived_at + record.first_token.mul_f64(self.settings.retry_patience)
-        } else {
-            record.deadline
+        record.has_failed = true;
+        let patience = record.first_token.mul_f64(self.settings.retry_patience);
+        record.gives_up_at = match record.has_begun {
+            true => now + self.settings.resume_within,
+            false => record.arrived_at + patience,
         };
         if let Some(caller) = self.callers.get_mut(record.caller) {
             caller.running = caller.running.saturating_sub(1);
--- a/crates/gs-control/src/dispatch/fair_queue.rs
+++ b/crates/gs-control/src/dispatch/fair_queue.rs
@@ -17,6 +17,9 @@
 /// Callers looked at in one choice before the choice is given up.
 const MAX_SKIPS: usize = 8;
 
+/// The least share or worth that a charge is divided by.
+const MIN_WEIGHT: f64 = 1e-6;
+
 /// A caller's place in the caller table.
 pub type CallerId = u32;
 
@@ -49,6 +52,13 @@
     pub worth: f64,
 }
 
+/// The weight of a caller that nothing is known of.
+const NO_WEIGHT: CallerWeight = CallerWeight {
+    rank: CallerRank::Normal,
+    share: 0.0,
+    worth: 1.0,
+};
+
 /// Why a request is next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TurnKind {
@@ -69,6 +79,37 @@
     pub key: QueueKey,
 }
 
+/// A request that was started in its turn, and what its caller was charged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartedTurn {
+    /// The request's turn.
+    pub turn: QueueTurn,
+    charge: TurnCharge,
+}
+
+/// By how much a start advances the tags of its caller and the total work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct TurnCharge {
+    guaranteed: u64,
+    surplus: u64,
+    work: u64,
+}
+
+impl TurnCharge {
+    fn new(weight: &CallerWeight, kind: TurnKind, cost_us: u64) -> Self {
+        let work = cost_us as f64 * TAG_SCALE;
+        let (guaranteed, surplus) = match kind {
+            TurnKind::Guaranteed => (work / weight.share.max(MIN_WEIGHT), 0.0),
+            TurnKind::Surplus => (0.0, work / weight.worth.max(MIN_WEIGHT)),
+        };
+        Self {
+            guaranteed: guaranteed as u64,
+            surplus: surplus as u64,
+            work: work as u64,
+        }
+    }
+}
+
 /// One caller's waiting requests and tags.
 #[derive(Clone, Debug)]
 struct CallerQueue {
@@ -231,22 +272,35 @@
     }
 
     /// Removes the request whose turn it was and charges its caller.
-    pub fn start(&mut self, turn: &QueueTurn, class: SizeClass, cost_us: u64) {
+    pub fn start(&mut self, turn: QueueTurn, class: SizeClass, cost_us: u64) -> StartedTurn {
+        let weight = self.callers.get(&turn.caller).map(|queue| queue.weight);
+        let charge = TurnCharge::new(&weight.unwrap_or(NO_WEIGHT), turn.kind, cost_us);
         self.unlist(turn.caller);
-        let work = cost_us as f64 * TAG_SCALE;
         if let Some(queue) = self.callers.get_mut(&turn.caller) {
             let order = self.orders.entry(queue.weight.rank).or_default();
-            match turn.kind {
-                TurnKind::Guaranteed => queue.guaranteed_tag += (work / queue.weight.share) as u64,
-                TurnKind::Surplus => {
-                    order.surplus_now = order.surplus_now.max(queue.surplus_tag);
-                    queue.surplus_tag += (work / queue.weight.worth.max(f64::EPSILON)) as u64;
-                }
+            if turn.kind == TurnKind::Surplus {
+                order.surplus_now = order.surplus_now.max(queue.surplus_tag);
             }
+            queue.guaranteed_tag = queue.guaranteed_tag.saturating_add(charge.guaranteed);
+            queue.surplus_tag = queue.surplus_tag.saturating_add(charge.surplus);
         }
-        self.work_now += work as u64;
+        self.work_now = self.work_now.saturating_add(charge.work);
         self.list(turn.caller);
         self.remove(turn.caller, class, turn.key, cost_us);
+        StartedTurn { turn, charge }
+    }
+
+    /// Puts back a request that was started and did not run, and takes the charge back.
+    pub fn put_back(&mut self, started: &StartedTurn, class: SizeClass, cost_us: u64) {
+        let StartedTurn { turn, charge } = started;
+        self.push(turn.caller, class, turn.key, cost_us);
+        self.unlist(turn.caller);
+        if let Some(queue) = self.callers.get_mut(&turn.caller) {
+            queue.guaranteed_tag = queue.guaranteed_tag.saturating_sub(charge.guaranteed);
+            queue.surplus_tag = queue.surplus_tag.saturating_sub(charge.surplus);
+        }
+        self.work_now = self.work_now.saturating_sub(charge.work);
+        self.list(turn.caller);
     }
 
     /// Lists a caller that had no work: what it left unused is not owed to it later.
--- a/crates/gs-control/src/dispatch/fleet.rs
+++ b/crates/gs-control/src/dispatch/fleet.rs
@@ -68,6 +68,7 @@
     leaving: BTreeMap<ServerName, Instant>,
     prefixes: PrefixIndex,
     next_server: ServerId,
+    long_bound: Duration,
     epoch_start: Option<Instant>,
 }
 
@@ -83,6 +84,7 @@
             leaving: BTreeMap::new(),
             prefixes: PrefixIndex::new(prefix_capacity),
             next_server: 0,
+            long_bound: Duration::MAX,
             epoch_start: None,
         }
     }
@@ -97,6 +99,21 @@
         self.names.get(name).copied()
     }
 
+    /// Sets the wait from which a prefill server counts as busy with a long prompt.
+    pub fn set_long_bound(&mut self, bound: Duration) {
+        self.long_bound = bound;
+    }
+
+    /// The wait from which a prefill server counts as busy with a long prompt.
+    pub fn long_bound(&self) -> Duration {
+        self.long_bound
+    }
+
+    /// Whether a server is kept from new work for a time.
+    pub fn has_held(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// All known servers.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
         self.servers.values()
@@ -308,14 +325,14 @@
         }
         let record = self.servers.get(&server)?;
         if !record.is_open(now) {
-            if let Some(until) = record.held_until.filter(|until| *until > now) {
+            if let Some(until) = record.held_until().filter(|until| *until > now) {
                 self.held.insert((until, server));
             }
             return None;
         }
         let role = record.report.role;
         let start = self.epoch_start.unwrap_or(now);
-        let long_wait = record.prefill_wait(now) > settings.long_prefill;
+        let long_wait = record.prefill_wait(now) > self.long_bound;
         Some(ListedPlace {
             role,
             models: record.report.models.clone(),
--- a/crates/gs-control/src/dispatch/model_lane.rs
+++ b/crates/gs-control/src/dispatch/model_lane.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use gs_document::document::{CallerEntry, CallerRank};
 use gs_protocol::engine::{EngineRole, LoadReport};
 
 use super::fair_queue::FairQueue;
@@ -52,16 +53,50 @@
 }
 
 /// One model's waiting requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ModelLane {
     /// Requests that wait for their first start.
     pub queue: FairQueue,
     /// The speed of the engines.
     pub rates: EngineRates,
     targets: BTreeMap<Duration, u32>,
+    first_token: Duration,
+    has_urgent: bool,
+}
+
+impl Default for ModelLane {
+    fn default() -> Self {
+        Self {
+            queue: FairQueue::default(),
+            rates: EngineRates::default(),
+            targets: BTreeMap::new(),
+            first_token: Duration::MAX,
+            has_urgent: false,
+        }
+    }
 }
 
 impl ModelLane {
+    /// Takes in the callers that may use the model.
+    pub fn set_users<'a>(&mut self, users: impl Iterator<Item = &'a CallerEntry>) {
+        self.first_token = Duration::MAX;
+        self.has_urgent = false;
+        for user in users {
+            self.first_token = self.first_token.min(user.first_token);
+            self.has_urgent |= user.rank == CallerRank::Urgent;
+        }
+    }
+
+    /// The tightest first-token target of the callers.
+    pub fn first_token(&self) -> Duration {
+        self.first_token
+    }
+
+    /// Whether an urgent caller may use the model.
+    pub fn has_urgent(&self) -> bool {
+        self.has_urgent
+    }
+
     /// Counts a request that waits or runs.
     pub fn add_target(&mut self, between_tokens: Duration) {
         *self.targets.entry(between_tokens).or_default() += 1;
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -28,6 +28,12 @@
 /// Time for which a prefill result is sure to be kept.
 const RESULT_KEPT: Duration = Duration::from_millis(300);
 
+/// Cost of a server that is probably full.
+const FULL_PENALTY: Duration = Duration::from_millis(10);
+
+/// How much longer a prefill queue may be in which this entry has nothing.
+const UNUSED_QUEUE_FACTOR: u32 = 4;
+
 /// Pairs this much dearer than the best are as good, for entries that share the fleet.
 const NEAR_BEST: Duration = Duration::from_millis(2);
 
@@ -46,6 +52,8 @@
     pub step: Duration,
     /// The longest wait in a prefill engine's queue.
     pub queue_wait: Duration,
+    /// Whether slots are to be left for urgent callers.
+    pub leaves_headroom: bool,
     /// Time left until the first token is due, if that still matters.
     pub time_left: Option<Duration>,
     /// A server that has just failed the request.
@@ -191,7 +199,7 @@
     entries: u32,
 ) -> Option<DecodeCandidate<'a>> {
     let work = record.work(now);
-    let limit = record.stream_limit(demand.step);
+    let limit = stream_limit(record, demand, settings);
     if !has_slot(now, record, limit, settings, entries) {
         return None;
     }
@@ -200,6 +208,7 @@
     if !fits && work.streams > 0 {
         return None;
     }
+    let is_full = work.streams >= limit;
     let crowding = entries.saturating_sub(limit.saturating_sub(work.streams));
     let round_trip = record.delay * 2;
     let until_first = round_trip * 2 + record.step_time(work.streams + 1);
@@ -207,13 +216,35 @@
     Some(DecodeCandidate {
         server,
         record,
-        cost: until_first + later_steps + round_trip * crowding / entries.max(1),
+        cost: until_first
+            + later_steps
+            + round_trip * crowding / entries.max(1)
+            + if is_full {
+                FULL_PENALTY
+            } else {
+                Duration::ZERO
+            },
         until_first,
         link_wait: record.link_wait(now),
     })
 }
 
-/// Whether a slot is free; with a stale report, within this entry's part of the slots.
+/// Streams that the server may hold with this request.
+fn stream_limit(
+    record: &ServerRecord,
+    demand: &PlacementDemand<'_>,
+    settings: &DispatchSettings,
+) -> u32 {
+    let limit = record.stream_limit(demand.step);
+    if !demand.leaves_headroom {
+        return limit;
+    }
+    let headroom = f64::from(limit) * settings.urgent_headroom;
+    limit - limit.min(headroom as u32)
+}
+
+/// Whether a slot may be free. A server that looks full is tried within this entry's part of its slots, since
+/// reports lag and others release slots unseen; with a stale report, that part is all.
 fn has_slot(
     now: Instant,
     record: &ServerRecord,
@@ -221,10 +252,13 @@
     settings: &DispatchSettings,
     entries: u32,
 ) -> bool {
-    if record.is_stale(now, settings) {
-        return record.own().streams < (limit / entries.max(1)).max(1);
+    let own = record.own().streams;
+    if own >= limit {
+        return false;
     }
-    record.work(now).streams < limit
+    let is_free = record.work(now).streams < limit && !record.is_stale(now, settings);
+    let is_in_part = own < (limit / entries.max(1)).max(1);
+    is_free || is_in_part
 }
 
 fn weigh_prefills<'a>(
@@ -269,8 +303,11 @@
     let cached_tokens = cached.map_or(0, |known| known.tokens);
     let uncached_tokens = demand.prompt_tokens.saturating_sub(cached_tokens).max(1);
     let wait = record.prefill_wait(now);
-    let is_queue_full = wait > demand.queue_wait && record.own().tokens > 0;
-    if is_queue_full && !record.is_stale(now, settings) {
+    let queue_wait = match record.own().tokens {
+        0 => demand.queue_wait * UNUSED_QUEUE_FACTOR,
+        _ => demand.queue_wait,
+    };
+    if wait > queue_wait && !record.is_stale(now, settings) {
         return None;
     }
     Some(PrefillCandidate {
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -7,7 +7,7 @@
 use gs_protocol::ids::{AttemptId, ModelName, RequestId};
 use gs_protocol::prefix::PieceHash;
 
-use super::fair_queue::{CallerId, QueueKey, SizeClass};
+use super::fair_queue::{CallerId, QueueKey, SizeClass, StartedTurn};
 use super::own_load::ServerWork;
 use super::server_record::ServerId;
 
@@ -16,7 +16,7 @@
 pub enum RequestPhase {
     /// It waits for its first start.
     Waiting,
-    /// An attempt failed and it waits to go again.
+    /// An attempt failed after work was done and it waits to go again.
     Returning,
     /// An attempt runs.
     Running(AttemptId),
@@ -53,6 +53,8 @@
     pub cost_us: u64,
     /// Where it stands.
     pub phase: RequestPhase,
+    /// Whether it has been started before.
+    pub was_started: bool,
     /// Whether the caller has got tokens.
     pub has_begun: bool,
     /// Whether an attempt failed after work was done for it.
@@ -86,6 +88,8 @@
     pub decode_work: ServerWork,
     /// Work counted on the prefill engine.
     pub prefill_work: ServerWork,
+    /// Whose turn it was; `None` for a request that went again.
+    pub turn: Option<StartedTurn>,
     /// When it is taken for ended if nothing is heard of it.
     pub expires_at: Instant,
 }
--- a/crates/gs-control/src/dispatch/server_record.rs
+++ b/crates/gs-control/src/dispatch/server_record.rs
@@ -19,6 +19,9 @@
 /// Doublings at most of the time that a failing server gets nothing new.
 const MAX_SUSPECT_DOUBLINGS: u32 = 5;
 
+/// Doublings at most of the time that a full server gets nothing new.
+const MAX_FULL_DOUBLINGS: u32 = 3;
+
 /// A server's place in the fleet table.
 pub type ServerId = u32;
 
@@ -42,8 +45,6 @@
     pub salt: u32,
     /// Whether it is gone until the next load report.
     pub lost: bool,
-    /// Until when it gets nothing new.
-    pub held_until: Option<Instant>,
     /// Which contents of its prefix cache are meant; grows when the engine starts anew.
     pub cache_epoch: u32,
     /// Pieces stored in its prefix cache so far, as far as known.
@@ -57,6 +58,9 @@
     others: OtherLoad,
     prefill_free_at: Instant,
     failures: u32,
+    refusals: u32,
+    full_until: Option<Instant>,
+    suspect_until: Option<Instant>,
 }
 
 impl ServerRecord {
@@ -70,7 +74,6 @@
             report: sighting.report.clone(),
             salt,
             lost: false,
-            held_until: None,
             cache_epoch: 0,
             stored_pieces: 0,
             cache_last: 0,
@@ -80,6 +83,9 @@
             own,
             prefill_free_at: now,
             failures: 0,
+            refusals: 0,
+            full_until: None,
+            suspect_until: None,
         }
     }
 
@@ -87,8 +93,9 @@
     pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration) {
         let measured_at = now.checked_sub(lag + sighting.delay).unwrap_or(now);
         if sighting.report.boot != self.report.boot {
-            self.failures = 0;
-            self.held_until = None;
+            self.trust();
+            self.full_until = None;
+            self.suspect_until = None;
         }
         self.others = OtherLoad::judge(&sighting.report, &self.own, measured_at);
         self.own.forget(measured_at);
@@ -112,7 +119,12 @@
 
     /// Whether the server may get new work.
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.lost && self.held_until.is_none_or(|until| until <= now)
+        !self.lost && self.held_until().is_none_or(|until| until <= now)
+    }
+
+    /// Until when it gets nothing new.
+    pub fn held_until(&self) -> Option<Instant> {
+        self.full_until.max(self.suspect_until)
     }
 
     /// This entry's work on the server.
@@ -196,32 +208,34 @@
             return;
         }
         self.own.remove(now, work);
+        if work.streams > 0 {
+            self.full_until = None;
+        }
         if work.tokens > 0 {
             let left = self.prefill_time(self.own.now().tokens);
             self.prefill_free_at = self.prefill_free_at.min(now + left);
         }
     }
 
-    /// Keeps the server from new work for a time; it refused for lack of room.
+    /// Keeps the server from new work for a time that doubles with each refusal in a row; it is full.
     pub fn hold_full(&mut self, now: Instant, hold: Duration) {
         self.others.add_stream();
-        self.hold(now + hold);
+        let doublings = self.refusals.min(MAX_FULL_DOUBLINGS);
+        self.refusals = self.refusals.saturating_add(1);
+        self.full_until = Some(now + hold * 2_u32.pow(doublings));
     }
 
     /// Keeps the server from new work for a time that doubles with each failure in a row.
     pub fn hold_suspect(&mut self, now: Instant, hold: Duration) {
         let doublings = self.failures.min(MAX_SUSPECT_DOUBLINGS);
         self.failures = self.failures.saturating_add(1);
-        self.hold(now + hold * 2_u32.pow(doublings));
+        self.suspect_until = Some(now + hold * 2_u32.pow(doublings));
     }
 
     /// Clears suspicion: the server did what it was asked.
     pub fn trust(&mut self) {
         self.failures = 0;
-    }
-
-    fn hold(&mut self, until: Instant) {
-        self.held_until = Some(self.held_until.map_or(until, |held| held.max(until)));
+        self.refusals = 0;
     }
 
     fn own_prefill_wait(&self, now: Instant) -> Duration {
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -49,7 +49,8 @@
     pub load_lag: Duration,
     /// Age from which a load report is treated with caution.
     pub report_stale: Duration,
-    /// How long a server that refused for lack of room gets nothing new.
+    /// How long a server that refused for lack of room gets nothing new; doubles with each such refusal in a
+    /// row.
     pub full_hold: Duration,
     /// How long a server that did not answer gets nothing new; doubles with each failure in a row.
     pub suspect_hold: Duration,
@@ -63,12 +64,14 @@
     pub deadline_margin: f64,
     /// Part of the between-token target that a decode step may take.
     pub between_margin: f64,
-    /// Part of the first-token target that may be spent in a prefill engine's queue.
+    /// Part of the model's tightest first-token target that may be spent in a prefill engine's queue.
     pub prefill_lookahead: f64,
-    /// Prefill time from which a prompt counts as long.
-    pub long_prefill: Duration,
+    /// Part of the model's tightest first-token target from which a prefill counts as long.
+    pub long_prefill: f64,
     /// Part of the prefill servers that may be busy with long prompts at a time.
     pub long_share: f64,
+    /// Part of a server's slots that normal work beyond its guaranteed share leaves to urgent callers.
+    pub urgent_headroom: f64,
     /// How often waiting requests are tried again when nothing else happens.
     pub poll_interval: Duration,
     /// How long a request whose try failed may go again, in first-token targets since its arrival.
@@ -94,8 +97,9 @@
             deadline_margin: 0.15,
             between_margin: 0.9,
             prefill_lookahead: 0.25,
-            long_prefill: Duration::from_millis(200),
+            long_prefill: 0.5,
             long_share: 0.5,
+            urgent_headroom: 0.06,
             poll_interval: Duration::from_millis(5),
             retry_patience: 2.0,
             resume_within: Duration::from_secs(2),
--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -8,7 +8,7 @@
 use gs_protocol::prefix::{KV_TOKEN_BYTES, PIECE_TOKENS, count_pieces};
 use rand::Rng;
 
-use super::fair_queue::{CallerId, QueueTurn, TurnKind};
+use super::fair_queue::{CallerId, QueueTurn, StartedTurn, TurnKind};
 use super::messages::DispatchEffect;
 use super::own_load::ServerWork;
 use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand, choose_servers};
@@ -21,6 +21,9 @@
 /// Failed requests looked at in one round.
 const MAX_RETURNING: usize = 16;
 
+/// The least time that may be spent in a prefill engine's queue.
+const MIN_LOOKAHEAD: Duration = Duration::from_millis(20);
+
 /// The least time that a try gets to bring its first token.
 const MIN_FIRST_TOKEN: Duration = Duration::from_millis(500);
 
@@ -33,11 +36,11 @@
 impl DispatchState {
     /// Starts what can be started now.
     pub(super) fn start_waiting(&mut self, now: Instant, effects: &mut Vec<DispatchEffect>) {
+        self.fleet.end_holds(now, &self.settings);
         if self.table.give_ups.is_empty() {
             return;
         }
         self.last_start = Some(now);
-        self.fleet.end_holds(now, &self.settings);
         let models: Vec<ModelName> = self.lanes.keys().cloned().collect();
         for model in models {
             if self.start_returning(now, &model, effects) {
@@ -59,10 +62,10 @@
         let keys: Vec<ReturnKey> = returning.iter().copied().take(MAX_RETURNING).collect();
         let mut passed_over = 0;
         for (_, _, request) in keys {
-            match self.place(now, request) {
+            match self.place(now, request, None) {
                 Ok(choice) => {
                     self.table.remove_returning(request);
-                    self.start(now, request, &choice, TurnKind::Surplus, effects);
+                    self.start(now, request, &choice, None, effects);
                 }
                 Err(_) if passed_over == MAX_PASSED_OVER => return false,
                 Err(_) => passed_over += 1,
@@ -77,10 +80,10 @@
             let Some(turn) = self.next_turn(model, &passed_over) else {
                 return;
             };
-            match self.place(now, turn.key.request) {
+            match self.place(now, turn.key.request, Some(turn.kind)) {
                 Ok(choice) => {
-                    self.leave_queue(now, model, &turn);
-                    self.start(now, turn.key.request, &choice, turn.kind, effects);
+                    let started = self.leave_queue(now, model, turn);
+                    self.start(now, turn.key.request, &choice, started, effects);
                 }
                 Err(PlacementBlock::Late) => passed_over.push(turn.caller),
                 Err(_) => return,
@@ -101,31 +104,36 @@
     }
 
     /// Takes a request out of its queue and charges its caller.
-    fn leave_queue(&mut self, now: Instant, model: &ModelName, turn: &QueueTurn) {
-        let Some(record) = self.table.requests.get(&turn.key.request) else {
-            return;
-        };
-        if let Some(lane) = self.lanes.get_mut(model) {
-            lane.queue.start(turn, record.class, record.cost_us);
-            let is_drained = lane.queue.caller_len(turn.caller) == 0;
-            let caller = self.callers.get_mut(turn.caller);
-            if let Some(drain) = caller.and_then(|caller| caller.drains.get_mut(model)) {
-                drain.count(now, record.cost_us);
-                if is_drained {
-                    drain.stop();
-                }
+    fn leave_queue(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        turn: QueueTurn,
+    ) -> Option<StartedTurn> {
+        let record = self.table.requests.get_mut(&turn.key.request)?;
+        if !std::mem::replace(&mut record.was_started, true) {
+            self.budget.credit();
+        }
+        let give_up = (record.gives_up_at, turn.key.request);
+        self.table.give_ups.remove(&give_up);
+        let lane = self.lanes.get_mut(model)?;
+        let started = lane.queue.start(turn, record.class, record.cost_us);
+        let is_drained = lane.queue.caller_len(turn.caller) == 0;
+        let caller = self.callers.get_mut(turn.caller)?;
+        if let Some(drain) = caller.drains.get_mut(model) {
+            drain.count(now, record.cost_us);
+            if is_drained {
+                drain.stop();
             }
         }
-        self.table
-            .give_ups
-            .remove(&(record.gives_up_at, turn.key.request));
-        self.budget.credit();
+        Some(started)
     }
 
     fn place(
         &mut self,
         now: Instant,
         request: RequestId,
+        kind: Option<TurnKind>,
     ) -> Result<PlacementChoice, PlacementBlock> {
         let record = self.table.requests.get(&request);
         let record = record.ok_or(PlacementBlock::NoServer)?;
@@ -135,13 +143,17 @@
         let time_left =
             (record.deadline - reserve.min(record.first_token)).saturating_duration_since(now);
         let is_first = record.phase == RequestPhase::Waiting;
+        let queue_wait = lane.first_token().min(record.first_token);
+        let queue_wait = queue_wait.mul_f64(self.settings.prefill_lookahead);
+        let is_surplus = record.rank == CallerRank::Normal && kind == Some(TurnKind::Surplus);
         let demand = PlacementDemand {
             model: &record.model,
             pieces: &record.pieces,
             prompt_tokens: record.prompt_tokens,
             max_tokens: record.max_tokens,
             step: lane.longest_step(self.settings.between_margin),
-            queue_wait: record.first_token.mul_f64(self.settings.prefill_lookahead),
+            queue_wait: queue_wait.max(MIN_LOOKAHEAD),
+            leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
             avoid: record.avoid,
             resumes: record.has_begun,
@@ -162,7 +174,7 @@
         now: Instant,
         request: RequestId,
         choice: &PlacementChoice,
-        kind: TurnKind,
+        turn: Option<StartedTurn>,
         effects: &mut Vec<DispatchEffect>,
     ) {
         let attempt = self.draw_attempt();
@@ -173,9 +185,12 @@
             .lanes
             .get(&record.model)
             .is_some_and(|lane| lane.queue.rank_waits(CallerRank::Urgent));
-        let priority = priority_of(record, kind, urgent_waits);
+        let priority = priority_of(record, turn.as_ref(), urgent_waits);
         let first_token_within = first_token_within(now, record);
-        let running = running_attempt(now, request, record, choice, first_token_within);
+        let running = AttemptRecord {
+            turn,
+            ..running_attempt(now, request, record, choice, first_token_within)
+        };
         record.phase = RequestPhase::Running(attempt);
         let names = [choice.decode, choice.prefill]
             .map(|server| self.fleet.server(server).map(|known| known.name.clone()));
@@ -224,8 +239,13 @@
 }
 
 /// Normal work that is owed to its caller goes before urgent work that waits, within its share.
-fn priority_of(record: &RequestRecord, kind: TurnKind, urgent_waits: bool) -> EnginePriority {
-    let is_owed = kind == TurnKind::Guaranteed && urgent_waits;
+fn priority_of(
+    record: &RequestRecord,
+    turn: Option<&StartedTurn>,
+    urgent_waits: bool,
+) -> EnginePriority {
+    let kind = turn.map(|started| started.turn.kind);
+    let is_owed = kind == Some(TurnKind::Guaranteed) && urgent_waits;
     if record.rank == CallerRank::Urgent || is_owed || record.has_begun {
         return EnginePriority::Urgent;
     }
@@ -266,6 +286,7 @@
             tokens: choice.uncached_tokens,
             bytes,
         },
+        turn: None,
         expires_at: now + first_token_within + stream_time + ATTEMPT_GRACE,
     }
 }
--- a/crates/gs-control/tests/dispatch/main.rs
+++ b/crates/gs-control/tests/dispatch/main.rs
@@ -2,3 +2,5 @@
 
 mod fixture;
 mod lifecycle;
+mod random_events;
+mod shares;
--- /dev/null
+++ b/crates/gs-control/tests/dispatch/shares.rs
@@ -0,0 +1,157 @@
+//! Shares of ranks and callers while all of them have work waiting.
+
+use std::collections::VecDeque;
+
+use gs_control::dispatch::{AttemptEnd, DispatchEvent, DispatchSettings};
+use gs_document::document::{CallerEntry, CallerRank};
+use gs_protocol::ids::RequestId;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::fixture::{Bench, MAX_STREAMS, Started, caller, demand};
+
+const NAMES: [&str; 4] = ["clerks", "desk", "vans", "batch"];
+const RANKS: [CallerRank; 4] = [
+    CallerRank::Urgent,
+    CallerRank::Urgent,
+    CallerRank::Normal,
+    CallerRank::Normal,
+];
+const REQUESTS_EACH: usize = 60;
+const ROUNDS: usize = 100;
+const MAX_TOKENS: u32 = 200;
+const CASES: u32 = 64;
+
+/// Shares of the callers, and the output tokens of their requests.
+#[derive(Clone, Debug)]
+struct Load {
+    shares: [f64; 4],
+    tokens: Vec<[u32; 4]>,
+}
+
+fn any_load() -> impl Strategy<Value = Load> {
+    let shares = prop::array::uniform4(0.0_f64..0.25);
+    let tokens = prop::collection::vec(prop::array::uniform4(1..MAX_TOKENS), REQUESTS_EACH);
+    (shares, tokens).prop_map(|(shares, tokens)| Load { shares, tokens })
+}
+
+/// Engine time of a request of one prompt token, in microseconds.
+fn cost_us(tokens: u32) -> f64 {
+    let step_us = 10_000 + 500 * u64::from(MAX_STREAMS);
+    (100 + u64::from(tokens) * step_us / u64::from(MAX_STREAMS)) as f64
+}
+
+/// Work started for each caller, one array a start.
+fn serve(load: &Load) -> Vec<[f64; 4]> {
+    let entries: Vec<(&str, CallerEntry)> = (0..4)
+        .map(|index| {
+            (
+                NAMES[index],
+                caller(RANKS[index], load.shares[index], 10_000_000),
+            )
+        })
+        .collect();
+    let mut bench = Bench::new(DispatchSettings::default(), &entries).with_servers(1, 1);
+    fill(&mut bench);
+    let mut tokens = Vec::new();
+    for each in &load.tokens {
+        for (index, name) in NAMES.iter().enumerate() {
+            let mut demand = demand(tokens.len() as u64 + 100, name, 1);
+            demand.max_tokens = each[index];
+            tokens.push((index, each[index]));
+            bench.send(DispatchEvent::Arrived(demand));
+        }
+    }
+    let mut served = [0.0; 4];
+    let mut history = Vec::new();
+    let mut running: VecDeque<Started> = bench.take_starts().into();
+    for _ in 0..ROUNDS {
+        let Some(oldest) = running.pop_front() else {
+            break;
+        };
+        bench.end(oldest.attempt, AttemptEnd::Whole { tokens: 1 });
+        for started in bench.take_starts() {
+            let (index, tokens) = tokens[number_of(started.request) - 100];
+            served[index] += cost_us(tokens);
+            history.push(served);
+            running.push_back(started);
+        }
+    }
+    history
+}
+
+/// Takes every slot, so that all that comes next has to wait.
+fn fill(bench: &mut Bench) {
+    for number in 0..u64::from(MAX_STREAMS) {
+        bench.arrive(number, NAMES[0], 1);
+    }
+}
+
+fn number_of(request: RequestId) -> usize {
+    request.0.as_u64_pair().1 as usize
+}
+
+/// Checks a property of the service of random loads whose callers never run out of work.
+fn check(property: impl Fn(&Load, &[f64; 4], f64) -> Result<(), TestCaseError>) {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let outcome = TestRunner::new_with_rng(config, rng).run(&any_load(), |load| {
+        let history = serve(&load);
+        prop_assert!(history.len() > REQUESTS_EACH / 2);
+        for served in history.iter().take(REQUESTS_EACH) {
+            property(&load, served, served.iter().sum())?;
+        }
+        Ok(())
+    });
+    outcome.expect("every case holds");
+}
+
+#[test]
+fn callers_keep_their_guaranteed_share_while_they_have_work() {
+    check(|load, served, total| {
+        let slack = 2.0 * cost_us(MAX_TOKENS);
+        for index in 0..4 {
+            let owed = load.shares[index] * total - slack;
+            prop_assert!(
+                served[index] >= owed,
+                "{} got {} of {owed}",
+                NAMES[index],
+                served[index]
+            );
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn urgent_work_waits_for_normal_work_only_within_its_share() {
+    check(|load, served, total| {
+        for index in 2..4 {
+            let owed = load.shares[index] * total + 2.0 * cost_us(MAX_TOKENS);
+            prop_assert!(
+                served[index] <= owed,
+                "{} got {} of {owed}",
+                NAMES[index],
+                served[index]
+            );
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn callers_of_one_rank_and_worth_share_the_surplus_alike() {
+    check(|load, served, total| {
+        let surplus = |index: usize| served[index] - load.shares[index] * total;
+        let apart = (surplus(0) - surplus(1)).abs();
+        prop_assert!(
+            apart <= 4.0 * cost_us(MAX_TOKENS),
+            "surplus differs by {apart}"
+        );
+        Ok(())
+    });
+}
