--- /dev/null
+++ b/crates/gs-control/benches/dispatch.rs
@@ -0,0 +1,246 @@
+//! Cost of dispatch events against the number of servers known in full.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use gs_control::dispatch::{
+    AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState, RequestDemand,
+    ServerSighting,
+};
+use gs_document::document::{CallerEntry, CallerRank, EnvironmentDocument, ModelEntry};
+use gs_protocol::engine::{EngineRole, LoadReport};
+use gs_protocol::ids::{FenceNumber, RequestId};
+use gs_protocol::prefix::PieceHash;
+use uuid::Uuid;
+
+const FLEETS: [u32; 3] = [10, 75, 600];
+const DATA_CENTRES: u32 = 4;
+const ENTRIES: u32 = 7;
+const PROMPT_TOKENS: u32 = 1_024;
+const SHARED_PREFIXES: u64 = 100;
+const SHARED_PIECES: u64 = 32;
+const MAX_STREAMS: u32 = 20;
+
+/// How loaded the fleet is.
+#[derive(Clone, Copy)]
+enum FleetLoad {
+    Half,
+    Full,
+}
+
+/// A state that knows a fleet, and the number of its next request.
+struct DispatchBench {
+    state: DispatchState,
+    now: Instant,
+    number: u64,
+    effects: Vec<DispatchEffect>,
+}
+
+impl DispatchBench {
+    fn new(servers: u32, load: FleetLoad) -> Self {
+        let settings = DispatchSettings {
+            entries: ENTRIES,
+            ..DispatchSettings::default()
+        };
+        let mut bench = Self {
+            state: DispatchState::new(settings, 7),
+            now: Instant::now(),
+            number: 0,
+            effects: Vec::new(),
+        };
+        bench.send(DispatchEvent::DocumentApplied(document()));
+        for server in 0..servers {
+            bench.send(DispatchEvent::LoadSeen(sighting(server, load)));
+        }
+        bench
+    }
+
+    fn send(&mut self, event: DispatchEvent) {
+        self.state.handle(self.now, event, &mut self.effects);
+    }
+
+    fn next_demand(&mut self) -> RequestDemand {
+        self.number += 1;
+        let prefix = self.number % SHARED_PREFIXES;
+        let own = self.number;
+        let piece = move |piece| match piece < SHARED_PIECES {
+            true => PieceHash(prefix << 32 | piece),
+            false => PieceHash(own << 32 | 1 << 63 | piece),
+        };
+        RequestDemand {
+            request: RequestId(Uuid::from_u64_pair(0, self.number)),
+            caller: "clerks".into(),
+            model: "care-notes".into(),
+            prompt_tokens: PROMPT_TOKENS,
+            pieces: (0..u64::from(PROMPT_TOKENS / 16)).map(piece).collect(),
+            max_tokens: 100,
+        }
+    }
+
+    /// Sends one request, and returns what its decision took.
+    fn decide(&mut self) -> Duration {
+        let event = DispatchEvent::Arrived(self.next_demand());
+        let begun = Instant::now();
+        self.state
+            .handle(self.now, black_box(event), &mut self.effects);
+        begun.elapsed()
+    }
+
+    /// Ends what was started.
+    fn end(&mut self) {
+        for effect in std::mem::take(&mut self.effects) {
+            if let DispatchEffect::Start { attempt, .. } = effect {
+                self.send(DispatchEvent::PrefillDone {
+                    attempt,
+                    cached_tokens: 0,
+                });
+                self.send(DispatchEvent::FirstToken(attempt));
+                let end = AttemptEnd::Whole { tokens: 100 };
+                self.send(DispatchEvent::Ended { attempt, end });
+            }
+        }
+    }
+}
+
+fn document() -> Arc<EnvironmentDocument> {
+    let caller = CallerEntry {
+        token_digests: Vec::new(),
+        rank: CallerRank::Urgent,
+        first_token: Duration::from_millis(500),
+        between_tokens: Duration::from_millis(30),
+        worth: 1.0,
+        guaranteed_share: 0.2,
+        queue_bound: 64,
+        models: vec!["care-notes".into()],
+        services: Vec::new(),
+    };
+    let model = ModelEntry {
+        server_kind: "engine".into(),
+        max_prompt_tokens: 100_000,
+        max_output_tokens: 10_000,
+    };
+    Arc::new(EnvironmentDocument {
+        callers: BTreeMap::from([("clerks".into(), caller)]),
+        models: BTreeMap::from([("care-notes".into(), model)]),
+        services: BTreeMap::new(),
+        server_kinds: BTreeMap::new(),
+        operators: BTreeMap::new(),
+        key_retention: Duration::from_secs(3_600),
+    })
+}
+
+fn sighting(server: u32, load: FleetLoad) -> ServerSighting {
+    let role = if server.is_multiple_of(3) {
+        EngineRole::Prefill
+    } else {
+        EngineRole::Decode
+    };
+    let streams = match load {
+        FleetLoad::Half => server % MAX_STREAMS,
+        FleetLoad::Full => MAX_STREAMS,
+    };
+    let centre = server / 3 % DATA_CENTRES;
+    ServerSighting {
+        kind: "engine".into(),
+        data_centre: format!("centre-{centre}").as_str().into(),
+        delay: Duration::from_millis(u64::from(centre)),
+        report: LoadReport {
+            server: format!("server-{server}").as_str().into(),
+            role,
+            models: vec!["care-notes".into()],
+            leaving: false,
+            streams,
+            reservations: 0,
+            max_streams: MAX_STREAMS,
+            prefill_tokens: server * 7 % 1_000,
+            prefills: 1,
+            free_pieces: 50_000,
+            pieces: 60_000,
+            transfer_bytes: 0,
+            prefill_rate: 20_000,
+            link_rate: 1_000_000_000,
+            step_base_us: 10_000,
+            step_stream_us: 500,
+            fence: FenceNumber(0),
+            boot: 1,
+        },
+    }
+}
+
+fn bench_start(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("arrival that starts");
+    for servers in FLEETS {
+        let mut bench = DispatchBench::new(servers, FleetLoad::Half);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter_custom(|rounds| {
+                let mut taken = Duration::ZERO;
+                for _ in 0..rounds {
+                    taken += bench.decide();
+                    bench.end();
+                }
+                taken
+            });
+        });
+    }
+    group.finish();
+}
+
+fn bench_wait(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("arrival at a full fleet");
+    for servers in FLEETS {
+        let mut bench = DispatchBench::new(servers, FleetLoad::Full);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter_custom(|rounds| {
+                let mut taken = Duration::ZERO;
+                for _ in 0..rounds {
+                    taken += bench.decide();
+                    bench.now += Duration::from_millis(1);
+                    bench.effects.clear();
+                }
+                taken
+            });
+        });
+    }
+    group.finish();
+}
+
+fn bench_request(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("whole request of four events");
+    for servers in FLEETS {
+        let mut bench = DispatchBench::new(servers, FleetLoad::Half);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter(|| {
+                bench.decide();
+                bench.end();
+            });
+        });
+    }
+    group.finish();
+}
+
+fn bench_report(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("load report");
+    for servers in FLEETS {
+        let mut bench = DispatchBench::new(servers, FleetLoad::Half);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter(|| {
+                bench.number += 1;
+                let server = (bench.number % u64::from(servers)) as u32;
+                bench.send(DispatchEvent::LoadSeen(sighting(server, FleetLoad::Half)));
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(
+    benches,
+    bench_start,
+    bench_wait,
+    bench_request,
+    bench_report
+);
+criterion_main!(benches);
--- a/crates/gs-control/tests/dispatch/main.rs
+++ b/crates/gs-control/tests/dispatch/main.rs
@@ -2,5 +2,6 @@
 
 mod fixture;
 mod lifecycle;
+mod placement;
 mod random_events;
 mod shares;
--- a/crates/gs-control/tests/dispatch/shares.rs
+++ b/crates/gs-control/tests/dispatch/shares.rs
@@ -2,8 +2,9 @@
 
 use std::collections::VecDeque;
 
-use gs_control::dispatch::{AttemptEnd, DispatchEvent, DispatchSettings};
+use gs_control::dispatch::{AttemptEnd, DispatchEvent, DispatchSettings, RequestStage};
 use gs_document::document::{CallerEntry, CallerRank};
+use gs_protocol::engine::EngineReason;
 use gs_protocol::ids::RequestId;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -19,20 +20,27 @@
 ];
 const REQUESTS_EACH: usize = 60;
 const ROUNDS: usize = 100;
+const FULL_HOLD_MS: u64 = 1_000;
 const MAX_TOKENS: u32 = 200;
 const CASES: u32 = 64;
 
-/// Shares of the callers, and the output tokens of their requests.
+/// Shares of the callers, the output tokens of their requests, and which starts a full server refuses.
 #[derive(Clone, Debug)]
 struct Load {
     shares: [f64; 4],
     tokens: Vec<[u32; 4]>,
+    refused: Vec<bool>,
 }
 
 fn any_load() -> impl Strategy<Value = Load> {
     let shares = prop::array::uniform4(0.0_f64..0.25);
     let tokens = prop::collection::vec(prop::array::uniform4(1..MAX_TOKENS), REQUESTS_EACH);
-    (shares, tokens).prop_map(|(shares, tokens)| Load { shares, tokens })
+    let refused = prop::collection::vec(prop::bool::weighted(0.2), ROUNDS);
+    (shares, tokens, refused).prop_map(|(shares, tokens, refused)| Load {
+        shares,
+        tokens,
+        refused,
+    })
 }
 
 /// Engine time of a request of one prompt token, in microseconds.
@@ -65,12 +73,16 @@
     let mut served = [0.0; 4];
     let mut history = Vec::new();
     let mut running: VecDeque<Started> = bench.take_starts().into();
-    for _ in 0..ROUNDS {
+    for is_refused in &load.refused {
         let Some(oldest) = running.pop_front() else {
             break;
         };
         bench.end(oldest.attempt, AttemptEnd::Whole { tokens: 1 });
-        for started in bench.take_starts() {
+        let mut starts = bench.take_starts();
+        if *is_refused {
+            starts = refuse(&mut bench, starts);
+        }
+        for started in starts {
             let (index, tokens) = tokens[number_of(started.request) - 100];
             served[index] += cost_us(tokens);
             history.push(served);
@@ -80,6 +92,16 @@
     history
 }
 
+/// Has every start refused by its full server, and waits until it is tried again.
+fn refuse(bench: &mut Bench, starts: Vec<Started>) -> Vec<Started> {
+    let (stage, reason) = (RequestStage::Reserve, EngineReason::Full);
+    for started in starts {
+        bench.end(started.attempt, AttemptEnd::Refused { stage, reason });
+    }
+    bench.pass(FULL_HOLD_MS);
+    bench.take_starts()
+}
+
 /// Takes every slot, so that all that comes next has to wait.
 fn fill(bench: &mut Bench) {
     for number in 0..u64::from(MAX_STREAMS) {
