--- a/crates/gs-standin/src/load/client.rs
+++ b/crates/gs-standin/src/load/client.rs
@@ -37,14 +37,18 @@
     client: &Client,
     address: SocketAddr,
     path: &str,
+    token: Option<&str>,
 ) -> Result<T, LoadError> {
     let missing = || LoadError::NoAnswer {
         address,
         path: path.to_owned(),
     };
-    let call = client
+    let mut call = client
         .get(format!("http://{address}{path}"))
         .timeout(CONTROL_TIMEOUT);
+    if let Some(token) = token {
+        call = call.bearer_auth(token);
+    }
     let mut answer = call.send().await.map_err(|_| missing())?;
     let body = answer.body().limit(ANSWER_LIMIT).await;
     let body = body.map_err(|_| missing())?;
--- a/crates/gs-standin/src/load/completion.rs
+++ b/crates/gs-standin/src/load/completion.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
-use awc::http::header;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
 use futures_util::Stream;
@@ -79,7 +78,7 @@
     };
     let request = client
         .post(format!("http://{entry}/v1/completions"))
-        .insert_header((header::AUTHORIZATION, format!("Bearer {}", call.token)));
+        .bearer_auth(call.token);
     match request.send_json(&body).await {
         Ok(answer) if answer.status().is_success() => {
             read_stream(answer, call.want(StreamFormat::Completion)).await
--- a/crates/gs-standin/src/load/engines.rs
+++ b/crates/gs-standin/src/load/engines.rs
@@ -48,7 +48,7 @@
 ) -> Result<EngineTotals, LoadError> {
     let mut sum = EngineTotals::default();
     for &engine in engines {
-        let runs: EngineRuns = get_json(client, engine, RUNS_PATH).await?;
+        let runs: EngineRuns = get_json(client, engine, RUNS_PATH, None).await?;
         sum.prefill_tokens += runs.totals.prefill_tokens;
         sum.cached_tokens += runs.totals.cached_tokens;
         sum.wasted_tokens += runs.totals.wasted_tokens;
@@ -77,7 +77,7 @@
 ) -> Result<RunCheck, LoadError> {
     let mut counts = BTreeMap::<String, u32>::new();
     for &service in services {
-        let runs: ServiceRuns = get_json(client, service, RUNS_PATH).await?;
+        let runs: ServiceRuns = get_json(client, service, RUNS_PATH, None).await?;
         for run in runs.keys {
             *counts.entry(run.key).or_default() += run.runs;
         }
--- a/crates/gs-standin/src/load/entries.rs
+++ b/crates/gs-standin/src/load/entries.rs
@@ -45,8 +45,13 @@
     }
 
     /// Asks for the list and takes it over; returns how long it may be used.
-    pub async fn refresh(&self, client: &Client, from: SocketAddr) -> Result<Duration, LoadError> {
-        let list: EntryList = get_json(client, from, ENTRIES_PATH).await?;
+    pub async fn refresh(
+        &self,
+        client: &Client,
+        from: SocketAddr,
+        token: &str,
+    ) -> Result<Duration, LoadError> {
+        let list: EntryList = get_json(client, from, ENTRIES_PATH, Some(token)).await?;
         let choices = list.entries.iter().map(|entry| EntryChoice {
             address: entry.address,
             weight: entry.weight,
@@ -56,12 +61,12 @@
     }
 
     /// Keeps the list fresh for ever; any entry of it is asked, and `from` if none answers.
-    pub async fn keep_fresh(&self, client: &Client, from: SocketAddr) {
+    pub async fn keep_fresh(&self, client: &Client, from: SocketAddr, token: &str) {
         loop {
             let known = self.addresses();
             let mut wait = RETRY_WAIT;
             for address in known.into_iter().chain([from]) {
-                if let Ok(ttl) = self.refresh(client, address).await {
+                if let Ok(ttl) = self.refresh(client, address, token).await {
                     wait = ttl;
                     break;
                 }
--- a/crates/gs-standin/src/load/mix.rs
+++ b/crates/gs-standin/src/load/mix.rs
@@ -59,6 +59,9 @@
     pub name: String,
     /// The caller's bearer token.
     pub token: String,
+    /// How the service is called.
+    #[serde(default)]
+    pub method: ServiceMethod,
     /// The path at the entry, such as `/services/counter-desk/bookings`.
     pub path: String,
     /// Calls a second.
@@ -76,6 +79,17 @@
     pub floods: Vec<FloodSpan>,
 }
 
+/// How a service is called.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum ServiceMethod {
+    /// The call's number follows the path.
+    Get,
+    /// The call's number is in the body.
+    #[default]
+    Post,
+}
+
 /// A range of sizes in tokens.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
@@ -141,6 +155,13 @@
         }
     }
 
+    /// The token of any caller, to ask for the list of entries.
+    pub fn any_token(&self) -> &str {
+        let classes = self.classes.iter().map(|class| &class.token);
+        let services = self.services.iter().map(|service| &service.token);
+        classes.chain(services).next().map_or("", String::as_str)
+    }
+
     fn read(path: &Path) -> Result<Self, LoadError> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|source| LoadError::ReadMix {
--- a/crates/gs-standin/src/load/mod.rs
+++ b/crates/gs-standin/src/load/mod.rs
@@ -25,7 +25,9 @@
 mod table;
 
 pub use error::LoadError;
-pub use mix::{ClassMix, FloodSpan, LoadMix, ServiceMix, SharedPrefix, TokenRange, TokenSpread};
+pub use mix::{
+    ClassMix, FloodSpan, LoadMix, ServiceMethod, ServiceMix, SharedPrefix, TokenRange, TokenSpread,
+};
 pub use options::{
     LoadCommand, MixOptions, OverheadOptions, StreamsOptions, load_command, mix_options,
 };
--- a/crates/gs-standin/src/load/runner.rs
+++ b/crates/gs-standin/src/load/runner.rs
@@ -1,6 +1,7 @@
 //! Sends planned arrivals from several threads and gathers what came of them.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -26,7 +27,7 @@
 use super::service::{ServiceCall, call_service};
 
 /// How long the threads get to start before the first arrival.
-const START_WAIT: Duration = Duration::from_millis(200);
+const START_WAIT: Duration = Duration::from_millis(500);
 
 /// What one thread recorded.
 #[derive(Clone, Debug)]
@@ -126,8 +127,10 @@
         start: plan.start,
     });
     if let Some(from) = plan.options.entries_from {
+        // A first list that does not come is asked for again.
+        let _ = context.refresh_entries(from).await;
         let context = Rc::clone(&context);
-        actix_rt::spawn(async move { context.pool.keep_fresh(&context.client, from).await });
+        actix_rt::spawn(async move { context.keep_entries(from).await });
     }
     let mut tasks = JoinSet::new();
     for arrival in plan.arrivals {
@@ -144,6 +147,16 @@
 }
 
 impl ThreadContext {
+    async fn refresh_entries(&self, from: SocketAddr) -> Result<Duration, LoadError> {
+        let token = self.mix.any_token();
+        self.pool.refresh(&self.client, from, token).await
+    }
+
+    async fn keep_entries(&self, from: SocketAddr) {
+        let token = self.mix.any_token();
+        self.pool.keep_fresh(&self.client, from, token).await;
+    }
+
     async fn send(&self, arrival: Arrival) {
         let start = self.start + arrival.at;
         let class = arrival.class;
--- a/crates/gs-standin/src/load/service.rs
+++ b/crates/gs-standin/src/load/service.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use awc::Client;
 use awc::error::SendRequestError;
-use awc::http::header;
+use awc::{Client, ClientRequest};
 use gs_protocol::refusal::{ProblemBody, RequestOutcome};
 use gs_protocol::service::KEY_HEADER;
 use rand_pcg::Pcg64Mcg;
@@ -13,7 +12,7 @@
 use uuid::Uuid;
 
 use super::entries::EntryPool;
-use super::mix::ServiceMix;
+use super::mix::{ServiceMethod, ServiceMix};
 
 /// How long a client waits before it tries again.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
@@ -56,7 +55,17 @@
 /// The part of a service's answer that is checked.
 #[derive(Debug, Deserialize)]
 struct EchoAnswer {
-    echo: CallBody,
+    path: String,
+    echo: Option<CallBody>,
+}
+
+impl EchoAnswer {
+    fn is_of(&self, call: ServiceCall<'_>) -> bool {
+        match call.service.method {
+            ServiceMethod::Get => self.path.ends_with(&format!("/{}", call.seed)),
+            ServiceMethod::Post => self.echo == Some(CallBody { call: call.seed }),
+        }
+    }
 }
 
 /// One call, with all its tries.
@@ -119,15 +128,13 @@
     call: ServiceCall<'_>,
     key: Option<Uuid>,
 ) -> ServiceEnd {
-    let service = call.service;
-    let mut request = client
-        .post(format!("http://{entry}{}", service.path))
-        .insert_header((header::AUTHORIZATION, format!("Bearer {}", service.token)));
-    if let Some(key) = key {
-        request = request.insert_header((KEY_HEADER, key.to_string()));
-    }
     let body = CallBody { call: call.seed };
-    let mut answer = match request.send_json(&body).await {
+    let request = build_request(client, entry, call, key);
+    let sent = match call.service.method {
+        ServiceMethod::Get => request.send().await,
+        ServiceMethod::Post => request.send_json(&body).await,
+    };
+    let mut answer = match sent {
         Ok(answer) => answer,
         Err(SendRequestError::Connect(_)) => return ServiceEnd::NotRun("unreachable".to_owned()),
         Err(_) => return ServiceEnd::Unknown("cut".to_owned()),
@@ -139,7 +146,7 @@
     if status.is_success() {
         // The client ends a body that was cut between two chunks without an error.
         return match serde_json::from_slice::<EchoAnswer>(&bytes) {
-            Ok(answer) if answer.echo == body => ServiceEnd::Done,
+            Ok(answer) if answer.is_of(call) => ServiceEnd::Done,
             Ok(_) => ServiceEnd::Wrong,
             Err(_) => ServiceEnd::Unknown("malformed".to_owned()),
         };
@@ -147,6 +154,25 @@
     read_problem(status.as_u16(), &bytes)
 }
 
+fn build_request(
+    client: &Client,
+    entry: SocketAddr,
+    call: ServiceCall<'_>,
+    key: Option<Uuid>,
+) -> ClientRequest {
+    let service = call.service;
+    let url = format!("http://{entry}{}", service.path);
+    let request = match service.method {
+        ServiceMethod::Get => client.get(format!("{url}/{}", call.seed)),
+        ServiceMethod::Post => client.post(url),
+    };
+    let request = request.bearer_auth(&service.token);
+    match key {
+        Some(key) => request.insert_header((KEY_HEADER, key.to_string())),
+        None => request,
+    }
+}
+
 fn read_problem(status: u16, bytes: &[u8]) -> ServiceEnd {
     let Ok(problem) = serde_json::from_slice::<ProblemBody>(bytes) else {
         return ServiceEnd::Unknown(format!("status-{status}"));
--- a/crates/gs-standin/tests/load.rs
+++ b/crates/gs-standin/tests/load.rs
@@ -12,8 +12,8 @@
 use gs_protocol::refusal::{ProblemBody, RefusalReason, RequestOutcome};
 use gs_standin::engine::expected_token;
 use gs_standin::load::{
-    ClassMix, FloodSpan, LoadMix, ServiceMix, SharedPrefix, TokenRange, TokenSpread, mix_options,
-    plan_arrivals, run_mix,
+    ClassMix, FloodSpan, LoadMix, ServiceMethod, ServiceMix, SharedPrefix, TokenRange, TokenSpread,
+    mix_options, plan_arrivals, run_mix,
 };
 use serde_json::{Value, json};
 use support::{parse, start};
@@ -73,7 +73,7 @@
 }
 
 async fn echo(body: web::Json<Value>) -> HttpResponse {
-    HttpResponse::Ok().json(json!({ "echo": *body }))
+    HttpResponse::Ok().json(json!({ "path": "/", "echo": *body }))
 }
 
 fn start_entry(behaviour: &str) -> SocketAddr {
@@ -102,6 +102,7 @@
     let desk = ServiceMix {
         name: "desk".to_owned(),
         token: "secret".to_owned(),
+        method: ServiceMethod::Post,
         path: "/services/desk".to_owned(),
         rate_per_s: 10.0,
         keyed: true,
