Take leaving servers out of use by every sign, and prove graceful shutdown

Cause: an operator's drain was not read, and a server that the VM list calls leaving was named once only. Change: one watch for each entry on the environment's orders (head and drains); leaving servers are named to the dispatch slice again and again; services that leave get no new calls.

--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -88,10 +88,18 @@
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
         if self.orphans.is_due(now) {
+            self.repeat_leaving(context);
             self.look_for_orphans(context);
         }
     }
 
+    /// Says again which servers are leaving, as the dispatch slice forgets it after a time.
+    fn repeat_leaving(&mut self, context: &mut Context<Self>) {
+        for server in self.directory.leaving() {
+            self.dispatch(DispatchEvent::ServerLeaving(server), context);
+        }
+    }
+
     /// Asks the engines that this entry is the home of what they hold.
     fn look_for_orphans(&self, context: &mut Context<Self>) {
         let Some(document) = &self.document else {
@@ -183,6 +191,10 @@
             ControlMessage::Dispatch(event) => self.dispatch(event, context),
             ControlMessage::DocumentApplied(document) => self.apply_document(document, context),
             ControlMessage::VmsSeen(records) => self.see_vms(&records, context),
+            ControlMessage::DrainsSeen(drained) => {
+                self.directory.set_drained(drained);
+                self.repeat_leaving(context);
+            }
             ControlMessage::LoadMissed(server) => {
                 self.dispatch(DispatchEvent::ServerLost(server), context);
             }
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between the control thread and the traffic threads.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,6 +72,8 @@
     DocumentApplied(Arc<AppliedDocument>),
     /// The platform's list of VMs was read.
     VmsSeen(Vec<VmRecord>),
+    /// The servers that operators have taken out of use were read.
+    DrainsSeen(BTreeSet<ServerName>),
     /// An engine did not answer a load poll.
     LoadMissed(ServerName),
     /// What an attempt holds must be freed.
--- a/crates/gs-entry/src/documents/follow.rs
+++ b/crates/gs-entry/src/documents/follow.rs
@@ -1,18 +1,23 @@
-//! Follows the environment's head in the platform's service.
+//! Follows what operators order in the platform's service: documents and drains.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Addr;
 use gs_document::settings::EntrySettings;
 use gs_platform::{Platform, PlatformError};
-use gs_protocol::ids::SequenceNumber;
-use gs_protocol::objects::{HeadRecord, body_key, head_key};
+use gs_protocol::ids::{SequenceNumber, ServerName};
+use gs_protocol::objects::{HeadRecord, body_key, drain_prefix, head_key, orders_prefix};
+use rand::Rng;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::AppliedDocument;
 use crate::control::{ControlActor, ControlMessage};
 
+/// The wait after a watch that failed.
+const WATCH_RETRY: Duration = Duration::from_millis(100);
+
 /// Why a document was not taken over.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 enum FollowError {
@@ -28,21 +33,73 @@
     Mistakes { digest: String },
 }
 
-/// Takes over each document with a higher sequence number, for as long as the process runs.
-pub async fn follow_documents<P: Platform>(
+/// Follows documents and drains for as long as the process runs.
+pub async fn follow_orders<P: Platform>(
     platform: P,
     settings: Arc<EntrySettings>,
     control: Addr<ControlActor>,
     applied: watch::Sender<Option<Arc<AppliedDocument>>>,
 ) {
+    let prefix = orders_prefix(&settings.environment);
+    let longest_watch = settings.intervals.head_poll;
+    let follower = OrderFollower {
+        platform,
+        settings,
+        control,
+        applied,
+    };
     loop {
-        let current = applied.borrow().as_ref().map(|document| document.sequence);
-        match fetch_newer(&platform, &settings.environment, current).await {
-            Ok(Some(document)) => apply(document, &control, &applied),
-            Ok(None) => {}
-            Err(error) => log::warn!(target: "documents", "Document was not read: {error}."),
+        // Every look reads the whole list, which is short, so that nothing is missed after an outage.
+        let revision = match follower.look(&prefix).await {
+            Ok(revision) => revision,
+            Err(error) => {
+                log::warn!(target: "documents", "Orders were not read: {error}.");
+                let jitter = rand::thread_rng().gen_range(0.5..1.0);
+                sleep(longest_watch.mul_f64(jitter)).await;
+                continue;
+            }
+        };
+        // A failed watch only means that the next look comes at once or fails in its turn.
+        let watched = follower
+            .platform
+            .watch(&prefix, revision, longest_watch)
+            .await;
+        if watched.is_err() {
+            sleep(WATCH_RETRY).await;
+        }
+    }
+}
+
+/// Reads the orders of one environment.
+struct OrderFollower<P> {
+    platform: P,
+    settings: Arc<EntrySettings>,
+    control: Addr<ControlActor>,
+    applied: watch::Sender<Option<Arc<AppliedDocument>>>,
+}
+
+impl<P: Platform> OrderFollower<P> {
+    /// Reads all orders; returns the revision to watch from.
+    async fn look(&self, prefix: &str) -> Result<u64, FollowError> {
+        let list = self.platform.list(prefix).await?;
+        let environment = &self.settings.environment;
+        let drains = drain_prefix(environment);
+        let drained = list
+            .objects
+            .iter()
+            .filter_map(|object| object.key.strip_prefix(&drains))
+            .map(ServerName::from)
+            .collect();
+        self.control.do_send(ControlMessage::DrainsSeen(drained));
+        let current = self
+            .applied
+            .borrow()
+            .as_ref()
+            .map(|document| document.sequence);
+        if let Some(document) = fetch_newer(&self.platform, environment, current).await? {
+            apply(document, &self.control, &self.applied);
         }
-        sleep(settings.intervals.head_poll).await;
+        Ok(list.revision)
     }
 }
 
--- a/crates/gs-entry/src/documents/mod.rs
+++ b/crates/gs-entry/src/documents/mod.rs
@@ -4,4 +4,4 @@
 mod follow;
 
 pub use applied::AppliedDocument;
-pub use follow::follow_documents;
+pub use follow::follow_orders;
--- a/crates/gs-entry/src/servers/directory.rs
+++ b/crates/gs-entry/src/servers/directory.rs
@@ -1,6 +1,6 @@
 //! Which backend servers there are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gs_control::dispatch::DispatchEvent;
 use gs_document::document::{EnvironmentDocument, ServerProtocol};
@@ -27,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
     records: BTreeMap<ServerName, ServerRecord>,
+    drained: BTreeSet<ServerName>,
 }
 
 impl ServerDirectory {
@@ -37,7 +38,10 @@
             .iter()
             .filter_map(read_server)
             .collect();
-        Self { records }
+        Self {
+            records,
+            drained: BTreeSet::new(),
+        }
     }
 
     /// Takes over a newer VM list; returns what changed for the dispatch slice.
@@ -53,12 +57,8 @@
         {
             events.push(DispatchEvent::ServerLost(name.clone()));
         }
-        for (name, record) in &fresh {
-            if record.state == VmState::Leaving {
-                events.push(DispatchEvent::ServerLeaving(name.clone()));
-            }
-        }
         self.records = fresh;
+        events.extend(self.leaving().into_iter().map(DispatchEvent::ServerLeaving));
         events
     }
 
@@ -67,15 +67,33 @@
         self.records.get(name).map(|record| record.endpoint.clone())
     }
 
+    /// Takes over which servers operators have taken out of use.
+    pub fn set_drained(&mut self, drained: BTreeSet<ServerName>) {
+        self.drained = drained;
+    }
+
+    /// The servers that take no new work.
+    pub fn leaving(&self) -> Vec<ServerName> {
+        let leaving = self
+            .records
+            .values()
+            .filter(|record| self.is_leaving(record));
+        leaving.map(|record| record.endpoint.name.clone()).collect()
+    }
+
     /// The servers of a kind that take new work.
     pub fn usable(&self, kind: &ServerKindName) -> Vec<ServerEndpoint> {
         self.records
             .values()
-            .filter(|record| record.kind == *kind && record.state == VmState::Live)
+            .filter(|record| record.kind == *kind && !self.is_leaving(record))
             .map(|record| record.endpoint.clone())
             .collect()
     }
 
+    fn is_leaving(&self, record: &ServerRecord) -> bool {
+        record.state == VmState::Leaving || self.drained.contains(&record.endpoint.name)
+    }
+
     /// The servers that are engines.
     pub fn engines(&self, document: &EnvironmentDocument) -> impl Iterator<Item = &ServerRecord> {
         let is_engine = |record: &&ServerRecord| {
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 
 use crate::control::{ControlActor, ControlMessage};
-use crate::documents::{AppliedDocument, follow_documents};
+use crate::documents::{AppliedDocument, follow_orders};
 use crate::error::EntryError;
 use crate::options::EntryOptions;
 use crate::peers::{FleetView, PeerCredentials, PeerParts, accept_peers};
@@ -186,7 +186,7 @@
     let platform = || HttpPlatform::new(options);
     actix_rt::spawn(poll_vms(platform(), Arc::clone(settings), control.clone()));
     let (followed, applied) = (Arc::clone(settings), outputs.documents);
-    actix_rt::spawn(follow_documents(
+    actix_rt::spawn(follow_orders(
         platform(),
         followed,
         control.clone(),
--- /dev/null
+++ b/crates/gs-entry/tests/leaving.rs
@@ -0,0 +1,130 @@
+//! A leaving entry cuts no request; a leaving server gets no new work.
+
+mod support;
+
+use bytes::Bytes;
+use gs_protocol::caller::EntryList;
+use gs_protocol::ids::ServerKindName;
+use gs_protocol::vm::{VmDuty, VmState};
+use gs_standin::rig::{FleetRig, ProcessSignal, RigError};
+use serde_json::{Value, json};
+use support::{CLERK, completion, server};
+use test_case::test_case;
+
+type TestResult = Result<(), RigError>;
+
+/// By which sign a server leaves.
+#[derive(Clone, Copy, Debug)]
+enum LeaveSign {
+    EngineWord,
+    OperatorDrain,
+    VmList,
+}
+
+async fn listed(rig: &FleetRig, entry: usize) -> Vec<String> {
+    let bearer = format!("Bearer {CLERK}");
+    let headers = [("authorization", bearer.as_str())];
+    let address = rig.entries[entry].process.address;
+    let call = rig
+        .client
+        .call(address, "GET", "/v1/entries", &headers, Bytes::new());
+    let list = call.await.and_then(|answer| answer.json::<EntryList>());
+    let entries = list.map(|list| list.entries).unwrap_or_default();
+    entries.iter().map(|entry| entry.name.to_string()).collect()
+}
+
+/// Streams that an engine has begun so far.
+async fn streams_begun(rig: &FleetRig, name: &str) -> u64 {
+    let report: Value = rig
+        .client
+        .get(server(rig, name), "/control/runs")
+        .await
+        .expect("runs");
+    let runs = report["runs"].as_array().cloned().unwrap_or_default();
+    runs.iter()
+        .filter_map(|run| run["streamsStarted"].as_u64())
+        .sum()
+}
+
+#[actix_rt::test]
+async fn a_terminated_entry_ends_its_streams_and_leaves_the_list() -> TestResult {
+    let mut rig = support::start(2, &json!({ "limits": { "entryListTtlS": 1 } })).await?;
+    rig.wait_for("a list of two", async || listed(&rig, 1).await.len() == 2)
+        .await?;
+    support::set_faults(&rig, "notes-decode-0", &json!({ "slowFactor": 10.0 })).await?;
+    let leaving = rig.entries[0].process.address;
+    let client = rig.client.clone();
+    let asked = actix_rt::spawn(async move {
+        client
+            .ask(
+                leaving,
+                "/v1/completions",
+                CLERK,
+                &completion("label", 300, true),
+            )
+            .await
+    });
+    rig.wait_for("a stream", async || {
+        streams_begun(&rig, "notes-decode-0").await > 0
+    })
+    .await?;
+    rig.entries[0].process.signal(ProcessSignal::Terminate)?;
+    rig.wait_for("a list of one", async || {
+        listed(&rig, 1).await == ["entry-1"]
+    })
+    .await?;
+    // Callers that still have the old list are served until it has run out.
+    let late = completion("late", 5, true);
+    let late = rig
+        .client
+        .ask(leaving, "/v1/completions", CLERK, &late)
+        .await?;
+    assert!(late.streamed().whole);
+    let answer = asked.await.expect("the caller goes on")?.streamed();
+    assert!(answer.whole);
+    assert_eq!(answer.tokens.len(), 300);
+    assert!(rig.entries[0].process.wait()?.success());
+    Ok(())
+}
+
+#[test_case(LeaveSign::EngineWord; "by the engine's own word")]
+#[test_case(LeaveSign::OperatorDrain; "by an operator's drain")]
+#[test_case(LeaveSign::VmList; "by the list of VMs")]
+fn a_leaving_server_gets_no_new_work(sign: LeaveSign) {
+    let check = async {
+        let rig = support::start_with(2, 1, &json!({})).await?;
+        let name = "notes-decode-0";
+        match sign {
+            LeaveSign::EngineWord => {
+                support::set_faults(&rig, name, &json!({ "leaving": true })).await?;
+            }
+            LeaveSign::OperatorDrain => rig.drain(name).await?,
+            LeaveSign::VmList => {
+                let kind = ServerKindName::from("notes");
+                let duty = VmDuty::Server {
+                    name: name.into(),
+                    kind,
+                };
+                rig.list(duty, server(&rig, name), "north", VmState::Leaving)
+                    .await?;
+            }
+        }
+        // The stated time in which a sign takes effect.
+        tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+        let before = streams_begun(&rig, name).await;
+        let entry = rig.entries[0].process.address;
+        for number in 0..20 {
+            let body = completion(&format!("ticket {number}"), 3, true);
+            let answer = rig
+                .client
+                .ask(entry, "/v1/completions", CLERK, &body)
+                .await?;
+            assert!(answer.streamed().whole);
+        }
+        assert_eq!(streams_begun(&rig, name).await, before);
+        TestResult::Ok(())
+    };
+    actix_rt::System::new()
+        .block_on(check)
+        .expect("the other server answers");
+}
--- a/crates/gs-protocol/src/objects.rs
+++ b/crates/gs-protocol/src/objects.rs
@@ -4,9 +4,14 @@
 
 use crate::ids::{OperationId, OperatorName, SequenceNumber, ServerName};
 
+/// The prefix of the keys that every entry watches: the head and the servers that are out of use.
+pub fn orders_prefix(environment: &str) -> String {
+    format!("gs/{environment}/orders/")
+}
+
 /// The key of an environment's head.
 pub fn head_key(environment: &str) -> String {
-    format!("gs/{environment}/head")
+    format!("{}head", orders_prefix(environment))
 }
 
 /// The key of one record of an environment's history.
@@ -31,7 +36,7 @@
 
 /// The prefix of the keys of servers that are out of use.
 pub fn drain_prefix(environment: &str) -> String {
-    format!("gs/{environment}/drains/")
+    format!("{}drains/", orders_prefix(environment))
 }
 
 /// The prefix of the keys of what entries report of themselves.
--- a/crates/gs-standin/src/rig/fleet.rs
+++ b/crates/gs-standin/src/rig/fleet.rs
@@ -10,7 +10,7 @@
     DataCentreName, EntryName, OperationId, OperatorName, SequenceNumber, ServerKindName,
     ServerName,
 };
-use gs_protocol::objects::{HeadRecord, body_key, head_key};
+use gs_protocol::objects::{DrainRecord, HeadRecord, body_key, drain_key, head_key};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -209,15 +209,12 @@
         let body = Bytes::from(document.to_string());
         let digest = format!("sha256:{:x}", Sha256::digest(&body));
         self.put(&body_key(&digest), body).await?;
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         self.sequence = self.sequence.next();
         let head = HeadRecord {
             sequence: self.sequence,
             digest,
             previous: None,
-            accepted_at_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            accepted_at_ms: now_ms(),
             operator: OperatorName::from("rig"),
             operation: OperationId(Uuid::now_v7()),
             roll_back: false,
@@ -230,6 +227,23 @@
         Ok(head)
     }
 
+    /// Takes a server out of use, as an operator does.
+    pub async fn drain(&self, server: &str) -> Result<(), RigError> {
+        let record = DrainRecord {
+            operator: OperatorName::from("rig"),
+            at_ms: now_ms(),
+        };
+        let value = serde_json::to_vec(&record).map_err(|error| RigError::Call {
+            path: "drain".to_owned(),
+            detail: error.to_string(),
+        })?;
+        self.put(
+            &drain_key(ENVIRONMENT, &ServerName::from(server)),
+            value.into(),
+        )
+        .await
+    }
+
     /// Writes an object, whatever its version is.
     async fn put(&self, key: &str, value: Bytes) -> Result<(), RigError> {
         let path = format!("/objects/{key}");
@@ -298,6 +312,14 @@
     }
 }
 
+/// Milliseconds since 1970.
+fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Replaces the fields of an object by those of another, objects within objects alike.
 fn merge(target: &mut Value, changes: &Value) {
     match (target, changes) {
