Bound the work of checking a document, and compare routes by name

Cause: a document of one megabyte could keep the administration process busy for seconds, as some checks compared every entry with every other; a changed route was shown as two whole lists. Change: server kinds are read once; a service has at most 1,000 routes; names are suggested for the first 100 mistakes; at most 1,000 mistakes are listed, with the number left out. Differences of routes are shown by method and path, and their order counts.

--- a/crates/gs-document/src/diff.rs
+++ b/crates/gs-document/src/diff.rs
@@ -1,5 +1,6 @@
 //! What changes from one document to another.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::Serialize;
@@ -52,7 +53,8 @@
     }
 }
 
-/// Lists the fields that differ, by path. Lists are compared as a whole.
+/// Lists the fields that differ, by path. Routes are compared by method and path, and their order
+/// counts; other lists are compared as a whole.
 pub fn diff_documents(
     old: &EnvironmentDocument,
     new: &EnvironmentDocument,
@@ -65,17 +67,60 @@
 }
 
 fn compare_values(path: &FieldPath, old: &Value, new: &Value, changes: &mut Vec<DocumentChange>) {
-    match (old, new) {
-        (Value::Object(old), Value::Object(new)) => compare_objects(path, old, new, changes),
-        _ if old == new => {}
-        _ => changes.push(DocumentChange {
-            path: path.clone(),
-            kind: ChangeKind::Changed {
-                old: old.clone(),
-                new: new.clone(),
-            },
-        }),
+    if old == new {
+        return;
     }
+    if let (Value::Object(old), Value::Object(new)) = (old, new) {
+        return compare_objects(path, old, new, changes);
+    }
+    if let (Some(old), Some(new)) = (named_routes(old), named_routes(new)) {
+        return compare_routes(path, &old, &new, changes);
+    }
+    let (old, new) = (old.clone(), new.clone());
+    let path = path.clone();
+    let kind = ChangeKind::Changed { old, new };
+    changes.push(DocumentChange { path, kind });
+}
+
+/// The routes of a list with their methods and paths as names; `None` if it is no list of routes.
+fn named_routes(list: &Value) -> Option<Vec<(String, &Value)>> {
+    let name = |route: &Value| {
+        let method = route.get("method")?.as_str()?;
+        let path = route.get("path")?.as_str()?;
+        Some(format!("{method} {path}"))
+    };
+    let routes = list.as_array()?.iter();
+    routes.map(|route| Some((name(route)?, route))).collect()
+}
+
+fn compare_routes(
+    path: &FieldPath,
+    old: &[(String, &Value)],
+    new: &[(String, &Value)],
+    changes: &mut Vec<DocumentChange>,
+) {
+    let names = |routes: &[(String, &Value)], others: &[(String, &Value)]| -> Vec<Value> {
+        let others: BTreeSet<&str> = others.iter().map(|(name, _)| name.as_str()).collect();
+        let names = routes.iter().map(|(name, _)| name.as_str());
+        let shared = names.filter(|name| others.contains(name));
+        shared.map(Value::from).collect()
+    };
+    let (old_names, new_names) = (names(old, new), names(new, old));
+    if old_names != new_names {
+        let kind = ChangeKind::Changed {
+            old: Value::Array(old_names),
+            new: Value::Array(new_names),
+        };
+        let path = path.clone();
+        changes.push(DocumentChange { path, kind });
+    }
+    let object = |routes: &[(String, &Value)]| -> Map<String, Value> {
+        let routes = routes.iter();
+        routes
+            .map(|(name, route)| (name.clone(), (*route).clone()))
+            .collect()
+    };
+    compare_objects(path, &object(old), &object(new), changes);
 }
 
 fn compare_objects(
--- a/crates/gs-document/src/parse/cross.rs
+++ b/crates/gs-document/src/parse/cross.rs
@@ -1,5 +1,7 @@
 //! Checks that span several fields of a document.
 
+use std::collections::BTreeMap;
+
 use crate::source::{CheckReport, MistakeKind, NodeView};
 
 use super::routes::check_routes;
@@ -13,10 +15,12 @@
 /// Checks the document at the root; values of wrong types are left to the shape's check.
 pub(super) fn check_document(root: &NodeView<'_>, report: &mut CheckReport<'_>) {
     check_shares(root, report);
-    check_protocols(root, "models", "engine", report);
-    check_protocols(root, "services", "service", report);
-    for (_, service) in section(root, "services") {
-        check_routes(&service, report);
+    let protocols = read_protocols(root);
+    let services = section(root, "services");
+    check_protocols(&section(root, "models"), "engine", &protocols, report);
+    check_protocols(&services, "service", &protocols, report);
+    for (_, service) in &services {
+        check_routes(service, report);
     }
 }
 
@@ -37,26 +41,34 @@
     }
 }
 
+/// The protocols of the server kinds by name, as far as they can be read.
+fn read_protocols<'a>(root: &NodeView<'a>) -> BTreeMap<&'a str, &'a str> {
+    let kinds = section(root, "serverKinds").into_iter();
+    let protocol = |(name, kind): (&'a str, NodeView<'a>)| {
+        let protocol = kind.field("protocol")?.text()?;
+        Some((name, protocol))
+    };
+    kinds.filter_map(protocol).collect()
+}
+
 fn check_protocols(
-    root: &NodeView<'_>,
-    section_name: &str,
+    entries: &[(&str, NodeView<'_>)],
     allowed: &str,
+    protocols: &BTreeMap<&str, &str>,
     report: &mut CheckReport<'_>,
 ) {
-    for (_, entry) in section(root, section_name) {
+    for (_, entry) in entries {
         let Some(kind_name) = entry.field("serverKind") else {
             continue;
         };
         let Some(name) = kind_name.text() else {
             continue;
         };
-        let protocol = root
-            .field("serverKinds")
-            .and_then(|kinds| kinds.field(name)?.field("protocol")?.text());
-        if let Some(protocol) = protocol.filter(|protocol| *protocol != allowed) {
+        let protocol = protocols.get(name);
+        if let Some(protocol) = protocol.filter(|protocol| **protocol != allowed) {
             let kind = MistakeKind::WrongProtocol {
                 found: name.to_owned(),
-                protocol: protocol.to_owned(),
+                protocol: (*protocol).to_owned(),
                 allowed: allowed.to_owned(),
             };
             report.add(&kind_name, kind);
--- a/crates/gs-document/src/parse/routes.rs
+++ b/crates/gs-document/src/parse/routes.rs
@@ -1,12 +1,17 @@
 //! Checks that the routes of a service do not contradict one another.
 
+use std::collections::BTreeMap;
+
 use crate::source::{CheckReport, MistakeKind, NodeView};
 
+use super::shape::MAX_ROUTES;
+
 /// One route as far as it could be read.
 struct RouteView<'a> {
     view: NodeView<'a>,
     method: &'a str,
     path: &'a str,
+    segments: Vec<&'a str>,
     idempotent: Option<bool>,
 }
 
@@ -15,18 +20,12 @@
         format!("{} {}", self.method, self.path)
     }
 
-    fn is_same(&self, other: &Self) -> bool {
-        self.method == other.method && self.path == other.path
-    }
-
     /// Whether some call matches both routes.
     fn overlaps(&self, other: &Self) -> bool {
-        let own: Vec<&str> = self.path.split('/').collect();
-        let others: Vec<&str> = other.path.split('/').collect();
         let is_match = |(own, other): (&&str, &&str)| own == other || *own == "*" || *other == "*";
         self.method == other.method
-            && own.len() == others.len()
-            && own.iter().zip(&others).all(is_match)
+            && self.segments.len() == other.segments.len()
+            && self.segments.iter().zip(&other.segments).all(is_match)
     }
 
     /// Whether the routes say opposite things of the same call.
@@ -44,10 +43,16 @@
     let Some(list) = service.field("routes") else {
         return;
     };
-    let routes: Vec<RouteView<'_>> = list.items().into_iter().filter_map(read_route).collect();
+    let items = list.items().into_iter().take(MAX_ROUTES);
+    let routes: Vec<RouteView<'_>> = items.filter_map(read_route).collect();
+    let mut first_places = BTreeMap::new();
     for (place, route) in routes.iter().enumerate() {
+        let first_place = *first_places
+            .entry((route.method, route.path))
+            .or_insert(place);
         let earlier = &routes[..place];
-        if let Some(first) = earlier.iter().find(|first| first.is_same(route)) {
+        if first_place < place {
+            let first = &routes[first_place];
             let kind = MistakeKind::Repeated {
                 found: format!("route \"{}\"", route.name()),
                 first_line: report.line(&first.view),
@@ -72,6 +77,7 @@
         view,
         method,
         path,
+        segments: path.split('/').collect(),
         idempotent,
     })
 }
--- a/crates/gs-document/src/parse/shape.rs
+++ b/crates/gs-document/src/parse/shape.rs
@@ -3,8 +3,12 @@
 use crate::source::{FieldShape, ValueShape};
 
 const MAX_TARGET_MS: u64 = 600_000;
+const MAX_ITEMS: usize = 1_000;
 const MAX_KEY_RETENTION_S: u64 = 7 * 24 * 60 * 60;
 const MAX_QUEUE_BOUND: u64 = 1_000_000;
+/// Routes of one service; checks compare them with one another.
+pub(super) const MAX_ROUTES: usize = 1_000;
+
 const MAX_TOKENS: u64 = 10_000_000;
 const MAX_WORTH: f64 = 1_000_000.0;
 
@@ -67,6 +71,7 @@
 const TOKEN_DIGESTS: ValueShape = ValueShape::List {
     item: &ValueShape::TokenDigest,
     min_items: 1,
+    max_items: MAX_ITEMS,
 };
 
 const MODEL_MAP: ValueShape = ValueShape::Map {
@@ -94,6 +99,7 @@
             &ValueShape::List {
                 item: &ROUTE,
                 min_items: 1,
+                max_items: MAX_ROUTES,
             },
         ),
     ]),
@@ -127,11 +133,16 @@
             &ValueShape::List {
                 item: &ValueShape::OneOf(&["drain", "read", "promote", "try"]),
                 min_items: 1,
+                max_items: MAX_ITEMS,
             },
         ),
     ]),
 };
 
 const fn name_list(item: &'static ValueShape) -> ValueShape {
-    ValueShape::List { item, min_items: 0 }
+    ValueShape::List {
+        item,
+        min_items: 0,
+        max_items: MAX_ITEMS,
+    }
 }
--- a/crates/gs-document/src/settings/shape.rs
+++ b/crates/gs-document/src/settings/shape.rs
@@ -11,6 +11,7 @@
 const MAX_SHARDS: u64 = 4_096;
 const MAX_THREADS: u64 = 256;
 const MAX_TTL_S: u64 = 3_600;
+const MAX_VMS: usize = 10_000;
 const MAX_WRITES_PER_S: u64 = 10_000;
 const MIN_DOCUMENT_BYTES: u64 = 1_024;
 const MIN_HEADER_BYTES: u64 = 1_024;
@@ -134,5 +135,9 @@
 }
 
 const fn list(item: &'static ValueShape) -> ValueShape {
-    ValueShape::List { item, min_items: 0 }
+    ValueShape::List {
+        item,
+        min_items: 0,
+        max_items: MAX_VMS,
+    }
 }
--- a/crates/gs-document/src/source/check.rs
+++ b/crates/gs-document/src/source/check.rs
@@ -3,86 +3,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::str::FromStr;
 
-use jsonc_parser::ast::{Array, NumberLit, Object, StringLit, Value};
+use jsonc_parser::ast::{NumberLit, Object, StringLit, Value};
 use jsonc_parser::common::Ranged;
 
+use super::found::{nearest_name, shown_text, shown_value};
 use super::mistake::{MistakeKind, SourceMistake};
+use super::node::NodeView;
 use super::path::FieldPath;
 use super::shape::{FieldShape, ValueShape};
 use super::text::SourceText;
 
-/// Similarity from 0 to 1 at which a name is suggested.
-const MIN_SIMILARITY: f64 = 0.8;
+/// Mistakes that get a suggestion; finding one compares all names.
+const MAX_SUGGESTIONS: usize = 100;
 
-/// Characters of a value that a mistake shows.
-const MAX_FOUND_CHARS: usize = 60;
-
-/// A value of the parsed text and its path.
-#[derive(Clone)]
-pub(crate) struct NodeView<'a> {
-    pub(crate) value: &'a Value<'a>,
-    pub(crate) path: FieldPath,
-}
-
-impl<'a> NodeView<'a> {
-    /// The root of a text.
-    pub(crate) fn root(value: &'a Value<'a>) -> Self {
-        Self {
-            value,
-            path: FieldPath::default(),
-        }
-    }
-
-    /// The value of a field; `None` if this is no object or has no such field.
-    pub(crate) fn field(&self, name: &str) -> Option<Self> {
-        self.entries()
-            .into_iter()
-            .find_map(|(found, view)| (found == name).then_some(view))
-    }
-
-    /// The fields of an object by name; none if this is no object.
-    pub(crate) fn entries(&self) -> Vec<(&'a str, Self)> {
-        let Value::Object(object) = self.value else {
-            return Vec::new();
-        };
-        let entry = |property: &'a jsonc_parser::ast::ObjectProp<'a>| {
-            let name = property.name.as_str();
-            let view = Self {
-                value: &property.value,
-                path: self.path.field(name),
-            };
-            (name, view)
-        };
-        object.properties.iter().map(entry).collect()
-    }
-
-    /// The items of a list; none if this is no list.
-    pub(crate) fn items(&self) -> Vec<Self> {
-        let Value::Array(array) = self.value else {
-            return Vec::new();
-        };
-        let item = |(index, value)| Self {
-            value,
-            path: self.path.index(index),
-        };
-        array.elements.iter().enumerate().map(item).collect()
-    }
-
-    /// The text, if this is one.
-    pub(crate) fn text(&self) -> Option<&'a str> {
-        self.value.as_string_lit().map(|text| text.value.as_ref())
-    }
-
-    /// The number, if this is one.
-    pub(crate) fn number(&self) -> Option<f64> {
-        self.value.as_number_lit()?.value.parse().ok()
-    }
-
-    /// The truth value, if this is one.
-    pub(crate) fn boolean(&self) -> Option<bool> {
-        self.value.as_boolean_lit().map(|boolean| boolean.value)
-    }
-}
+/// Declared names that a mistake shows.
+const MAX_ALLOWED_NAMES: usize = 20;
 
 /// A use of a name that a section must declare.
 struct NameUse {
@@ -150,8 +85,20 @@
             (ValueShape::Map { key, value }, Value::Object(object)) => {
                 self.check_map(view, object, key, value);
             }
-            (ValueShape::List { item, min_items }, Value::Array(array)) => {
-                self.check_list(view, array, item, *min_items);
+            (
+                ValueShape::List {
+                    item,
+                    min_items,
+                    max_items,
+                },
+                Value::Array(array),
+            ) => {
+                if !(*min_items..=*max_items).contains(&array.elements.len()) {
+                    let found = format!("a list of {}", array.elements.len());
+                    let allowed = shape.describe();
+                    self.add(view, MistakeKind::OutOfRange { found, allowed });
+                }
+                self.check_items(view, item);
             }
             (ValueShape::Integer { .. } | ValueShape::Number { .. }, Value::NumberLit(number)) => {
                 self.check_number(view, number, shape);
@@ -235,20 +182,7 @@
         }
     }
 
-    fn check_list(
-        &mut self,
-        view: &NodeView<'_>,
-        array: &Array<'_>,
-        item: &ValueShape,
-        min_items: usize,
-    ) {
-        if array.elements.len() < min_items {
-            let kind = MistakeKind::OutOfRange {
-                found: format!("a list of {}", array.elements.len()),
-                allowed: format!("a list of at least {min_items}"),
-            };
-            self.add(view, kind);
-        }
+    fn check_items(&mut self, view: &NodeView<'_>, item: &ValueShape) {
         let mut first_lines = BTreeMap::new();
         for member in view.items() {
             self.check_value(&member, item);
@@ -335,12 +269,21 @@
             if declared.is_some_and(|names| names.contains(&name_use.name)) {
                 continue;
             }
-            let allowed: Vec<String> = declared.into_iter().flatten().cloned().collect();
+            let suggests = self.mistakes.len() < MAX_SUGGESTIONS;
+            let compared = if suggests {
+                usize::MAX
+            } else {
+                MAX_ALLOWED_NAMES
+            };
+            let names = declared.into_iter().flatten().take(compared);
+            let mut allowed: Vec<&String> = names.collect();
+            let nearest = nearest_name(&name_use.name, &allowed).filter(|_| suggests);
+            allowed.truncate(MAX_ALLOWED_NAMES);
             let kind = MistakeKind::UnknownReference {
-                nearest: nearest_name(&name_use.name, &allowed),
+                nearest,
                 found: name_use.name,
                 section: name_use.section.to_owned(),
-                allowed,
+                allowed: allowed.into_iter().cloned().collect(),
             };
             self.add_at(name_use.offset, name_use.path, kind);
         }
@@ -358,36 +301,3 @@
         allowed: shape.describe(),
     }
 }
-
-/// A value as a mistake shows it; texts in place of secrets show only their length.
-fn shown_value(value: &Value<'_>, shape: &ValueShape) -> String {
-    match value {
-        Value::StringLit(text) if shape.is_hidden() => {
-            format!("a text of {} bytes", text.value.len())
-        }
-        Value::NumberLit(_) if shape.is_hidden() => "a number".to_owned(),
-        Value::StringLit(text) => shown_text(&text.value),
-        Value::NumberLit(number) => number.value.to_owned(),
-        Value::BooleanLit(boolean) => boolean.value.to_string(),
-        Value::Object(_) => "an object".to_owned(),
-        Value::Array(_) => "a list".to_owned(),
-        Value::NullKeyword(_) => "null".to_owned(),
-    }
-}
-
-fn shown_text(text: &str) -> String {
-    let shown: String = text.chars().take(MAX_FOUND_CHARS).collect();
-    let ellipsis = if shown.len() < text.len() { "…" } else { "" };
-    format!("\"{}{ellipsis}\"", shown.escape_debug())
-}
-
-fn nearest_name(found: &str, allowed: &[String]) -> Option<String> {
-    let found = found.to_lowercase();
-    let similarity = |name: &String| strsim::jaro_winkler(&found, &name.to_lowercase());
-    allowed
-        .iter()
-        .map(|name| (similarity(name), name))
-        .filter(|(similarity, _)| *similarity >= MIN_SIMILARITY)
-        .max_by(|left, right| left.0.total_cmp(&right.0))
-        .map(|(_, name)| name.clone())
-}
--- a/crates/gs-document/src/source/mistake.rs
+++ b/crates/gs-document/src/source/mistake.rs
@@ -161,6 +161,12 @@
         /// The line of the earlier route, from 1.
         first_line: usize,
     },
+    /// The list of mistakes was cut.
+    #[error("{left} further mistakes are not listed")]
+    Further {
+        /// Mistakes left out.
+        left: usize,
+    },
     /// The value passed every check and could still not be read.
     #[error("the value cannot be read: {detail}")]
     Unreadable {
@@ -199,7 +205,11 @@
     }
 }
 
-/// Every mistake of one file, in the order of the text; never empty.
+/// Mistakes that are listed of one file.
+const MAX_LISTED: usize = 1_000;
+
+/// Every mistake of one file, in the order of the text; never empty. After 1,000 mistakes, one more
+/// tells how many are left out.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
 pub struct MistakeList {
@@ -210,7 +220,14 @@
     /// Sorts mistakes by place; `None` if there are none.
     pub(crate) fn from_mistakes(mut mistakes: Vec<SourceMistake>) -> Option<Self> {
         mistakes.sort_by_key(|mistake| (mistake.line, mistake.column));
-        (!mistakes.is_empty()).then_some(Self { mistakes })
+        let left = mistakes.len().saturating_sub(MAX_LISTED);
+        mistakes.truncate(MAX_LISTED);
+        let mut last = mistakes.last()?.clone();
+        if left > 0 {
+            last.kind = MistakeKind::Further { left };
+            mistakes.push(last);
+        }
+        Some(Self { mistakes })
     }
 
     /// The mistakes.
--- a/crates/gs-document/src/source/read.rs
+++ b/crates/gs-document/src/source/read.rs
@@ -3,8 +3,9 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use serde::de::DeserializeOwned;
 
-use super::check::{CheckReport, NodeView};
+use super::check::CheckReport;
 use super::mistake::{MistakeKind, MistakeList, mistake_at_start};
+use super::node::NodeView;
 use super::shape::ValueShape;
 use super::text::SourceText;
 use super::tokens::{check_tokens, syntax_mistake};
--- a/crates/gs-document/src/source/shape.rs
+++ b/crates/gs-document/src/source/shape.rs
@@ -22,6 +22,8 @@
         item: &'static ValueShape,
         /// The fewest items.
         min_items: usize,
+        /// The most items.
+        max_items: usize,
     },
     /// A whole number.
     Integer {
@@ -97,8 +99,11 @@
         match self {
             Self::Object(_) => "an object".to_owned(),
             Self::Map { .. } => "an object with names as keys".to_owned(),
-            Self::List { min_items: 0, .. } => "a list".to_owned(),
-            Self::List { min_items, .. } => format!("a list of at least {min_items}"),
+            Self::List {
+                min_items,
+                max_items,
+                ..
+            } => format!("a list of {min_items} to {max_items}"),
             Self::Integer { min, max } => format!("an integer from {min} to {max}"),
             Self::Number { min, max } => format!("a number from {min} to {max}"),
             Self::Boolean => "true or false".to_owned(),
--- a/crates/gs-document/tests/mistakes.rs
+++ b/crates/gs-document/tests/mistakes.rs
@@ -106,3 +106,16 @@
         "d.jsonc:1:33: (root): nested more than 32 levels deep"
     );
 }
+
+#[test]
+fn after_a_thousand_mistakes_only_their_number_is_told() {
+    let models = vec!["\"absent\""; 1_500].join(", ");
+    let text = DOCUMENT.replacen("[\"notes\"]", &format!("[{models}]"), 1);
+    let list = parse_document("d.jsonc", &text).expect_err("the text has mistakes");
+    assert_eq!(list.mistakes().len(), 1_001);
+    let last = list.mistakes()[1_000].to_string();
+    assert!(
+        last.ends_with(": 2000 further mistakes are not listed"),
+        "{last}"
+    );
+}
