Read accepted documents by their structure alone

Cause: a daemon of a later version that checks more would refuse a document that is in force, and start without any. Change: parse_accepted_document decodes the structure and leaves ranges and references to the check before acceptance. Unknown fields are still refused, as they may restrict what a caller may do.

--- a/crates/gs-document/src/lib.rs
+++ b/crates/gs-document/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use diff::{ChangeKind, DocumentChange, diff_documents};
 pub use digest::{digest_document, digest_token, is_digest};
-pub use parse::parse_document;
+pub use parse::{parse_accepted_document, parse_document};
 pub use source::{FieldPath, MistakeKind, MistakeList, PathSegment, SourceMistake, decode_text};
--- a/crates/gs-document/src/parse/mod.rs
+++ b/crates/gs-document/src/parse/mod.rs
@@ -7,7 +7,7 @@
 use crate::document::EnvironmentDocument;
 use gs_protocol::platform::MAX_VALUE_BYTES;
 
-use crate::source::{MistakeKind, MistakeList, mistake_at_start, read_source};
+use crate::source::{MistakeKind, MistakeList, mistake_at_start, read_source, read_unchecked};
 
 pub(crate) use shape::OPERATOR_MAP;
 
@@ -22,3 +22,9 @@
     }
     read_source(file, text, &shape::DOCUMENT, cross::check_document)
 }
+
+/// Reads a document that was accepted before. Its structure must fit, but its ranges and references are
+/// not checked again: an accepted document stays in force when a later version checks more.
+pub fn parse_accepted_document(file: &str, text: &str) -> Result<EnvironmentDocument, MistakeList> {
+    read_unchecked(file, text)
+}
--- a/crates/gs-document/src/source/mod.rs
+++ b/crates/gs-document/src/source/mod.rs
@@ -15,6 +15,6 @@
 pub use mistake::{MistakeKind, MistakeList, SourceMistake};
 pub(crate) use node::NodeView;
 pub use path::{FieldPath, PathSegment};
-pub(crate) use read::read_source;
+pub(crate) use read::{read_source, read_unchecked};
 pub(crate) use shape::{FieldShape, ValueShape};
 pub use text::decode_text;
--- a/crates/gs-document/src/source/read.rs
+++ b/crates/gs-document/src/source/read.rs
@@ -1,5 +1,6 @@
 //! Reads a text into a typed value, or reports every mistake.
 
+use jsonc_parser::ast::Value;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use serde::de::DeserializeOwned;
 
@@ -21,27 +22,44 @@
     cross_check: CrossCheck,
 ) -> Result<T, MistakeList> {
     let source = SourceText::new(file, text);
-    check_tokens(&source)?;
-    let options = ParseOptions {
-        allow_comments: true,
-        allow_loose_object_property_names: false,
-        allow_trailing_commas: true,
-    };
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &options)
-        .map_err(|error| syntax_mistake(&source, &error))?;
-    let Some(value) = parsed.value else {
-        return Err(mistake_at_start(file, MistakeKind::Empty));
-    };
+    let value = parse_value(file, &source)?;
     let root = NodeView::root(&value);
     let mut report = CheckReport::new(&source);
     report.check_root(&root, shape);
     cross_check(&root, &mut report);
-    if let Some(list) = MistakeList::from_mistakes(report.into_mistakes()) {
-        return Err(list);
+    match MistakeList::from_mistakes(report.into_mistakes()) {
+        Some(list) => Err(list),
+        None => decode_value(file, value),
     }
+}
+
+/// Reads a text that was checked before, perhaps by another version: its structure must fit, and
+/// nothing else is checked.
+pub(crate) fn read_unchecked<T: DeserializeOwned>(
+    file: &str,
+    text: &str,
+) -> Result<T, MistakeList> {
+    let source = SourceText::new(file, text);
+    decode_value(file, parse_value(file, &source)?)
+}
+
+fn parse_value<'a>(file: &str, source: &SourceText<'a>) -> Result<Value<'a>, MistakeList> {
+    check_tokens(source)?;
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+    };
+    let parsed = parse_to_ast(source.text(), &CollectOptions::default(), &options)
+        .map_err(|error| syntax_mistake(source, &error))?;
+    parsed
+        .value
+        .ok_or_else(|| mistake_at_start(file, MistakeKind::Empty))
+}
+
+fn decode_value<T: DeserializeOwned>(file: &str, value: Value<'_>) -> Result<T, MistakeList> {
     serde_json::from_value(value.into()).map_err(|error| {
         let detail = error.to_string();
-        let kind = MistakeKind::Unreadable { detail };
-        mistake_at_start(file, kind)
+        mistake_at_start(file, MistakeKind::Unreadable { detail })
     })
 }
--- a/crates/gs-document/tests/mistakes.rs
+++ b/crates/gs-document/tests/mistakes.rs
@@ -1,6 +1,6 @@
 //! Every kind of mistake is found, at its place, with what was found and what is allowed.
 
-use gs_document::{decode_text, parse_document};
+use gs_document::{decode_text, parse_accepted_document, parse_document};
 use test_case::test_case;
 
 const DOCUMENT: &str = include_str!("fixtures/document.jsonc");
@@ -119,3 +119,12 @@
         "{last}"
     );
 }
+
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": 600001", true; "range that was wider")]
+#[test_case("[\"charges\"]", "[\"pickups\"]", true; "reference that was not checked")]
+#[test_case("\"rank\"", "\"urgency\"", false; "field that is not known")]
+fn an_accepted_document_is_read_by_its_structure_alone(old: &str, new: &str, is_read: bool) {
+    let text = DOCUMENT.replacen(old, new, 1);
+    assert!(parse_document("d.jsonc", &text).is_err());
+    assert_eq!(parse_accepted_document("d.jsonc", &text).is_ok(), is_read);
+}
--- a/crates/gs-document/tests/properties.rs
+++ b/crates/gs-document/tests/properties.rs
@@ -8,7 +8,7 @@
     ServerKindEntry, ServerProtocol, ServiceEntry,
 };
 use gs_document::settings::{parse_admin_settings, parse_entry_settings};
-use gs_document::{diff_documents, digest_token, parse_document};
+use gs_document::{diff_documents, digest_token, parse_accepted_document, parse_document};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -145,6 +145,7 @@
             let _ = parse_document("d.jsonc", &cut_short);
             let inserted = [&DOCUMENT[..start], &insert, &DOCUMENT[start..]].concat();
             let _ = parse_document("d.jsonc", &inserted);
+            let _ = parse_accepted_document("d.jsonc", &inserted);
             Ok(())
         })
         .expect("holds for every case");
