--- a/crates/gs-document/tests/examples.rs
+++ b/crates/gs-document/tests/examples.rs
@@ -11,6 +11,7 @@
 const GREAT_LAKES: &str = include_str!("../../../examples/great-lakes.jsonc");
 const KLANG_VALLEY: &str = include_str!("../../../examples/klang-valley.jsonc");
 const ENTRY: &str = include_str!("../../../examples/entry.jsonc");
+const ENTRY_SAULT: &str = include_str!("../../../examples/entry-sault.jsonc");
 const ADMIN: &str = include_str!("../../../examples/admin.jsonc");
 
 fn read_example(text: &str) -> EnvironmentDocument {
@@ -59,6 +60,16 @@
     assert_eq!(settings.traffic_threads.get(), 2);
 }
 
+#[test]
+fn the_entry_examples_belong_to_one_deployment() {
+    let read = |text| parse_entry_settings("entry", text).unwrap_or_else(|list| panic!("{list}"));
+    let (duluth, sault) = (read(ENTRY), read(ENTRY_SAULT));
+    assert_eq!(duluth.servers, sault.servers);
+    assert_eq!(duluth.peers[0].peer_address, sault.peer_listen);
+    assert_eq!(sault.peers[0].peer_address, duluth.peer_listen);
+    assert_eq!(duluth.peer_key, sault.peer_key);
+}
+
 #[test]
 fn the_admin_example_shows_the_defaults() {
     let settings = parse_admin_settings("admin", ADMIN).unwrap_or_else(|list| panic!("{list}"));
