--- a/crates/gs-document/tests/mistakes.rs
+++ b/crates/gs-document/tests/mistakes.rs
@@ -1,6 +1,6 @@
 //! Every kind of mistake is found, at its place, with what was found and what is allowed.
 
-use gs_document::{decode_text, parse_document};
+use gs_document::{decode_text, parse_accepted_document, parse_document};
 use test_case::test_case;
 
 const DOCUMENT: &str = include_str!("fixtures/document.jsonc");
@@ -106,3 +106,25 @@
         "d.jsonc:1:33: (root): nested more than 32 levels deep"
     );
 }
+
+#[test]
+fn after_a_thousand_mistakes_only_their_number_is_told() {
+    let models = vec!["\"absent\""; 1_500].join(", ");
+    let text = DOCUMENT.replacen("[\"notes\"]", &format!("[{models}]"), 1);
+    let list = parse_document("d.jsonc", &text).expect_err("the text has mistakes");
+    assert_eq!(list.mistakes().len(), 1_001);
+    let last = list.mistakes()[1_000].to_string();
+    assert!(
+        last.ends_with(": 2000 further mistakes are not listed"),
+        "{last}"
+    );
+}
+
+#[test_case("\"firstTokenMs\": 500", "\"firstTokenMs\": 600001", true; "range that was wider")]
+#[test_case("[\"charges\"]", "[\"pickups\"]", true; "reference that was not checked")]
+#[test_case("\"rank\"", "\"urgency\"", false; "field that is not known")]
+fn an_accepted_document_is_read_by_its_structure_alone(old: &str, new: &str, is_read: bool) {
+    let text = DOCUMENT.replacen(old, new, 1);
+    assert!(parse_document("d.jsonc", &text).is_err());
+    assert_eq!(parse_accepted_document("d.jsonc", &text).is_ok(), is_read);
+}
