--- /dev/null
+++ b/crates/gs-control/src/documents/applied.rs
@@ -0,0 +1,50 @@
+//! What an entry reports of the documents that it has applied.
+
+use std::collections::VecDeque;
+
+use gs_protocol::ids::Incarnation;
+use gs_protocol::objects::{AppliedRecord, HeadRecord, StatusRecord};
+
+/// Earlier documents that a report names.
+const MAX_EARLIER: usize = 64;
+
+/// Since when an entry has applied its documents, latest first.
+#[derive(Clone, Debug)]
+pub struct AppliedTrack {
+    incarnation: Incarnation,
+    digest: String,
+    applied: VecDeque<AppliedRecord>,
+}
+
+impl AppliedTrack {
+    /// The track of an entry that has applied nothing yet.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            digest: String::new(),
+            applied: VecDeque::new(),
+        }
+    }
+
+    /// Records that a document came into force, at a time in milliseconds since 1970.
+    pub fn record(&mut self, head: &HeadRecord, since_ms: u64) {
+        self.digest.clone_from(&head.digest);
+        self.applied.push_front(AppliedRecord {
+            sequence: head.sequence,
+            since_ms,
+        });
+        self.applied.truncate(MAX_EARLIER + 1);
+    }
+
+    /// The report; none before the first document.
+    pub fn report(&self) -> Option<StatusRecord> {
+        let latest = self.applied.front()?;
+        Some(StatusRecord {
+            incarnation: self.incarnation.0,
+            sequence: latest.sequence,
+            digest: self.digest.clone(),
+            since_ms: latest.since_ms,
+            earlier: self.applied.iter().skip(1).copied().collect(),
+        })
+    }
+}
