--- a/crates/gs-control/src/documents/mod.rs
+++ b/crates/gs-control/src/documents/mod.rs
@@ -1,13 +1,18 @@
 //! Which document is in force at an entry, and how operators change it.
 
 mod applied;
+mod backoff;
 mod calls;
+mod outcome;
 mod plan;
 mod promotion;
+mod records;
 mod view;
 
 pub use applied::AppliedTrack;
+pub use backoff::BackoffPolicy;
 pub use calls::{StoreCall, StoreCondition, StoreFault, StoreReply};
+pub use outcome::{PromotionEnd, PromotionStep};
 pub use plan::{PromotionAction, PromotionPlan, RetryPolicy};
-pub use promotion::{PromotionEnd, PromotionState, PromotionStep};
+pub use promotion::PromotionState;
 pub use view::{DocumentEffect, DocumentEvent, DocumentSource, DocumentView, FetchPolicy};
--- a/crates/gs-control/src/documents/plan.rs
+++ b/crates/gs-control/src/documents/plan.rs
@@ -1,41 +1,29 @@
 //! What an operator wants done.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use gs_protocol::ids::{OperationId, OperatorName, SequenceNumber};
 
+use super::BackoffPolicy;
+
 /// How often and how soon a call is repeated.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
     /// Failed calls of one operation after which it is given up.
     pub tries: u32,
-    /// The pause after the first failure; it doubles with each further one.
-    pub first_pause: Duration,
-    /// The longest pause.
-    pub max_pause: Duration,
+    /// The pauses between them.
+    pub backoff: BackoffPolicy,
 }
 
 impl Default for RetryPolicy {
     fn default() -> Self {
         Self {
             tries: 6,
-            first_pause: Duration::from_millis(50),
-            max_pause: Duration::from_secs(1),
+            backoff: BackoffPolicy::default(),
         }
     }
 }
 
-impl RetryPolicy {
-    /// The pause after a number of failures.
-    pub(super) fn pause(&self, failures: u32) -> Duration {
-        let factor = 1_u32
-            .checked_shl(failures.saturating_sub(1))
-            .unwrap_or(u32::MAX);
-        self.first_pause.saturating_mul(factor).min(self.max_pause)
-    }
-}
-
 /// What is to be accepted.
 #[derive(Clone, Debug)]
 pub enum PromotionAction {
--- a/crates/gs-control/src/documents/view.rs
+++ b/crates/gs-control/src/documents/view.rs
@@ -7,6 +7,8 @@
 use gs_protocol::ids::EntryName;
 use gs_protocol::objects::HeadRecord;
 
+use super::BackoffPolicy;
+
 /// Where a head was seen and a body can be had.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum DocumentSource {
@@ -68,18 +70,15 @@
 pub struct FetchPolicy {
     /// How long one fetch may take.
     pub timeout: Duration,
-    /// The pause after every source has failed once; it doubles with each further round.
-    pub first_pause: Duration,
-    /// The longest pause.
-    pub max_pause: Duration,
+    /// The pauses after every source has failed once more.
+    pub backoff: BackoffPolicy,
 }
 
 impl Default for FetchPolicy {
     fn default() -> Self {
         Self {
             timeout: Duration::from_millis(500),
-            first_pause: Duration::from_millis(50),
-            max_pause: Duration::from_secs(1),
+            backoff: BackoffPolicy::default(),
         }
     }
 }
@@ -99,12 +98,14 @@
     bytes: Arc<[u8]>,
 }
 
-/// The highest head seen, with the sources that announced it, and failed fetches of its body.
+/// The highest head seen, with the sources that announced it; failed fetches of its body in this round,
+/// and rounds in which every source failed.
 #[derive(Clone, Debug)]
 struct NewestHead {
     head: HeadRecord,
     sources: Vec<DocumentSource>,
     failures: usize,
+    rounds: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -143,7 +144,12 @@
     }
 
     /// Takes one event and appends what is to be done.
-    pub fn handle(&mut self, now: Instant, event: DocumentEvent, effects: &mut Vec<DocumentEffect>) {
+    pub fn handle(
+        &mut self,
+        now: Instant,
+        event: DocumentEvent,
+        effects: &mut Vec<DocumentEffect>,
+    ) {
         match event {
             DocumentEvent::HeadSeen { source, head } => self.see_head(source, head),
             DocumentEvent::BodyFetched { digest, bytes } => {
@@ -174,6 +180,7 @@
                     head,
                     sources: vec![source],
                     failures: 0,
+                    rounds: 0,
                 });
                 self.end_pause();
             }
@@ -223,14 +230,14 @@
         if head.digest != digest || source != failed {
             return;
         }
+        let sequence = head.sequence;
         self.fetch = FetchState::Idle;
-        let Some(newest) = &mut self.newest else {
-            return;
-        };
-        newest.failures += 1;
-        let rounds = newest.failures / newest.candidates().len();
-        if newest.failures % newest.candidates().len() == 0 {
-            let pause = self.policy.pause(rounds);
+        if let Some(newest) = &mut self.newest
+            && newest.head.sequence == sequence
+            && newest.count_failure()
+        {
+            newest.rounds += 1;
+            let pause = self.policy.backoff.pause(newest.rounds);
             self.fetch = FetchState::Pausing { until: now + pause };
         }
     }
@@ -264,7 +271,7 @@
             return;
         }
         let candidates = newest.candidates();
-        let source = candidates[newest.failures % candidates.len()].clone();
+        let source = candidates[newest.failures].clone();
         effects.push(DocumentEffect::FetchBody {
             digest: head.digest.clone(),
             source: source.clone(),
@@ -296,6 +303,16 @@
 }
 
 impl NewestHead {
+    /// Counts a failed fetch; true if every source has failed in this round.
+    fn count_failure(&mut self) -> bool {
+        self.failures += 1;
+        let round_over = self.failures >= self.candidates().len();
+        if round_over {
+            self.failures = 0;
+        }
+        round_over
+    }
+
     /// Sources in the order in which they are asked.
     fn candidates(&self) -> Vec<DocumentSource> {
         let mut candidates = self.sources.clone();
@@ -305,11 +322,3 @@
         candidates
     }
 }
-
-impl FetchPolicy {
-    fn pause(&self, rounds: usize) -> Duration {
-        let doublings = u32::try_from(rounds.saturating_sub(1)).unwrap_or(u32::MAX);
-        let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
-        self.first_pause.saturating_mul(factor).min(self.max_pause)
-    }
-}
--- a/crates/gs-protocol/src/admin.rs
+++ b/crates/gs-protocol/src/admin.rs
@@ -286,7 +286,7 @@
     pub detail: String,
     /// The reason.
     pub reason: AdminReason,
-    /// Whether the operation can have had an effect.
+    /// Whether this call can have had an effect. It says nothing of earlier calls of the same operation.
     pub outcome: RequestOutcome,
     /// If overtaken: what took the sequence number, and by whom.
     #[serde(default, skip_serializing_if = "Option::is_none")]
