--- a/crates/gs-document/src/source/shape.rs
+++ b/crates/gs-document/src/source/shape.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::digest::is_digest;
+
 /// What a value may be.
 #[derive(Debug)]
 pub(crate) enum ValueShape {
@@ -20,6 +22,8 @@
         item: &'static ValueShape,
         /// The fewest items.
         min_items: usize,
+        /// The most items.
+        max_items: usize,
     },
     /// A whole number.
     Integer {
@@ -95,8 +99,11 @@
         match self {
             Self::Object(_) => "an object".to_owned(),
             Self::Map { .. } => "an object with names as keys".to_owned(),
-            Self::List { min_items: 0, .. } => "a list".to_owned(),
-            Self::List { min_items, .. } => format!("a list of at least {min_items}"),
+            Self::List {
+                min_items,
+                max_items,
+                ..
+            } => format!("a list of {min_items} to {max_items}"),
             Self::Integer { min, max } => format!("an integer from {min} to {max}"),
             Self::Number { min, max } => format!("a number from {min} to {max}"),
             Self::Boolean => "true or false".to_owned(),
@@ -142,12 +149,6 @@
     starts_well && text.len() <= MAX_NAME_CHARS && text.chars().all(is_part)
 }
 
-fn is_digest(text: &str) -> bool {
-    let is_hex = |digit: u8| matches!(digit, b'0'..=b'9' | b'a'..=b'f');
-    text.strip_prefix("sha256:")
-        .is_some_and(|digits| digits.len() == 64 && digits.bytes().all(is_hex))
-}
-
 fn is_route_path(text: &str) -> bool {
     let Some(rest) = text.strip_prefix('/') else {
         return false;
--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod admin;
 pub mod caller;
+pub mod claims;
 pub mod engine;
 pub mod ids;
 pub mod objects;
+pub mod peer;
 pub mod platform;
 pub mod prefix;
 pub mod refusal;
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -1,7 +1,15 @@
 //! Stand-ins of engines, services and the platform, and a load tool. For development only.
 
 pub mod engine;
+mod error;
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod rig;
 pub mod service;
+
+pub use error::StandinError;
+
+/// How long an engine or service keeps an idle connection open: longer than clients do, so that none
+/// sends a request on a connection that is being closed.
+const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(75);
