Add the administration daemon

Cause: operators accept documents and drain servers, and the monitor reads what was in force, through an API that keeps nothing of its own.

Change: gs-admin checks, tries, promotes and rolls back through the promotion state machine, shows head, documents, history with the times in force at each entry, and status, and drains servers. Rights come from the document in force; the operators of the settings count only while it gives the right to nobody. Refusals are typed problem details; each is logged with route, reason and operator, and counted.

Ruled out: bootstrap operators beside those of the document, since then no document could take their rights away.

--- /dev/null
+++ b/crates/gs-admin/src/accept/overtaken.rs
@@ -0,0 +1,57 @@
+//! What an operator who lost a race is told.
+
+use gs_document::{ChangeKind, DocumentChange, diff_documents};
+use gs_platform::PlatformError;
+use gs_protocol::admin::ChangeRecord;
+use gs_protocol::ids::SequenceNumber;
+use gs_protocol::objects::{HeadRecord, history_key};
+
+use crate::platform::read_json;
+use crate::refusal::OvertakenDetail;
+use crate::state::AdminState;
+
+/// Who was first, and what changed since the sequence number that the operator had seen. The changes
+/// are left out if the platform's service does not give both documents.
+pub async fn describe_overtaken(
+    state: &AdminState,
+    environment: &str,
+    expected: SequenceNumber,
+    winner: HeadRecord,
+    head: HeadRecord,
+) -> OvertakenDetail {
+    let changes = find_changes(state, environment, expected, &head).await;
+    OvertakenDetail {
+        winner,
+        head,
+        changes: changes.unwrap_or_default(),
+    }
+}
+
+async fn find_changes(
+    state: &AdminState,
+    environment: &str,
+    expected: SequenceNumber,
+    head: &HeadRecord,
+) -> Result<Vec<ChangeRecord>, PlatformError> {
+    let key = history_key(environment, expected);
+    let Some(seen) = read_json::<HeadRecord>(&state.platform, &key).await? else {
+        return Ok(Vec::new());
+    };
+    let old = state.document(&seen.digest).await?;
+    let new = state.document(&head.digest).await?;
+    let (Some(old), Some(new)) = (old, new) else {
+        return Ok(Vec::new());
+    };
+    let changes = diff_documents(&old, &new).unwrap_or_default();
+    Ok(changes.into_iter().map(change_record).collect())
+}
+
+fn change_record(change: DocumentChange) -> ChangeRecord {
+    let path = change.path.to_string();
+    let (old, new) = match change.kind {
+        ChangeKind::Added { new } => (None, Some(new)),
+        ChangeKind::Removed { old } => (Some(old), None),
+        ChangeKind::Changed { old, new } => (Some(old), Some(new)),
+    };
+    ChangeRecord { path, old, new }
+}
--- /dev/null
+++ b/crates/gs-admin/src/drain/mod.rs
@@ -0,0 +1,5 @@
+//! Takes servers out of use and puts them back.
+
+mod calls;
+
+pub use calls::drain;
--- a/crates/gs-document/src/settings/admin.rs
+++ b/crates/gs-document/src/settings/admin.rs
@@ -73,7 +73,7 @@
     /// The environments.
     #[serde(default)]
     pub environments: EnvironmentNames,
-    /// Who may administer before any document is in force.
+    /// Who may administer an environment while the document in force there gives the right to nobody.
     #[serde(default)]
     pub bootstrap_operators: BTreeMap<OperatorName, OperatorEntry>,
     /// Bounds of the API.
