Prove the administration daemon as a process

Cause: races, lost answers, crashes and outages must hold over real HTTP.

Change: tests start the daemon over the platform stand-in: of two daemons with racing operators exactly one wins and the other is told by whom and what changed; lost answers end in the accepted head; SIGKILL after each write of an operation leaves no gap in history; each kind of outage is told as not run and the same operation goes through later; rights, malformed calls, log and count of refusals. A change now checks rights by the head read at that moment, and may only replace a head that is not newer: the first run showed a head of up to 0.5 s before still giving a right that the document in force had taken away.

--- a/crates/gs-admin/src/accept/calls.rs
+++ b/crates/gs-admin/src/accept/calls.rs
@@ -7,13 +7,13 @@
 };
 use gs_document::document::OperatorRight;
 use gs_protocol::admin::{AcceptAnswer, PromoteRequest, RollBackRequest, TryQuery};
-use gs_protocol::ids::{OperationId, OperatorName, SequenceNumber};
+use gs_protocol::ids::{OperationId, SequenceNumber};
 use gs_protocol::refusal::RequestOutcome;
 
 use super::check::{check_document, read_document};
 use super::operation::run_operation;
 use super::overtaken::describe_overtaken;
-use crate::access::authorize;
+use crate::access::{ChangeRight, authorize_change};
 use crate::refusal::AdminRefusal;
 use crate::state::{AdminState, now_ms};
 use crate::telemetry;
@@ -21,7 +21,7 @@
 /// What every operation names.
 struct OperationTicket<'a> {
     environment: &'a str,
-    operator: OperatorName,
+    right: ChangeRight,
     operation: OperationId,
     expected: SequenceNumber,
 }
@@ -34,12 +34,12 @@
     payload: Payload,
 ) -> Result<Json<AcceptAnswer>, AdminRefusal> {
     let environment = &state.settings.environments.trial;
-    let operator = authorize(&state, &request, environment, OperatorRight::Try).await?;
+    let right = authorize_change(&state, &request, environment, OperatorRight::Try).await?;
     let bytes = read_document(&state, payload).await?;
     check_document(&bytes).map_err(AdminRefusal::InvalidDocument)?;
     let ticket = OperationTicket {
         environment,
-        operator,
+        right,
         operation: query.operation,
         expected: query.expected,
     };
@@ -57,10 +57,10 @@
 ) -> Result<Json<AcceptAnswer>, AdminRefusal> {
     let names = &state.settings.environments;
     let environment = &names.production;
-    let operator = authorize(&state, &request, environment, OperatorRight::Promote).await?;
+    let right = authorize_change(&state, &request, environment, OperatorRight::Promote).await?;
     let ticket = OperationTicket {
         environment,
-        operator,
+        right,
         operation: body.operation,
         expected: body.expected,
     };
@@ -78,14 +78,14 @@
     body: Json<RollBackRequest>,
 ) -> Result<Json<AcceptAnswer>, AdminRefusal> {
     let environment = state.environment(body.environment.as_deref())?;
-    let right = match environment == state.settings.environments.trial {
+    let needed = match environment == state.settings.environments.trial {
         true => OperatorRight::Try,
         false => OperatorRight::Promote,
     };
-    let operator = authorize(&state, &request, environment, right).await?;
+    let right = authorize_change(&state, &request, environment, needed).await?;
     let ticket = OperationTicket {
         environment,
-        operator,
+        right,
         operation: body.operation,
         expected: body.expected,
     };
@@ -100,20 +100,28 @@
     ticket: OperationTicket<'_>,
     action: PromotionAction,
 ) -> Result<Json<AcceptAnswer>, AdminRefusal> {
+    // The document that gave the right is at least as new as the one that is to be replaced.
+    if ticket.expected > ticket.right.sequence {
+        return Err(AdminRefusal::NotReached {
+            expected: ticket.expected,
+            found: ticket.right.sequence,
+        });
+    }
     let plan = PromotionPlan {
         environment: ticket.environment.to_owned(),
         proving: ticket.environment == state.settings.environments.trial,
         action: action.clone(),
-        operator: ticket.operator.clone(),
+        operator: ticket.right.operator.clone(),
         operation: ticket.operation,
         expected: ticket.expected,
         accepted_at_ms: now_ms(),
         retry: RetryPolicy::default(),
     };
     let end = run_operation(&state.platform, plan, state.settings.limits.operation).await;
+    state.forget_head(ticket.environment);
     if let PromotionEnd::Accepted { head, repeated } = end {
         let (sequence, digest) = (head.sequence.0, head.digest.as_str());
-        let (environment, operator) = (ticket.environment, ticket.operator.as_str());
+        let (environment, operator) = (ticket.environment, ticket.right.operator.as_str());
         log::info!(target: "admin", environment, sequence, digest, operator, repeated; "Document accepted.");
         telemetry::count_accepted(environment);
         return Ok(Json(AcceptAnswer { head, repeated }));
--- a/crates/gs-admin/src/access/mod.rs
+++ b/crates/gs-admin/src/access/mod.rs
@@ -3,5 +3,5 @@
 mod rights;
 mod token;
 
-pub use rights::{authorize, authorize_anywhere};
+pub use rights::{ChangeRight, authorize, authorize_anywhere, authorize_change};
 pub use token::CallActor;
--- a/crates/gs-admin/src/access/rights.rs
+++ b/crates/gs-admin/src/access/rights.rs
@@ -8,7 +8,8 @@
 use actix_web::HttpRequest;
 use gs_document::document::{OperatorEntry, OperatorRight};
 use gs_platform::PlatformError;
-use gs_protocol::ids::OperatorName;
+use gs_protocol::ids::{OperatorName, SequenceNumber};
+use gs_protocol::objects::HeadRecord;
 
 use super::token::{note_actor, read_token_digest};
 use crate::refusal::AdminRefusal;
@@ -23,15 +24,55 @@
     OperatorRight::Try,
 ];
 
-/// Finds the operator of a call and checks its right in an environment.
+/// An operator that may make a change, and the sequence number whose document says so; 0 for none.
+pub struct ChangeRight {
+    /// The operator.
+    pub operator: OperatorName,
+    /// The sequence number.
+    pub sequence: SequenceNumber,
+}
+
+/// Finds the operator of a call that reads, and checks its right in an environment.
 pub async fn authorize(
     state: &AdminState,
     request: &HttpRequest,
     environment: &str,
     right: OperatorRight,
 ) -> Result<OperatorName, AdminRefusal> {
+    let head = state.recent_head(environment).await?;
+    check_right(state, request, environment, head.as_ref(), right).await
+}
+
+/// Finds the operator of a call that changes something, and checks its right by the document in force now.
+/// A call without a known token costs no call to the platform's service while the head is recent.
+pub async fn authorize_change(
+    state: &AdminState,
+    request: &HttpRequest,
+    environment: &str,
+    right: OperatorRight,
+) -> Result<ChangeRight, AdminRefusal> {
     let digest = read_token_digest(request)?;
-    let operators = operators_in_force(state, environment).await?;
+    let recent = state.recent_head(environment).await?;
+    let operators = operators_under(state, recent.as_ref()).await?;
+    let bootstrap = &state.settings.bootstrap_operators;
+    if find_operator(&operators, &digest).is_none() && find_operator(bootstrap, &digest).is_none() {
+        return Err(AdminRefusal::Unauthorized);
+    }
+    let head = state.read_head(environment).await?;
+    let operator = check_right(state, request, environment, head.as_ref(), right).await?;
+    let sequence = head.map(|head| head.sequence).unwrap_or_default();
+    Ok(ChangeRight { operator, sequence })
+}
+
+async fn check_right(
+    state: &AdminState,
+    request: &HttpRequest,
+    environment: &str,
+    head: Option<&HeadRecord>,
+    right: OperatorRight,
+) -> Result<OperatorName, AdminRefusal> {
+    let digest = read_token_digest(request)?;
+    let operators = operators_under(state, head).await?;
     let bootstrap = &state.settings.bootstrap_operators;
     let known = find_operator(&operators, &digest).or_else(|| find_operator(bootstrap, &digest));
     let (operator, _) = known.ok_or(AdminRefusal::Unauthorized)?;
@@ -72,11 +113,11 @@
     Err(refusal)
 }
 
-async fn operators_in_force(
+async fn operators_under(
     state: &AdminState,
-    environment: &str,
+    head: Option<&HeadRecord>,
 ) -> Result<OperatorMap, PlatformError> {
-    let Some(head) = state.recent_head(environment).await? else {
+    let Some(head) = head else {
         return Ok(OperatorMap::new());
     };
     let document = state.document(&head.digest).await?;
--- a/crates/gs-admin/src/drain/calls.rs
+++ b/crates/gs-admin/src/drain/calls.rs
@@ -11,7 +11,7 @@
 use gs_protocol::objects::{DrainRecord, drain_key};
 use gs_protocol::refusal::RequestOutcome;
 
-use crate::access::authorize;
+use crate::access::authorize_change;
 use crate::refusal::AdminRefusal;
 use crate::state::{AdminState, now_ms};
 
@@ -31,7 +31,8 @@
     body: Json<DrainRequest>,
 ) -> Result<Json<DrainAnswer>, AdminRefusal> {
     let environment = state.environment(body.environment.as_deref())?;
-    let operator = authorize(&state, &request, environment, OperatorRight::Drain).await?;
+    let right = authorize_change(&state, &request, environment, OperatorRight::Drain).await?;
+    let operator = right.operator;
     check_name(body.server.as_str())?;
     let record = DrainRecord {
         operator: operator.clone(),
--- a/crates/gs-admin/src/state.rs
+++ b/crates/gs-admin/src/state.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Drops the head that was read lately, since an operation may have changed it.
+    pub fn forget_head(&self, environment: &str) {
+        self.heads.borrow_mut().remove(environment);
+    }
+
     /// A document that was accepted; none if there are no such bytes.
     pub async fn document(
         &self,
--- /dev/null
+++ b/crates/gs-admin/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! The administration daemon as a process, over the platform stand-in.
+
+mod accepting;
+mod crashes;
+mod refusing;
+mod support;
+mod viewing;
