Serve non-idempotent calls through the claim ledger

Cause: the entry refused every non-idempotent call. Change: gs_entry::ledger drives the ledger slice on the control thread over the platform's service and the peer links; services::claimed demands the claim, runs the call to its end even if the caller is gone, and tells the ledger how it ended. Claim calls and replies go as calls over each side's own link. A leaving entry hands over its shards and waits for the ends of its calls to be written. writesPerS now bounds all entries together, by an equal part for each shard, as no entry can see the others' rate. Ruled out: a reply on the link of the call, since a reply may come long after the call's link broke.

--- a/crates/gs-control/src/ledger/record.rs
+++ b/crates/gs-control/src/ledger/record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Why an object of a shard cannot be encoded or decoded.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum RecordError {
     /// The bytes are not a valid object of this kind.
     #[error("the object cannot be decoded: {0}")]
--- a/crates/gs-document/src/settings/sections.rs
+++ b/crates/gs-document/src/settings/sections.rs
@@ -204,7 +204,7 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "leaseMs")]
     pub lease: Duration,
-    /// Claim writes a second of one entry at most.
+    /// Claim writes a second of all entries of an environment together; each shard has an equal part.
     pub writes_per_s: u32,
     /// Milliseconds by which a key's time may lie in the future.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -219,7 +219,7 @@
         Self {
             shards: 16,
             lease: Duration::from_millis(5_000),
-            writes_per_s: 20,
+            writes_per_s: 100,
             clock_skew: Duration::from_secs(30),
             max_kept_bytes: 4_096,
         }
--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -1,20 +1,24 @@
 //! The actor on the control thread.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, SpawnHandle};
 use gs_control::dispatch::DispatchEvent;
+use gs_control::ledger::LedgerEvent;
 use gs_control::membership::MembershipEffect;
 use gs_document::settings::EntrySettings;
+use gs_platform::HttpPlatform;
 use gs_protocol::peer::{PeerCall, PeerReply};
 use gs_protocol::vm::VmRecord;
 use tokio::sync::watch;
 
 use super::dispatch::RequestDesk;
-use super::messages::{AnswerPeer, ControlMessage, ReadSnapshot, ServerEndpoint};
+use super::messages::{AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, ServerEndpoint};
 use super::peers::PeerDesk;
 use crate::documents::AppliedDocument;
+use crate::ledger::ClaimDesk;
 use crate::peers::{FleetView, PeerParts};
 use crate::reclaim::ReclaimLoop;
 use crate::servers::{ServerDirectory, ServerPolls};
@@ -22,6 +26,9 @@
 /// How often time is told to the state machines when nothing else happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often time is told to the ledger.
+const CLAIM_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Owns the decision state. Everything in it runs on one thread.
 pub struct ControlActor {
     settings: Arc<EntrySettings>,
@@ -31,6 +38,7 @@
     directory: ServerDirectory,
     polls: ServerPolls,
     reclaim: ReclaimLoop,
+    claims: ClaimDesk,
     wakeup: Option<(Instant, SpawnHandle)>,
 }
 
@@ -41,8 +49,11 @@
         seed: u64,
         parts: PeerParts,
         fleet: watch::Sender<Arc<FleetView>>,
+        platform: Rc<HttpPlatform>,
     ) -> Self {
+        let own = parts.credentials.own.identity.clone();
         Self {
+            claims: ClaimDesk::new(own, &settings, seed, platform),
             requests: RequestDesk::new(&settings, seed),
             peers: PeerDesk::new(&settings, parts, fleet),
             directory: ServerDirectory::new(&settings),
@@ -78,6 +89,18 @@
         self.wakeup = Some((at, handle));
     }
 
+    /// Tells the ledger what happened and carries out what it decides.
+    fn claim(&mut self, event: LedgerEvent, context: &mut Context<Self>) {
+        self.claims.handle(event, &self.peers, &context.address());
+    }
+
+    /// Tells the ledger which entries are live; a leaving one is not.
+    fn follow_owners(&mut self, context: &mut Context<Self>) {
+        let members = self.peers.live_identities();
+        let event = self.claims.see_members(members);
+        self.claim(event, context);
+    }
+
     fn tick(&mut self, context: &mut Context<Self>) {
         let now = Instant::now();
         self.reclaim.tick(now);
@@ -88,6 +111,8 @@
 
     fn apply_document(&mut self, document: Arc<AppliedDocument>, context: &mut Context<Self>) {
         self.peers.set_sequence(document.sequence);
+        let retention = document.document.key_retention;
+        self.claim(LedgerEvent::RetentionSet(retention), context);
         let event = DispatchEvent::DocumentApplied(Arc::clone(&document.document));
         self.document = Some(document);
         self.dispatch(event, context);
@@ -121,6 +146,7 @@
         if effects.iter().any(changed) {
             let entries = self.peers.count_entries();
             self.dispatch(DispatchEvent::EntriesSeen(entries), context);
+            self.follow_owners(context);
         }
     }
 }
@@ -130,6 +156,10 @@
 
     fn started(&mut self, context: &mut Context<Self>) {
         context.run_interval(TICK_INTERVAL, Self::run_tick);
+        context.run_interval(CLAIM_TICK_INTERVAL, |actor, context| {
+            actor.claim(LedgerEvent::Tick, context);
+        });
+        self.follow_owners(context);
         self.see_vms(&[], context);
     }
 }
@@ -165,7 +195,16 @@
                 let effects = self.peers.hear(Instant::now(), peer, state);
                 self.follow_members(&effects, context);
             }
-            ControlMessage::Leave => self.peers.leave(),
+            ControlMessage::ClaimDemanded { demand, decision } => {
+                self.claims.open(demand.attempt, decision);
+                self.claim(LedgerEvent::Demanded(demand), context);
+            }
+            ControlMessage::Ledger(event) => self.claim(event, context),
+            ControlMessage::Leave => {
+                self.peers.leave();
+                self.claims.leave();
+                self.claim(LedgerEvent::Leaving, context);
+            }
         }
     }
 }
@@ -178,15 +217,32 @@
     }
 }
 
+impl Handler<CountClaims> for ControlActor {
+    type Result = usize;
+
+    fn handle(&mut self, _message: CountClaims, _context: &mut Context<Self>) -> Self::Result {
+        self.claims.count()
+    }
+}
+
 impl Handler<AnswerPeer> for ControlActor {
     type Result = ResponseFuture<Option<PeerReply>>;
 
-    fn handle(&mut self, message: AnswerPeer, _context: &mut Context<Self>) -> Self::Result {
+    fn handle(&mut self, message: AnswerPeer, context: &mut Context<Self>) -> Self::Result {
         match message.call {
             PeerCall::FetchDocument => {
                 let document = self.document.as_ref().map(|document| document.to_peer());
                 Box::pin(async move { Some(PeerReply::Document(document)) })
             }
+            PeerCall::Claim(call) => {
+                let from = message.from;
+                self.claim(LedgerEvent::Called { from, call }, context);
+                Box::pin(async { Some(PeerReply::Taken) })
+            }
+            PeerCall::ClaimReply(reply) => {
+                self.claim(LedgerEvent::Replied(reply), context);
+                Box::pin(async { Some(PeerReply::Taken) })
+            }
         }
     }
 }
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -6,14 +6,17 @@
 
 use actix::Message;
 use gs_control::dispatch::{DispatchEvent, RequestDemand};
+use gs_control::ledger::{ClaimDemand, LedgerEvent};
 use gs_protocol::engine::EnginePriority;
 use gs_protocol::ids::{AttemptId, EntryIdentity, RequestId, ServerKindName, ServerName};
 use gs_protocol::peer::{PeerCall, PeerIdentity, PeerReply, PeerState};
 use gs_protocol::refusal::RefusalReason;
 use gs_protocol::vm::VmRecord;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use crate::documents::AppliedDocument;
+use crate::ledger::ClaimDecision;
 use crate::reclaim::ReclaimCall;
 
 /// A server and where it is reached.
@@ -82,6 +85,15 @@
         /// What it says of itself.
         state: PeerState,
     },
+    /// A non-idempotent request wants its claim; the decision goes to the sender.
+    ClaimDemanded {
+        /// What it claims.
+        demand: ClaimDemand,
+        /// Where the decision goes.
+        decision: oneshot::Sender<ClaimDecision>,
+    },
+    /// Something happened to a claim or to a call of the platform's service for one.
+    Ledger(LedgerEvent),
     /// The entry begins to shut down.
     Leave,
 }
@@ -94,6 +106,11 @@
     pub kind: ServerKindName,
 }
 
+/// Asks for the number of claims that are not closed yet.
+#[derive(Debug, Message)]
+#[rtype(result = "usize")]
+pub struct CountClaims;
+
 /// Answers what a peer asks; `None` if the entry is ending.
 #[derive(Debug, Message)]
 #[rtype(result = "Option<PeerReply>")]
--- a/crates/gs-entry/src/control/mod.rs
+++ b/crates/gs-entry/src/control/mod.rs
@@ -6,4 +6,7 @@
 mod peers;
 
 pub use actor::ControlActor;
-pub use messages::{AnswerPeer, ControlMessage, ReadSnapshot, RequestDecision, ServerEndpoint};
+pub use messages::{
+    AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, RequestDecision, ServerEndpoint,
+};
+pub use peers::PeerDesk;
--- a/crates/gs-entry/src/control/peers.rs
+++ b/crates/gs-entry/src/control/peers.rs
@@ -10,8 +10,8 @@
     MembershipState,
 };
 use gs_document::settings::EntrySettings;
-use gs_protocol::ids::SequenceNumber;
-use gs_protocol::peer::{PeerIdentity, PeerState};
+use gs_protocol::ids::{EntryIdentity, EntryName, SequenceNumber};
+use gs_protocol::peer::{PeerCall, PeerIdentity, PeerState};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
 use tokio::sync::watch;
 
@@ -100,6 +100,20 @@
         u32::try_from(others + 1).unwrap_or(u32::MAX)
     }
 
+    /// The other entries that are alive and not leaving.
+    pub fn live_identities(&self) -> Vec<EntryIdentity> {
+        self.membership
+            .members()
+            .filter(|record| record.status == MemberStatus::Alive)
+            .map(|record| record.peer.identity.clone())
+            .collect()
+    }
+
+    /// Sends a message to an entry. It may be lost.
+    pub fn send(&self, name: &EntryName, call: PeerCall) {
+        drop(self.links.call(name, call));
+    }
+
     /// Carries out what concerns links, and returns all effects for the other slices.
     fn handle(&mut self, now: Instant, event: MembershipEvent) -> Vec<MembershipEffect> {
         let mut effects = Vec::new();
--- a/crates/gs-entry/src/lib.rs
+++ b/crates/gs-entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod documents;
 pub mod engine;
 pub mod error;
+pub mod ledger;
 pub mod options;
 pub mod peers;
 pub mod reclaim;
--- a/crates/gs-entry/src/services/forward.rs
+++ b/crates/gs-entry/src/services/forward.rs
@@ -50,13 +50,14 @@
     }
 }
 
-fn no_server(call: &ServiceCall) -> CallerRefusal {
+/// The refusal of a call that no server takes.
+pub fn no_server(call: &ServiceCall) -> CallerRefusal {
     let detail = format!("no server of kind \"{}\" takes new work", call.kind);
     CallerRefusal::not_run(RefusalReason::NoServer, detail)
 }
 
 /// The servers of the call's kind, in random order.
-async fn usable_servers(call: &ServiceCall, state: &Data<TrafficState>) -> Vec<ServerEndpoint> {
+pub async fn usable_servers(call: &ServiceCall, state: &Data<TrafficState>) -> Vec<ServerEndpoint> {
     let snapshot = ReadSnapshot {
         kind: call.kind.clone(),
     };
--- a/crates/gs-entry/src/services/handler.rs
+++ b/crates/gs-entry/src/services/handler.rs
@@ -12,6 +12,7 @@
 use uuid::Uuid;
 
 use super::call::{ServiceAnswer, ServiceCall};
+use super::claimed::forward_claimed;
 use super::forward::forward_idempotent;
 use super::routes::find_route;
 use crate::telemetry;
@@ -67,11 +68,7 @@
     if call.idempotent {
         return forward_idempotent(&call, state).await;
     }
-    let detail = "non-idempotent calls are not served yet";
-    Err(CallerRefusal::not_run(
-        RefusalReason::PlatformUnavailable,
-        detail,
-    ))
+    forward_claimed(call, state).await
 }
 
 fn check_call(
--- a/crates/gs-entry/src/services/mod.rs
+++ b/crates/gs-entry/src/services/mod.rs
@@ -1,6 +1,7 @@
 //! Plain services: calls that are passed on, at most once where the document says so.
 
 mod call;
+mod claimed;
 mod client;
 mod forward;
 mod handler;
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix::{Actor, Addr};
 use actix_rt::Arbiter;
@@ -20,7 +20,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::control::{ControlActor, ControlMessage};
+use crate::control::{ControlActor, ControlMessage, CountClaims};
 use crate::documents::{AppliedDocument, follow_documents};
 use crate::error::EntryError;
 use crate::options::EntryOptions;
@@ -32,6 +32,12 @@
 /// How often recorded metrics are moved into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long the daemon waits at its end for the ends of claimed requests to be written.
+const CLAIM_CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Between two looks at the open claims at the daemon's end.
+const CLAIM_CLOSE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How many connections may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 2_048;
 
@@ -163,6 +169,12 @@
         key: settings.peer_key.clone(),
         timeout: settings.timeouts.connect,
     };
+    let options = HttpPlatformOptions {
+        answer_timeout: settings.timeouts.platform,
+        connect_timeout: settings.timeouts.connect,
+        ..HttpPlatformOptions::new(settings.platform)
+    };
+    let platform = || HttpPlatform::new(options);
     let state = Rc::new(Cell::new(PeerState::default()));
     let control = ControlActor::create(|context| {
         let parts = PeerParts {
@@ -176,14 +188,9 @@
             Ok(listener) => drop(actix_rt::spawn(accept_peers(listener, parts.clone()))),
             Err(error) => log::error!(target: "peers", "Links cannot be accepted: {error}."),
         }
-        ControlActor::new(Arc::clone(settings), seed, parts, outputs.fleet)
+        let claims = Rc::new(platform());
+        ControlActor::new(Arc::clone(settings), seed, parts, outputs.fleet, claims)
     });
-    let options = HttpPlatformOptions {
-        answer_timeout: settings.timeouts.platform,
-        connect_timeout: settings.timeouts.connect,
-        ..HttpPlatformOptions::new(settings.platform)
-    };
-    let platform = || HttpPlatform::new(options);
     actix_rt::spawn(poll_vms(platform(), Arc::clone(settings), control.clone()));
     let (followed, applied) = (Arc::clone(settings), outputs.documents);
     actix_rt::spawn(follow_documents(
@@ -265,6 +272,19 @@
         () = server.stop(true) => log::info!(target: "entry", "All requests have ended."),
         () = signals.next() => cut(&server).await,
     }
+    close_claims(&parts.control).await;
+}
+
+/// Waits until the ends of all claimed requests are written, but not for ever.
+async fn close_claims(control: &Addr<ControlActor>) {
+    let deadline = Instant::now() + CLAIM_CLOSE_LIMIT;
+    while Instant::now() < deadline {
+        match control.send(CountClaims).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => tokio::time::sleep(CLAIM_CLOSE_INTERVAL).await,
+        }
+    }
+    log::warn!(target: "entry", "Ends of claimed requests were not written.");
 }
 
 async fn cut(server: &ServerHandle) {
--- a/crates/gs-entry/src/telemetry.rs
+++ b/crates/gs-entry/src/telemetry.rs
@@ -27,6 +27,13 @@
 /// The sequence number of the document in force.
 pub const DOCUMENT_SEQUENCE: &str = "gs_document_sequence";
 
+/// Shards of claims that this entry owns.
+pub const CLAIM_SHARDS_OWNED: &str = "gs_claim_shards_owned";
+/// Claims that are kept in those shards.
+pub const CLAIMS_KEPT: &str = "gs_claims_kept";
+/// Claims of this entry's callers that are not closed.
+pub const CLAIMS_OPEN: &str = "gs_claims_open";
+
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKET_SECONDS: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0,
--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claims::{ClaimCall, ClaimReply};
 use crate::ids::{DataCentreName, EntryIdentity, SequenceNumber};
 
 /// The version of these messages. Peers with another version are refused.
@@ -68,6 +69,10 @@
 pub enum PeerCall {
     /// The document in force at the peer, for an entry that cannot read it from the platform.
     FetchDocument,
+    /// A call to the owner of a shard of claims.
+    Claim(ClaimCall),
+    /// What the owner answers; it may come long after the call.
+    ClaimReply(ClaimReply),
 }
 
 /// What a peer answers.
@@ -75,6 +80,8 @@
 pub enum PeerReply {
     /// The document in force, if one is.
     Document(Option<PeerDocument>),
+    /// The message was taken.
+    Taken,
 }
 
 /// A document as it travels between entries.
