--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -7,7 +7,7 @@
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, SpawnHandle};
 use gs_control::dispatch::DispatchEvent;
 use gs_control::ledger::LedgerEvent;
-use gs_control::membership::MembershipEffect;
+use gs_control::membership::{MemberStatus, MembershipEffect};
 use gs_document::settings::EntrySettings;
 use gs_platform::HttpPlatform;
 use gs_protocol::peer::{PeerCall, PeerReply};
@@ -20,7 +20,7 @@
 use crate::documents::AppliedDocument;
 use crate::ledger::ClaimDesk;
 use crate::peers::{FleetView, PeerParts};
-use crate::reclaim::ReclaimLoop;
+use crate::reclaim::{OrphanLoop, ReclaimLoop};
 use crate::servers::{ServerDirectory, ServerPolls};
 
 /// How often time is told to the state machines when nothing else happens.
@@ -39,6 +39,7 @@
     polls: ServerPolls,
     reclaim: ReclaimLoop,
     claims: ClaimDesk,
+    orphans: OrphanLoop,
     wakeup: Option<(Instant, SpawnHandle)>,
 }
 
@@ -53,12 +54,13 @@
     ) -> Self {
         let own = parts.credentials.own.identity.clone();
         Self {
-            claims: ClaimDesk::new(own, &settings, seed, platform),
+            claims: ClaimDesk::new(own.clone(), &settings, seed, platform),
             requests: RequestDesk::new(&settings, seed),
             peers: PeerDesk::new(&settings, parts, fleet),
             directory: ServerDirectory::new(&settings),
             polls: ServerPolls::new(Arc::clone(&settings)),
             reclaim: ReclaimLoop::new(&settings),
+            orphans: OrphanLoop::new(own, &settings),
             document: None,
             wakeup: None,
             settings,
@@ -107,6 +109,29 @@
         let effects = self.peers.tick(now);
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
+        if self.orphans.is_due(now) {
+            self.repeat_leaving(context);
+            self.look_for_orphans(context);
+        }
+    }
+
+    /// Says again which servers are leaving, as the dispatch slice forgets it after a time.
+    fn repeat_leaving(&mut self, context: &mut Context<Self>) {
+        for server in self.directory.leaving() {
+            self.dispatch(DispatchEvent::ServerLeaving(server), context);
+        }
+    }
+
+    /// Asks the engines that this entry is the home of what they hold.
+    fn look_for_orphans(&self, context: &mut Context<Self>) {
+        let Some(document) = &self.document else {
+            return;
+        };
+        let engines = self.directory.engines(&document.document);
+        for server in engines.filter(|server| self.peers.is_home_of(server)) {
+            self.orphans
+                .look(server.endpoint.address, context.address());
+        }
     }
 
     fn apply_document(&mut self, document: Arc<AppliedDocument>, context: &mut Context<Self>) {
@@ -141,9 +166,17 @@
 
     /// Tells the other slices which entries have come or gone.
     fn follow_members(&mut self, effects: &[MembershipEffect], context: &mut Context<Self>) {
-        let changed =
-            |effect: &MembershipEffect| matches!(effect, MembershipEffect::StatusChanged { .. });
-        if effects.iter().any(changed) {
+        let mut changed = false;
+        for effect in effects {
+            let MembershipEffect::StatusChanged { peer, status } = effect else {
+                continue;
+            };
+            changed = true;
+            let alive = *status != MemberStatus::Dead;
+            self.orphans
+                .note_owner(Instant::now(), peer.identity.clone(), alive);
+        }
+        if changed {
             let entries = self.peers.count_entries();
             self.dispatch(DispatchEvent::EntriesSeen(entries), context);
             self.follow_owners(context);
@@ -187,6 +220,10 @@
             ControlMessage::Dispatch(event) => self.dispatch(event, context),
             ControlMessage::DocumentApplied(document) => self.apply_document(document, context),
             ControlMessage::VmsSeen(records) => self.see_vms(&records, context),
+            ControlMessage::DrainsSeen(drained) => {
+                self.directory.set_drained(drained);
+                self.repeat_leaving(context);
+            }
             ControlMessage::LoadMissed(server) => {
                 self.dispatch(DispatchEvent::ServerLost(server), context);
             }
@@ -205,6 +242,12 @@
                 self.claims.leave();
                 self.claim(LedgerEvent::Leaving, context);
             }
+            ControlMessage::HeldSeen { engine, records } => {
+                let now = Instant::now();
+                for call in self.orphans.take_held(now, engine, records) {
+                    self.reclaim.add(now, call);
+                }
+            }
         }
     }
 }
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between the control thread and the traffic threads.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use actix::Message;
 use gs_control::dispatch::{DispatchEvent, RequestDemand};
 use gs_control::ledger::{ClaimDemand, LedgerEvent};
-use gs_protocol::engine::EnginePriority;
+use gs_protocol::engine::{EnginePriority, HeldRecord};
 use gs_protocol::ids::{AttemptId, EntryIdentity, RequestId, ServerKindName, ServerName};
 use gs_protocol::peer::{PeerCall, PeerIdentity, PeerReply, PeerState};
 use gs_protocol::refusal::RefusalReason;
@@ -74,6 +75,8 @@
     DocumentApplied(Arc<AppliedDocument>),
     /// The platform's list of VMs was read.
     VmsSeen(Vec<VmRecord>),
+    /// The servers that operators have taken out of use were read.
+    DrainsSeen(BTreeSet<ServerName>),
     /// An engine did not answer a load poll.
     LoadMissed(ServerName),
     /// What an attempt holds must be freed.
@@ -94,6 +97,13 @@
     },
     /// Something happened to a claim or to a call of the platform's service for one.
     Ledger(LedgerEvent),
+    /// An engine listed what it holds.
+    HeldSeen {
+        /// The engine.
+        engine: SocketAddr,
+        /// What it holds.
+        records: Vec<HeldRecord>,
+    },
     /// The entry begins to shut down.
     Leave,
 }
