--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -38,6 +38,9 @@
     /// A plain service that records what it ran
     #[bpaf(command("service"), footer(SERVICE_EXAMPLES))]
     Service(#[bpaf(external(service_options))] ServiceOptions),
+    /// Prints a new idempotency key
+    #[bpaf(command("key"))]
+    Key,
     /// The platform's object service and VM list
     #[bpaf(command("platform"), footer(PLATFORM_EXAMPLES))]
     Platform(#[bpaf(external(platform_options))] PlatformOptions),
@@ -66,6 +69,7 @@
 fn run(command: StandinCommand) -> Result<(), Report<StandinError>> {
     let system = actix_rt::System::new();
     match command {
+        StandinCommand::Key => println!("{}", uuid::Uuid::now_v7()),
         StandinCommand::Engine(options) => system.block_on(engine::run(options))?,
         StandinCommand::Service(options) => system.block_on(service::run(options))?,
         StandinCommand::Platform(options) => system
