Let the view of documents fit what sources really give

Cause: peers tell the sequence number in force there and give the document with it; they hold no head record. The view had asked bodies by digest.

Change: the view hears sequence numbers by source, fetches the document in force at the best source that has not failed in this round (the platform before peers of the same number), checks the digest and applies only higher numbers.

--- a/crates/gs-control/src/documents/applied.rs
+++ b/crates/gs-control/src/documents/applied.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use gs_protocol::ids::Incarnation;
-use gs_protocol::objects::{AppliedRecord, HeadRecord, StatusRecord};
+use gs_protocol::ids::{Incarnation, SequenceNumber};
+use gs_protocol::objects::{AppliedRecord, StatusRecord};
 
 /// Earlier documents that a report names.
 const MAX_EARLIER: usize = 64;
@@ -27,12 +27,10 @@
     }
 
     /// Records that a document came into force, at a time in milliseconds since 1970.
-    pub fn record(&mut self, head: &HeadRecord, since_ms: u64) {
-        self.digest.clone_from(&head.digest);
-        self.applied.push_front(AppliedRecord {
-            sequence: head.sequence,
-            since_ms,
-        });
+    pub fn record(&mut self, sequence: SequenceNumber, digest: &str, since_ms: u64) {
+        digest.clone_into(&mut self.digest);
+        self.applied
+            .push_front(AppliedRecord { sequence, since_ms });
         self.applied.truncate(MAX_EARLIER + 1);
     }
 
--- a/crates/gs-control/src/documents/mod.rs
+++ b/crates/gs-control/src/documents/mod.rs
@@ -15,4 +15,6 @@
 pub use outcome::{PromotionEnd, PromotionStep};
 pub use plan::{PromotionAction, PromotionPlan, RetryPolicy};
 pub use promotion::PromotionState;
-pub use view::{DocumentEffect, DocumentEvent, DocumentSource, DocumentView, FetchPolicy};
+pub use view::{
+    DocumentEffect, DocumentEvent, DocumentSource, DocumentView, FetchPolicy, SequencedDocument,
+};
--- a/crates/gs-control/src/documents/view.rs
+++ b/crates/gs-control/src/documents/view.rs
@@ -1,15 +1,15 @@
 //! Which document is in force at an entry.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use gs_document::digest_document;
-use gs_protocol::ids::EntryName;
-use gs_protocol::objects::HeadRecord;
+use gs_protocol::ids::{EntryName, SequenceNumber};
 
 use super::BackoffPolicy;
 
-/// Where a head was seen and a body can be had.
+/// Where documents can be had.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum DocumentSource {
     /// The platform's service.
@@ -18,28 +18,37 @@
     Peer(EntryName),
 }
 
+/// The document in force at a source.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SequencedDocument {
+    /// The place in the environment's history.
+    pub sequence: SequenceNumber,
+    /// The digest that was accepted.
+    pub digest: String,
+    /// The bytes, as they came.
+    pub bytes: Arc<[u8]>,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum DocumentEvent {
-    /// A head was read or announced.
-    HeadSeen {
-        /// Where.
+    /// A source was found to have a sequence number in force.
+    SequenceSeen {
+        /// The source.
         source: DocumentSource,
-        /// The head.
-        head: HeadRecord,
+        /// The sequence number.
+        sequence: SequenceNumber,
     },
-    /// Bytes came that were fetched under a digest.
-    BodyFetched {
-        /// The digest that was asked for.
-        digest: String,
-        /// The bytes.
-        bytes: Arc<[u8]>,
+    /// A source gave its document.
+    Fetched {
+        /// The source.
+        source: DocumentSource,
+        /// Its document.
+        document: SequencedDocument,
     },
-    /// A fetch failed.
+    /// A source did not give its document.
     FetchFailed {
-        /// The digest that was asked for.
-        digest: String,
-        /// Where it was asked for.
+        /// The source.
         source: DocumentSource,
     },
     /// Time has passed.
@@ -49,23 +58,16 @@
 /// What is to be done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DocumentEffect {
-    /// Fetch the bytes of a document.
-    FetchBody {
-        /// The digest.
-        digest: String,
-        /// Where.
+    /// Fetch the document that is in force at a source.
+    Fetch {
+        /// The source.
         source: DocumentSource,
     },
-    /// Bring a document into force.
-    Apply {
-        /// How it came to be accepted.
-        head: HeadRecord,
-        /// Its bytes, which have the head's digest.
-        bytes: Arc<[u8]>,
-    },
+    /// Bring a document into force; its bytes have its digest.
+    Apply(SequencedDocument),
 }
 
-/// How bodies are fetched.
+/// How documents are fetched.
 #[derive(Clone, Copy, Debug)]
 pub struct FetchPolicy {
     /// How long one fetch may take.
@@ -83,29 +85,21 @@
     }
 }
 
-/// The document in force and the newest one known. It only ever goes to higher sequence numbers.
+/// The document in force and what sources have. It only ever goes to higher sequence numbers.
 #[derive(Clone, Debug)]
 pub struct DocumentView {
     policy: FetchPolicy,
-    in_force: Option<ForceRecord>,
-    newest: Option<NewestHead>,
+    in_force: Option<SequenceNumber>,
+    sources: BTreeMap<DocumentSource, SourceRecord>,
     fetch: FetchState,
+    rounds: u32,
 }
 
-#[derive(Clone, Debug)]
-struct ForceRecord {
-    head: HeadRecord,
-    bytes: Arc<[u8]>,
-}
-
-/// The highest head seen, with the sources that announced it; failed fetches of its body in this round,
-/// and rounds in which every source failed.
-#[derive(Clone, Debug)]
-struct NewestHead {
-    head: HeadRecord,
-    sources: Vec<DocumentSource>,
-    failures: usize,
-    rounds: u32,
+/// The highest sequence number seen at a source, and whether it failed in this round of fetches.
+#[derive(Clone, Copy, Debug)]
+struct SourceRecord {
+    sequence: SequenceNumber,
+    failed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -115,7 +109,6 @@
         until: Instant,
     },
     Open {
-        head: HeadRecord,
         source: DocumentSource,
         deadline: Instant,
     },
@@ -127,20 +120,15 @@
         Self {
             policy,
             in_force: None,
-            newest: None,
+            sources: BTreeMap::new(),
             fetch: FetchState::Idle,
+            rounds: 0,
         }
     }
 
-    /// The head of the document in force.
-    pub fn head(&self) -> Option<&HeadRecord> {
-        self.in_force.as_ref().map(|force| &force.head)
-    }
-
-    /// The bytes of the document in force, to be given to entries that ask by its digest.
-    pub fn body(&self, digest: &str) -> Option<Arc<[u8]>> {
-        let force = self.in_force.as_ref()?;
-        (force.head.digest == digest).then(|| Arc::clone(&force.bytes))
+    /// The sequence number in force; none before the first document.
+    pub fn sequence(&self) -> Option<SequenceNumber> {
+        self.in_force
     }
 
     /// Takes one event and appends what is to be done.
@@ -151,174 +139,109 @@
         effects: &mut Vec<DocumentEffect>,
     ) {
         match event {
-            DocumentEvent::HeadSeen { source, head } => self.see_head(source, head),
-            DocumentEvent::BodyFetched { digest, bytes } => {
-                self.take_body(now, &digest, bytes, effects);
-            }
-            DocumentEvent::FetchFailed { digest, source } => {
-                self.fail_fetch(now, &digest, &source);
+            DocumentEvent::SequenceSeen { source, sequence } => self.see(source, sequence),
+            DocumentEvent::Fetched { source, document } => {
+                self.take_document(&source, document, effects);
             }
+            DocumentEvent::FetchFailed { source } => self.fail_fetch(&source),
             DocumentEvent::Tick => self.expire_fetch(now),
         }
-        self.advance(now, effects);
+        self.fetch_next(now, effects);
+    }
+
+    fn is_newer(&self, sequence: SequenceNumber) -> bool {
+        self.in_force.is_none_or(|in_force| sequence > in_force)
     }
 
-    fn see_head(&mut self, source: DocumentSource, head: HeadRecord) {
-        let lowest = self.head().map(|head| head.sequence);
-        if lowest.is_some_and(|lowest| head.sequence <= lowest) {
+    fn see(&mut self, source: DocumentSource, sequence: SequenceNumber) {
+        if !self.is_newer(sequence) {
             return;
         }
-        match &mut self.newest {
-            Some(newest) if newest.head.sequence > head.sequence => {}
-            Some(newest) if newest.head.sequence == head.sequence => {
-                if newest.head == head && !newest.sources.contains(&source) {
-                    newest.sources.push(source);
-                }
-            }
-            _ => {
-                self.newest = Some(NewestHead {
-                    head,
-                    sources: vec![source],
-                    failures: 0,
-                    rounds: 0,
-                });
-                self.end_pause();
-            }
+        let known = self.sources.get(&source);
+        if known.is_some_and(|known| known.sequence >= sequence) {
+            return;
         }
-    }
-
-    fn end_pause(&mut self) {
+        let failed = false;
+        self.sources
+            .insert(source, SourceRecord { sequence, failed });
         if matches!(self.fetch, FetchState::Pausing { .. }) {
             self.fetch = FetchState::Idle;
         }
     }
 
-    /// Bytes that do not have the digest they were fetched under count as a failed fetch.
-    fn take_body(
+    /// A document with other bytes than its digest says, or an old one, counts as a failed fetch.
+    fn take_document(
         &mut self,
-        now: Instant,
-        digest: &str,
-        bytes: Arc<[u8]>,
+        source: &DocumentSource,
+        document: SequencedDocument,
         effects: &mut Vec<DocumentEffect>,
     ) {
-        if digest_document(&bytes) != digest {
-            if let FetchState::Open { source, .. } = &self.fetch {
-                let source = source.clone();
-                self.fail_fetch(now, digest, &source);
-            }
+        let whole = digest_document(&document.bytes) == document.digest;
+        if !whole || !self.is_newer(document.sequence) {
+            self.fail_fetch(source);
             return;
         }
-        if let FetchState::Open { head, .. } = &self.fetch
-            && head.digest == digest
-        {
-            let head = head.clone();
+        self.end_fetch(source);
+        self.in_force = Some(document.sequence);
+        self.rounds = 0;
+        self.sources
+            .retain(|_, known| known.sequence > document.sequence);
+        effects.push(DocumentEffect::Apply(document));
+    }
+
+    fn end_fetch(&mut self, ended: &DocumentSource) {
+        if matches!(&self.fetch, FetchState::Open { source, .. } if source == ended) {
             self.fetch = FetchState::Idle;
-            self.apply(head, Arc::clone(&bytes), effects);
-        }
-        if let Some(newest) = &self.newest
-            && newest.head.digest == digest
-        {
-            let head = newest.head.clone();
-            self.apply(head, bytes, effects);
         }
     }
 
-    fn fail_fetch(&mut self, now: Instant, digest: &str, failed: &DocumentSource) {
-        let FetchState::Open { head, source, .. } = &self.fetch else {
-            return;
-        };
-        if head.digest != digest || source != failed {
-            return;
-        }
-        let sequence = head.sequence;
-        self.fetch = FetchState::Idle;
-        if let Some(newest) = &mut self.newest
-            && newest.head.sequence == sequence
-            && newest.count_failure()
-        {
-            newest.rounds += 1;
-            let pause = self.policy.backoff.pause(newest.rounds);
-            self.fetch = FetchState::Pausing { until: now + pause };
+    fn fail_fetch(&mut self, failed: &DocumentSource) {
+        if matches!(&self.fetch, FetchState::Open { source, .. } if source == failed) {
+            self.fetch = FetchState::Idle;
+            if let Some(known) = self.sources.get_mut(failed) {
+                known.failed = true;
+            }
         }
     }
 
     fn expire_fetch(&mut self, now: Instant) {
         match &self.fetch {
-            FetchState::Open {
-                head,
-                source,
-                deadline,
-            } if *deadline <= now => {
-                let (digest, source) = (head.digest.clone(), source.clone());
-                self.fail_fetch(now, &digest, &source);
+            FetchState::Open { source, deadline } if *deadline <= now => {
+                let source = source.clone();
+                self.fail_fetch(&source);
             }
             FetchState::Pausing { until } if *until <= now => self.fetch = FetchState::Idle,
             _ => {}
         }
     }
 
-    /// Applies or fetches the newest head, unless a fetch is open or pausing.
-    fn advance(&mut self, now: Instant, effects: &mut Vec<DocumentEffect>) {
-        let Some(newest) = &self.newest else {
-            return;
-        };
-        let head = newest.head.clone();
-        if let Some(bytes) = self.body(&head.digest) {
-            self.apply(head, bytes, effects);
+    /// Fetches from the source with the highest sequence number that has not failed in this round.
+    fn fetch_next(&mut self, now: Instant, effects: &mut Vec<DocumentEffect>) {
+        if !matches!(self.fetch, FetchState::Idle) || self.sources.is_empty() {
             return;
         }
-        if !matches!(self.fetch, FetchState::Idle) {
+        let open = self.sources.iter().filter(|(_, known)| !known.failed);
+        // Of equal sources the first is taken, and the platform's service comes before peers.
+        let best = open.rev().max_by_key(|(_, known)| known.sequence);
+        let Some((source, _)) = best else {
+            self.pause(now);
             return;
-        }
-        let candidates = newest.candidates();
-        let source = candidates[newest.failures].clone();
-        effects.push(DocumentEffect::FetchBody {
-            digest: head.digest.clone(),
-            source: source.clone(),
-        });
+        };
+        let source = source.clone();
+        let deadline = now + self.policy.timeout;
         self.fetch = FetchState::Open {
-            head,
-            source,
-            deadline: now + self.policy.timeout,
+            source: source.clone(),
+            deadline,
         };
+        effects.push(DocumentEffect::Fetch { source });
     }
 
-    fn apply(&mut self, head: HeadRecord, bytes: Arc<[u8]>, effects: &mut Vec<DocumentEffect>) {
-        let lowest = self.head().map(|head| head.sequence);
-        if lowest.is_some_and(|lowest| head.sequence <= lowest) {
-            return;
-        }
-        if let Some(newest) = &self.newest
-            && newest.head.sequence <= head.sequence
-        {
-            self.newest = None;
-            self.fetch = FetchState::Idle;
-        }
-        self.in_force = Some(ForceRecord {
-            head: head.clone(),
-            bytes: Arc::clone(&bytes),
-        });
-        effects.push(DocumentEffect::Apply { head, bytes });
-    }
-}
-
-impl NewestHead {
-    /// Counts a failed fetch; true if every source has failed in this round.
-    fn count_failure(&mut self) -> bool {
-        self.failures += 1;
-        let round_over = self.failures >= self.candidates().len();
-        if round_over {
-            self.failures = 0;
-        }
-        round_over
-    }
-
-    /// Sources in the order in which they are asked.
-    fn candidates(&self) -> Vec<DocumentSource> {
-        let mut candidates = self.sources.clone();
-        if !candidates.contains(&DocumentSource::Platform) {
-            candidates.push(DocumentSource::Platform);
+    fn pause(&mut self, now: Instant) {
+        self.rounds += 1;
+        for known in self.sources.values_mut() {
+            known.failed = false;
         }
-        candidates
+        let until = now + self.policy.backoff.pause(self.rounds);
+        self.fetch = FetchState::Pausing { until };
     }
 }
