--- a/crates/gs-control/src/documents/view.rs
+++ b/crates/gs-control/src/documents/view.rs
@@ -150,7 +150,7 @@
     }
 
     fn is_newer(&self, sequence: SequenceNumber) -> bool {
-        self.in_force.is_none_or(|in_force| sequence > in_force)
+        sequence > self.in_force.unwrap_or_default()
     }
 
     fn see(&mut self, source: DocumentSource, sequence: SequenceNumber) {
