Say how a measurement's request ended, and which engines to call directly

A paired measurement against the engines that the entry knows fails now and then: the entry cancels what no known entry owns. The help now asks for a second pair of engines alike. A failed request names its refusal. Ruled out: borrowing the entry's identity, whose attempts the entry would not know either.

--- a/crates/gs-standin/src/load/error.rs
+++ b/crates/gs-standin/src/load/error.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use super::exchange::CallEnd;
+
 /// Why a load run could not be made.
 #[derive(Debug, thiserror::Error)]
 pub enum LoadError {
@@ -45,10 +47,10 @@
     #[error("a client thread ended early")]
     ThreadEnded,
     /// A request of a measurement failed.
-    #[error("a request of the measurement ended as \"{end}\"")]
+    #[error("a request of the measurement ended as {end:?}")]
     RequestFailed {
         /// How it ended.
-        end: &'static str,
+        end: CallEnd,
     },
     /// The measures cannot be printed.
     #[error("the measures cannot be written as JSON")]
--- a/crates/gs-standin/src/load/mod.rs
+++ b/crates/gs-standin/src/load/mod.rs
@@ -25,6 +25,7 @@
 mod table;
 
 pub use error::LoadError;
+pub use exchange::CallEnd;
 pub use mix::{
     ClassMix, FloodSpan, LoadMix, ServiceMethod, ServiceMix, SharedPrefix, TokenRange, TokenSpread,
 };
--- a/crates/gs-standin/src/load/options.rs
+++ b/crates/gs-standin/src/load/options.rs
@@ -91,10 +91,10 @@
     /// The entry
     #[bpaf(argument("ADDRESS"))]
     pub entry: SocketAddr,
-    /// The prefill engine behind the entry
+    /// A prefill engine like the entry's, but unknown to it: entries cancel what no entry owns
     #[bpaf(argument("ADDRESS"))]
     pub prefill: SocketAddr,
-    /// The decode engine behind the entry
+    /// A decode engine like the entry's, but unknown to it
     #[bpaf(argument("ADDRESS"))]
     pub decode: SocketAddr,
     /// Bearer token
@@ -128,10 +128,10 @@
     /// The entry; may be left out if a prefill and a decode engine are given
     #[bpaf(argument("ADDRESS"))]
     pub entry: Option<SocketAddr>,
-    /// The prefill engine, to leave the entry out
+    /// A prefill engine that no entry knows, to leave the entry out
     #[bpaf(argument("ADDRESS"))]
     pub prefill: Option<SocketAddr>,
-    /// The decode engine, to leave the entry out
+    /// A decode engine that no entry knows, to leave the entry out
     #[bpaf(argument("ADDRESS"))]
     pub decode: Option<SocketAddr>,
     /// Bearer token
--- a/crates/gs-standin/src/load/overhead.rs
+++ b/crates/gs-standin/src/load/overhead.rs
@@ -153,7 +153,7 @@
     match outcome.first {
         Some(first) if outcome.end == CallEnd::Whole => Ok(first),
         _ => Err(LoadError::RequestFailed {
-            end: outcome.end.label(),
+            end: outcome.end.clone(),
         }),
     }
 }
