Report what each class keeps during floods

What other work keeps during a flood is one of the users' measures; it could not be read from totals.

--- a/crates/gs-standin/src/load/mix.rs
+++ b/crates/gs-standin/src/load/mix.rs
@@ -155,6 +155,31 @@
         }
     }
 
+    /// Whether a class or service floods at a time, in seconds from the start.
+    pub fn floods_at(&self, at_s: f64) -> bool {
+        self.floods().any(|flood| flood.contains(at_s))
+    }
+
+    /// Seconds of a run in which a class or service floods.
+    pub fn flood_seconds(&self, length_s: f64) -> f64 {
+        let mut spans: Vec<_> = self.floods().collect();
+        spans.sort_by(|one, other| one.from_s.total_cmp(&other.from_s));
+        let mut counted_to = 0.0_f64;
+        let mut seconds = 0.0;
+        for span in spans {
+            let (from, to) = (span.from_s.max(counted_to), span.to_s.min(length_s));
+            seconds += (to - from).max(0.0);
+            counted_to = counted_to.max(to);
+        }
+        seconds
+    }
+
+    fn floods(&self) -> impl Iterator<Item = &FloodSpan> {
+        let classes = self.classes.iter().flat_map(|class| &class.floods);
+        let services = self.services.iter().flat_map(|service| &service.floods);
+        classes.chain(services)
+    }
+
     /// The token of any caller, to ask for the list of entries.
     pub fn any_token(&self) -> &str {
         let classes = self.classes.iter().map(|class| &class.token);
@@ -178,6 +203,13 @@
     }
 }
 
+impl FloodSpan {
+    /// Whether a time, in seconds from the start, lies in the span.
+    pub fn contains(&self, at_s: f64) -> bool {
+        (self.from_s..self.to_s).contains(&at_s)
+    }
+}
+
 impl TokenRange {
     /// A range of one size.
     pub fn exactly(tokens: u32) -> Self {
--- a/crates/gs-standin/src/load/mod.rs
+++ b/crates/gs-standin/src/load/mod.rs
@@ -32,7 +32,7 @@
 pub use options::{
     LoadCommand, MixOptions, OverheadOptions, StreamsOptions, load_command, mix_options,
 };
-pub use report::{ClassReport, LoadReport, ServiceReport, TimeQuantiles};
+pub use report::{ClassReport, FloodReport, LoadReport, ServiceReport, TimeQuantiles};
 pub use runner::run_mix;
 pub use schedule::{Arrival, ArrivalKind, CompletionPlan, plan_arrivals};
 
--- a/crates/gs-standin/src/load/recorder.rs
+++ b/crates/gs-standin/src/load/recorder.rs
@@ -59,6 +59,8 @@
 pub struct ClassRecord {
     pub sent: u64,
     pub good: u64,
+    pub flood_sent: u64,
+    pub flood_good: u64,
     pub ends: BTreeMap<&'static str, u64>,
     pub refused: BTreeMap<String, u64>,
     pub first: TimeRecord,
@@ -66,8 +68,14 @@
 }
 
 impl ClassRecord {
-    /// Adds one call.
-    pub fn add(&mut self, class: &ClassMix, outcome: &CallOutcome) {
+    /// Counts a call that begins.
+    pub fn begin(&mut self, in_flood: bool) {
+        self.sent += 1;
+        self.flood_sent += u64::from(in_flood);
+    }
+
+    /// Adds what came of a call.
+    pub fn add(&mut self, class: &ClassMix, outcome: &CallOutcome, in_flood: bool) {
         *self.ends.entry(outcome.end.label()).or_default() += 1;
         if let CallEnd::Refused(reason) = &outcome.end {
             *self.refused.entry(reason.clone()).or_default() += 1;
@@ -78,13 +86,17 @@
         for &gap in &outcome.gaps {
             self.between.add(gap);
         }
-        self.good += u64::from(is_good(class, outcome));
+        let good = u64::from(is_good(class, outcome));
+        self.good += good;
+        self.flood_good += good * u64::from(in_flood);
     }
 
     /// Adds the calls of another record.
     pub fn merge(&mut self, other: &Self) {
         self.sent += other.sent;
         self.good += other.good;
+        self.flood_sent += other.flood_sent;
+        self.flood_good += other.flood_good;
         merge_counts(&mut self.ends, &other.ends);
         merge_counts(&mut self.refused, &other.refused);
         self.first.merge(&other.first);
--- a/crates/gs-standin/src/load/report.rs
+++ b/crates/gs-standin/src/load/report.rs
@@ -20,6 +20,27 @@
     pub p99_ms: f64,
 }
 
+/// Seconds of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunSpans {
+    /// All of it.
+    pub whole_s: f64,
+    /// The part in which a class floods.
+    pub flood_s: f64,
+}
+
+/// The measures of one class during floods.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct FloodReport {
+    /// Requests.
+    pub sent: u64,
+    /// Whole answers within both targets.
+    pub good: u64,
+    /// Whole answers within both targets, a second of flood.
+    pub goodput_per_s: f64,
+}
+
 /// The measures of one class.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -40,6 +61,9 @@
     pub good: u64,
     /// Whole answers within both targets, a second.
     pub goodput_per_s: f64,
+    /// What came of the requests that were sent while any class flooded.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub flood: Option<FloodReport>,
     /// From arrival to first token.
     pub first_token: TimeQuantiles,
     /// Between tokens.
@@ -102,8 +126,13 @@
 }
 
 impl ClassReport {
-    /// The measures of a class over a number of seconds.
-    pub fn new(class: &ClassMix, record: &ClassRecord, seconds: f64) -> Self {
+    /// The measures of a class over a run.
+    pub fn new(class: &ClassMix, record: &ClassRecord, spans: RunSpans) -> Self {
+        let flood = FloodReport {
+            sent: record.flood_sent,
+            good: record.flood_good,
+            goodput_per_s: record.flood_good as f64 / spans.flood_s,
+        };
         Self {
             name: class.name.clone(),
             rank: class.rank.clone(),
@@ -112,7 +141,8 @@
             unfinished: record.sent - record.ends.values().sum::<u64>(),
             refused: record.refused.clone(),
             good: record.good,
-            goodput_per_s: record.good as f64 / seconds,
+            goodput_per_s: record.good as f64 / spans.whole_s,
+            flood: (spans.flood_s > 0.0).then_some(flood),
             first_token: TimeQuantiles::of(&record.first),
             between_tokens: TimeQuantiles::of(&record.between),
         }
--- a/crates/gs-standin/src/load/runner.rs
+++ b/crates/gs-standin/src/load/runner.rs
@@ -22,7 +22,7 @@
 use super::mix::LoadMix;
 use super::options::MixOptions;
 use super::recorder::{ClassRecord, ServiceRecord};
-use super::report::{ClassReport, LoadReport, ServiceReport};
+use super::report::{ClassReport, LoadReport, RunSpans, ServiceReport};
 use super::schedule::{Arrival, ArrivalKind, CompletionPlan, build_prompt, plan_arrivals};
 use super::service::{ServiceCall, call_service};
 
@@ -168,7 +168,9 @@
 
     async fn send_completion(&self, class: usize, plan: &CompletionPlan, start: Instant) {
         let described = &self.mix.classes[class];
-        self.record.borrow_mut().classes[class].sent += 1;
+        let at = start.saturating_duration_since(self.start);
+        let in_flood = self.mix.floods_at(at.as_secs_f64());
+        self.record.borrow_mut().classes[class].begin(in_flood);
         let prompt = build_prompt(described, plan);
         let call = CompletionCall {
             token: &described.token,
@@ -184,7 +186,7 @@
             Some(entry) => call_entry(&self.client, entry, &call).await,
             None => CallOutcome::without_tokens(CallEnd::Unreachable),
         };
-        self.record.borrow_mut().classes[class].add(described, &outcome);
+        self.record.borrow_mut().classes[class].add(described, &outcome, in_flood);
     }
 
     async fn send_call(&self, class: usize, seed: u64, start: Instant) {
@@ -225,13 +227,17 @@
 }
 
 fn build_report(options: &MixOptions, mix: &LoadMix, record: &RunRecord) -> LoadReport {
+    let spans = RunSpans {
+        whole_s: options.seconds,
+        flood_s: mix.flood_seconds(options.seconds),
+    };
     let classes = mix.classes.iter().zip(&record.classes);
     let services = mix.services.iter().zip(&record.services);
     LoadReport {
         seconds: options.seconds,
         seed: options.seed,
         classes: classes
-            .map(|(class, record)| ClassReport::new(class, record, options.seconds))
+            .map(|(class, record)| ClassReport::new(class, record, spans))
             .collect(),
         services: services
             .map(|(service, record)| ServiceReport::new(service, record))
--- a/crates/gs-standin/src/load/schedule.rs
+++ b/crates/gs-standin/src/load/schedule.rs
@@ -114,9 +114,7 @@
 }
 
 fn rate_at(rate: f64, floods: &[FloodSpan], at: f64) -> f64 {
-    let flood = floods
-        .iter()
-        .find(|flood| (flood.from_s..flood.to_s).contains(&at));
+    let flood = floods.iter().find(|flood| flood.contains(at));
     rate * flood.map_or(1.0, |flood| flood.factor)
 }
 
--- a/crates/gs-standin/src/load/table.rs
+++ b/crates/gs-standin/src/load/table.rs
@@ -77,6 +77,13 @@
 }
 
 fn write_reasons(formatter: &mut fmt::Formatter<'_>, class: &ClassReport) -> fmt::Result {
+    if let Some(flood) = &class.flood {
+        writeln!(
+            formatter,
+            "  {}: during floods {} sent, {} good, {:.2} good/s",
+            class.name, flood.sent, flood.good, flood.goodput_per_s,
+        )?;
+    }
     for (reason, count) in &class.refused {
         writeln!(formatter, "  {}: refused as {reason}: {count}", class.name)?;
     }
--- a/crates/gs-standin/tests/load.rs
+++ b/crates/gs-standin/tests/load.rs
@@ -110,8 +110,14 @@
         answer_ms: 60_000,
         floods: Vec::new(),
     };
+    let mut class = class();
+    class.floods.push(FloodSpan {
+        from_s: 0.0,
+        to_s: 5.0,
+        factor: 1.0,
+    });
     let mix = LoadMix {
-        classes: vec![class()],
+        classes: vec![class],
         services: vec![desk],
     };
     let report = run_mix(&options, mix).expect("report");
@@ -119,6 +125,9 @@
     assert!(class.sent > 0);
     assert_eq!(class.ended(behaviour), class.sent, "{report}");
     assert_eq!(class.good > 0, behaviour == "whole");
+    let flood = class.flood.expect("flood");
+    assert_eq!((flood.sent, flood.good), (class.sent, class.good));
+    assert_eq!(flood.goodput_per_s, class.goodput_per_s);
     assert_eq!(
         class.refused.contains_key("too-late"),
         behaviour == "refused"
