Drive the document slice at entries: platform, peers and status

Cause: the follower read the platform only, so an entry that starts in an outage had no document, and nobody could see since when an entry applies one. Change: sequence numbers seen at the platform or in heartbeats go to the document slice, which fetches from either; each entry reports what it applies and since when.

--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -6,6 +6,7 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, SpawnHandle};
 use gs_control::dispatch::DispatchEvent;
+use gs_control::documents::{DocumentEvent, DocumentSource};
 use gs_control::ledger::LedgerEvent;
 use gs_control::membership::{MemberStatus, MembershipEffect};
 use gs_document::settings::EntrySettings;
@@ -17,7 +18,7 @@
 use super::dispatch::RequestDesk;
 use super::messages::{AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, ServerEndpoint};
 use super::peers::PeerDesk;
-use crate::documents::AppliedDocument;
+use crate::documents::{AppliedDocument, DocumentDesk, DocumentOutput};
 use crate::ledger::ClaimDesk;
 use crate::peers::{FleetView, PeerParts};
 use crate::reclaim::{OrphanLoop, ReclaimLoop};
@@ -32,7 +33,7 @@
 /// Owns the decision state. Everything in it runs on one thread.
 pub struct ControlActor {
     settings: Arc<EntrySettings>,
-    document: Option<Arc<AppliedDocument>>,
+    documents: DocumentDesk,
     requests: RequestDesk,
     peers: PeerDesk,
     directory: ServerDirectory,
@@ -50,10 +51,14 @@
         seed: u64,
         parts: PeerParts,
         fleet: watch::Sender<Arc<FleetView>>,
+        documents: DocumentOutput,
         platform: Rc<HttpPlatform>,
     ) -> Self {
         let own = parts.credentials.own.identity.clone();
+        let (incarnation, environment) = (own.incarnation, &settings.environment);
+        let shared = Rc::clone(&platform);
         Self {
+            documents: DocumentDesk::new(incarnation, environment, shared, documents),
             claims: ClaimDesk::new(own.clone(), &settings, seed, platform),
             requests: RequestDesk::new(&settings, seed),
             peers: PeerDesk::new(&settings, parts, fleet),
@@ -61,7 +66,6 @@
             polls: ServerPolls::new(Arc::clone(&settings)),
             reclaim: ReclaimLoop::new(&settings),
             orphans: OrphanLoop::new(own, &settings),
-            document: None,
             wakeup: None,
             settings,
         }
@@ -109,6 +113,7 @@
         let effects = self.peers.tick(now);
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
+        self.follow_document(DocumentEvent::Tick, context);
         if self.orphans.is_due(now) {
             self.repeat_leaving(context);
             self.look_for_orphans(context);
@@ -124,7 +129,7 @@
 
     /// Asks the engines that this entry is the home of what they hold.
     fn look_for_orphans(&self, context: &mut Context<Self>) {
-        let Some(document) = &self.document else {
+        let Some(document) = self.documents.current() else {
             return;
         };
         let engines = self.directory.engines(&document.document);
@@ -134,19 +139,28 @@
         }
     }
 
-    fn apply_document(&mut self, document: Arc<AppliedDocument>, context: &mut Context<Self>) {
+    /// Tells the document slice what happened and brings into force what it decides.
+    fn follow_document(&mut self, event: DocumentEvent, context: &mut Context<Self>) {
+        let applied = self
+            .documents
+            .handle(event, &self.peers, &context.address());
+        if let Some(document) = applied {
+            self.apply_document(&document, context);
+        }
+    }
+
+    fn apply_document(&mut self, document: &AppliedDocument, context: &mut Context<Self>) {
         self.peers.set_sequence(document.sequence);
         let retention = document.document.key_retention;
         self.claim(LedgerEvent::RetentionSet(retention), context);
         let event = DispatchEvent::DocumentApplied(Arc::clone(&document.document));
-        self.document = Some(document);
         self.dispatch(event, context);
         self.follow_servers(context);
     }
 
     /// Starts and ends the polls so that they match the directory and the document.
     fn follow_servers(&mut self, context: &mut Context<Self>) {
-        let Some(document) = &self.document else {
+        let Some(document) = self.documents.current() else {
             return;
         };
         let addr = context.address();
@@ -218,7 +232,7 @@
                 }
             }
             ControlMessage::Dispatch(event) => self.dispatch(event, context),
-            ControlMessage::DocumentApplied(document) => self.apply_document(document, context),
+            ControlMessage::Document(event) => self.follow_document(event, context),
             ControlMessage::VmsSeen(records) => self.see_vms(&records, context),
             ControlMessage::DrainsSeen(drained) => {
                 self.directory.set_drained(drained);
@@ -229,8 +243,12 @@
             }
             ControlMessage::Reclaim(call) => self.reclaim.add(Instant::now(), call),
             ControlMessage::PeerHeard { peer, state } => {
+                let source = DocumentSource::Peer(peer.identity.entry.clone());
+                let sequence = state.sequence;
                 let effects = self.peers.hear(Instant::now(), peer, state);
                 self.follow_members(&effects, context);
+                let seen = DocumentEvent::SequenceSeen { source, sequence };
+                self.follow_document(seen, context);
             }
             ControlMessage::ClaimDemanded { demand, decision } => {
                 self.claims.open(demand.attempt, decision);
@@ -274,7 +292,7 @@
     fn handle(&mut self, message: AnswerPeer, context: &mut Context<Self>) -> Self::Result {
         match message.call {
             PeerCall::FetchDocument => {
-                let document = self.document.as_ref().map(|document| document.to_peer());
+                let document = self.documents.current().map(|document| document.to_peer());
                 Box::pin(async move { Some(PeerReply::Document(document)) })
             }
             PeerCall::Claim(call) => {
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix::Message;
 use gs_control::dispatch::{DispatchEvent, RequestDemand};
+use gs_control::documents::DocumentEvent;
 use gs_control::ledger::{ClaimDemand, LedgerEvent};
 use gs_protocol::engine::{EnginePriority, HeldRecord};
 use gs_protocol::ids::{AttemptId, EntryIdentity, RequestId, ServerKindName, ServerName};
@@ -16,7 +16,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
-use crate::documents::AppliedDocument;
 use crate::ledger::ClaimDecision;
 use crate::reclaim::ReclaimCall;
 
@@ -71,8 +70,8 @@
     Finished(RequestId),
     /// Something happened to an attempt or a server.
     Dispatch(DispatchEvent),
-    /// A document has come into force.
-    DocumentApplied(Arc<AppliedDocument>),
+    /// A source of documents was seen or has answered.
+    Document(DocumentEvent),
     /// The platform's list of VMs was read.
     VmsSeen(Vec<VmRecord>),
     /// The servers that operators have taken out of use were read.
--- a/crates/gs-entry/src/control/peers.rs
+++ b/crates/gs-entry/src/control/peers.rs
@@ -11,9 +11,9 @@
 };
 use gs_document::settings::EntrySettings;
 use gs_protocol::ids::{EntryIdentity, EntryName, SequenceNumber};
-use gs_protocol::peer::{PeerCall, PeerIdentity, PeerState};
+use gs_protocol::peer::{PeerCall, PeerIdentity, PeerReply, PeerState};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::peers::{FleetView, PeerLinks, PeerParts};
 use crate::servers::ServerRecord;
@@ -110,9 +110,14 @@
             .collect()
     }
 
+    /// Asks an entry. The receiver fails if the link breaks before the answer comes.
+    pub fn call(&self, name: &EntryName, call: PeerCall) -> oneshot::Receiver<PeerReply> {
+        self.links.call(name, call)
+    }
+
     /// Sends a message to an entry. It may be lost.
     pub fn send(&self, name: &EntryName, call: PeerCall) {
-        drop(self.links.call(name, call));
+        drop(self.call(name, call));
     }
 
     /// The entry that looks after a server, among those that are alive.
--- /dev/null
+++ b/crates/gs-entry/src/documents/desk.rs
@@ -0,0 +1,145 @@
+//! Drives the document slice: fetches, applies and reports.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use actix::Addr;
+use gs_control::documents::{
+    AppliedTrack, DocumentEffect, DocumentEvent, DocumentSource, DocumentView, FetchPolicy,
+    SequencedDocument,
+};
+use gs_platform::HttpPlatform;
+use gs_protocol::ids::Incarnation;
+use gs_protocol::objects::StatusRecord;
+use gs_protocol::peer::PeerCall;
+use tokio::sync::watch;
+
+use super::AppliedDocument;
+use super::fetch::{FetchError, fetch_from_peer, fetch_from_platform};
+use crate::control::{ControlActor, ControlMessage, PeerDesk};
+use crate::telemetry;
+
+/// Where the documents that come into force are shown.
+pub struct DocumentOutput {
+    /// To the traffic threads.
+    pub applied: watch::Sender<Option<Arc<AppliedDocument>>>,
+    /// To the report of the entry's status.
+    pub status: watch::Sender<Option<StatusRecord>>,
+}
+
+/// The document slice and what it needs.
+pub struct DocumentDesk {
+    view: DocumentView,
+    track: AppliedTrack,
+    platform: Rc<HttpPlatform>,
+    environment: String,
+    output: DocumentOutput,
+}
+
+impl DocumentDesk {
+    /// A desk with no document in force.
+    pub fn new(
+        incarnation: Incarnation,
+        environment: &str,
+        platform: Rc<HttpPlatform>,
+        output: DocumentOutput,
+    ) -> Self {
+        Self {
+            view: DocumentView::new(FetchPolicy::default()),
+            track: AppliedTrack::new(incarnation),
+            platform,
+            environment: environment.to_owned(),
+            output,
+        }
+    }
+
+    /// The document in force.
+    pub fn current(&self) -> Option<Arc<AppliedDocument>> {
+        self.output.applied.borrow().clone()
+    }
+
+    /// Takes in what happened; returns the document that has come into force by it.
+    pub fn handle(
+        &mut self,
+        event: DocumentEvent,
+        peers: &PeerDesk,
+        control: &Addr<ControlActor>,
+    ) -> Option<Arc<AppliedDocument>> {
+        let mut effects = Vec::new();
+        self.view.handle(Instant::now(), event, &mut effects);
+        let mut applied = None;
+        for effect in effects {
+            match effect {
+                DocumentEffect::Fetch { source } => self.fetch(source, peers, control),
+                DocumentEffect::Apply(document) => applied = self.apply(&document).or(applied),
+            }
+        }
+        applied
+    }
+
+    fn fetch(&self, source: DocumentSource, peers: &PeerDesk, control: &Addr<ControlActor>) {
+        let control = control.clone();
+        match &source {
+            DocumentSource::Platform => {
+                let platform = Rc::clone(&self.platform);
+                let environment = self.environment.clone();
+                actix_rt::spawn(async move {
+                    let fetched = fetch_from_platform(&*platform, &environment).await;
+                    control.do_send(ControlMessage::Document(fetch_event(source, fetched)));
+                });
+            }
+            DocumentSource::Peer(name) => {
+                let answer = peers.call(name, PeerCall::FetchDocument);
+                actix_rt::spawn(async move {
+                    let fetched = fetch_from_peer(answer).await;
+                    control.do_send(ControlMessage::Document(fetch_event(source, fetched)));
+                });
+            }
+        }
+    }
+
+    /// Brings a document into force. One that this version cannot read leaves the earlier one in force.
+    fn apply(&mut self, document: &SequencedDocument) -> Option<Arc<AppliedDocument>> {
+        let (sequence, digest) = (document.sequence, document.digest.as_str());
+        let text = String::from_utf8_lossy(&document.bytes);
+        let read = gs_document::parse_accepted_document(digest, &text);
+        let contents = match read {
+            Ok(contents) => contents,
+            Err(mistakes) => {
+                log::error!(target: "documents", digest; "Document cannot be read: {mistakes}.");
+                return None;
+            }
+        };
+        log::info!(target: "documents", sequence = sequence.0, digest; "Document is in force.");
+        metrics::gauge!(telemetry::DOCUMENT_SEQUENCE).set(sequence.0 as f64);
+        self.track.record(sequence, digest, now_ms());
+        let applied =
+            AppliedDocument::new(contents, sequence, digest.to_owned(), text.into_owned());
+        let applied = Arc::new(applied);
+        self.output.applied.send_replace(Some(Arc::clone(&applied)));
+        self.output.status.send_replace(self.track.report());
+        Some(applied)
+    }
+}
+
+fn fetch_event(
+    source: DocumentSource,
+    fetched: Result<SequencedDocument, FetchError>,
+) -> DocumentEvent {
+    match fetched {
+        Ok(document) => DocumentEvent::Fetched { source, document },
+        Err(error) => {
+            log::warn!(target: "documents", "Document was not fetched from {source:?}: {error}.");
+            DocumentEvent::FetchFailed { source }
+        }
+    }
+}
+
+/// Milliseconds since 1970.
+fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 
 use crate::control::{ControlActor, ControlMessage, CountClaims};
-use crate::documents::{AppliedDocument, follow_orders};
+use crate::documents::{AppliedDocument, DocumentOutput, follow_orders, report_status};
 use crate::error::EntryError;
 use crate::options::EntryOptions;
 use crate::peers::{FleetView, PeerCredentials, PeerParts, accept_peers};
@@ -60,7 +60,7 @@
 
 /// What the control thread gets to publish.
 struct ControlOutputs {
-    documents: watch::Sender<Option<Arc<AppliedDocument>>>,
+    applied: watch::Sender<Option<Arc<AppliedDocument>>>,
     fleet: watch::Sender<Arc<FleetView>>,
 }
 
@@ -131,7 +131,7 @@
     let (applied, documents) = watch::channel(None);
     let (fleet_sender, fleet) = watch::channel(Arc::default());
     let outputs = ControlOutputs {
-        documents: applied,
+        applied,
         fleet: fleet_sender,
     };
     let arbiter = Arbiter::new();
@@ -176,6 +176,7 @@
     };
     let platform = || HttpPlatform::new(options);
     let state = Rc::new(Cell::new(PeerState::default()));
+    let (status_sender, status) = watch::channel(None);
     let control = ControlActor::create(|context| {
         let parts = PeerParts {
             credentials: Rc::new(credentials),
@@ -188,17 +189,18 @@
             Ok(listener) => drop(actix_rt::spawn(accept_peers(listener, parts.clone()))),
             Err(error) => log::error!(target: "peers", "Links cannot be accepted: {error}."),
         }
-        let claims = Rc::new(platform());
-        ControlActor::new(Arc::clone(settings), seed, parts, outputs.fleet, claims)
+        let documents = DocumentOutput {
+            applied: outputs.applied,
+            status: status_sender,
+        };
+        let (settings, shared) = (Arc::clone(settings), Rc::new(platform()));
+        ControlActor::new(settings, seed, parts, outputs.fleet, documents, shared)
     });
     actix_rt::spawn(poll_vms(platform(), Arc::clone(settings), control.clone()));
-    let (followed, applied) = (Arc::clone(settings), outputs.documents);
-    actix_rt::spawn(follow_orders(
-        platform(),
-        followed,
-        control.clone(),
-        applied,
-    ));
+    let followed = Arc::clone(settings);
+    actix_rt::spawn(follow_orders(platform(), followed, control.clone()));
+    let reported = Arc::clone(settings);
+    actix_rt::spawn(report_status(Rc::new(platform()), reported, status));
     control
 }
 
--- a/crates/gs-standin/src/rig/fleet.rs
+++ b/crates/gs-standin/src/rig/fleet.rs
@@ -12,6 +12,7 @@
 };
 use gs_protocol::objects::{DrainRecord, HeadRecord, body_key, drain_key, head_key};
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
+use serde::Serialize;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use uuid::Uuid;
@@ -219,29 +220,24 @@
             operation: OperationId(Uuid::now_v7()),
             roll_back: false,
         };
-        let value = serde_json::to_vec(&head).map_err(|error| RigError::Call {
-            path: "head".to_owned(),
-            detail: error.to_string(),
-        })?;
-        self.put(&head_key(ENVIRONMENT), value.into()).await?;
+        self.rewrite_head(&head).await?;
         Ok(head)
     }
 
+    /// Writes a head over whatever is there, which no honest operator does.
+    pub async fn rewrite_head(&self, head: &HeadRecord) -> Result<(), RigError> {
+        self.put(&head_key(ENVIRONMENT), to_bytes("head", head)?)
+            .await
+    }
+
     /// Takes a server out of use, as an operator does.
     pub async fn drain(&self, server: &str) -> Result<(), RigError> {
         let record = DrainRecord {
             operator: OperatorName::from("rig"),
             at_ms: now_ms(),
         };
-        let value = serde_json::to_vec(&record).map_err(|error| RigError::Call {
-            path: "drain".to_owned(),
-            detail: error.to_string(),
-        })?;
-        self.put(
-            &drain_key(ENVIRONMENT, &ServerName::from(server)),
-            value.into(),
-        )
-        .await
+        let key = drain_key(ENVIRONMENT, &ServerName::from(server));
+        self.put(&key, to_bytes("drain", &record)?).await
     }
 
     /// Writes an object, whatever its version is.
@@ -312,6 +308,15 @@
     }
 }
 
+/// The JSON of a record.
+fn to_bytes(path: &str, record: &impl Serialize) -> Result<Bytes, RigError> {
+    let bytes = serde_json::to_vec(record).map_err(|error| RigError::Call {
+        path: path.to_owned(),
+        detail: error.to_string(),
+    })?;
+    Ok(bytes.into())
+}
+
 /// Milliseconds since 1970.
 fn now_ms() -> u64 {
     let since = SystemTime::now()
