--- a/crates/gs-control/benches/dispatch.rs
+++ b/crates/gs-control/benches/dispatch.rs
@@ -1,16 +1,11 @@
 //! Cost of dispatch events against the number of servers known in full.
 
-#![expect(
-    missing_docs,
-    reason = "criterion_group! makes a public function without a comment"
-)]
-
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion};
 use gs_control::dispatch::{
     AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState, RequestDemand,
     ServerSighting,
@@ -241,11 +236,11 @@
     group.finish();
 }
 
-criterion_group!(
-    benches,
-    bench_start,
-    bench_wait,
-    bench_request,
-    bench_report
-);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    bench_start(&mut criterion);
+    bench_wait(&mut criterion);
+    bench_request(&mut criterion);
+    bench_report(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/gs-control/src/dispatch/arrivals.rs
+++ b/crates/gs-control/src/dispatch/arrivals.rs
@@ -94,21 +94,21 @@
     }
 
     fn admit(&mut self, now: Instant, demand: RequestDemand) -> Result<(), EarlyRefusal> {
-        let (caller, entry) = self.check_rights(&demand)?;
+        let document = self.document.clone();
+        let document = document.ok_or_else(|| EarlyRefusal::new(RefusalReason::NoDocument))?;
+        let (caller, entry) = self.check_rights(&document, &demand)?;
         let request = demand.request;
-        let record = self.make_record(now, demand, caller, &entry);
-        self.check_queue(now, &record, &entry)?;
+        let record = self.make_record(now, demand, caller, entry);
+        self.check_queue(now, &record, entry)?;
         self.enqueue(now, request, record);
         Ok(())
     }
 
-    fn check_rights(
+    fn check_rights<'a>(
         &self,
+        document: &'a EnvironmentDocument,
         demand: &RequestDemand,
-    ) -> Result<(CallerId, CallerEntry), EarlyRefusal> {
-        let Some(document) = &self.document else {
-            return Err(EarlyRefusal::new(RefusalReason::NoDocument));
-        };
+    ) -> Result<(CallerId, &'a CallerEntry), EarlyRefusal> {
         let Some(model) = document.models.get(&demand.model) else {
             return Err(EarlyRefusal::new(RefusalReason::UnknownModel));
         };
@@ -124,7 +124,7 @@
         if is_long || demand.max_tokens > model.max_output_tokens {
             return Err(EarlyRefusal::new(RefusalReason::PromptTooLong));
         }
-        Ok((caller, entry.clone()))
+        Ok((caller, entry))
     }
 
     fn make_record(
--- a/crates/gs-control/src/dispatch/fleet.rs
+++ b/crates/gs-control/src/dispatch/fleet.rs
@@ -295,6 +295,9 @@
 
     /// Lists a server where its present state belongs.
     fn relist(&mut self, now: Instant, server: ServerId, settings: &DispatchSettings) {
+        if self.relist_in_place(now, server, settings) {
+            return;
+        }
         let place = self.place_of(now, server, settings);
         let Some(old) = self.listed.remove(&server) else {
             if let Some(place) = place {
@@ -302,17 +305,46 @@
             }
             return;
         };
-        match place {
-            Some(new) if old.same_index(&new) => self.reorder(&old, new),
-            place => {
-                self.unlist(&old);
-                if let Some(place) = place {
-                    self.list(place);
-                }
-            }
+        self.unlist(&old);
+        if let Some(place) = place {
+            self.list(place);
         }
     }
 
+    /// Moves a listed server that stays in the same indexes; `false` if it does not.
+    fn relist_in_place(
+        &mut self,
+        now: Instant,
+        server: ServerId,
+        settings: &DispatchSettings,
+    ) -> bool {
+        let start = self.epoch_start.unwrap_or(now);
+        let (Some(record), Some(place)) = (self.servers.get(&server), self.listed.get_mut(&server))
+        else {
+            return false;
+        };
+        let is_leaving = !self.leaving.is_empty() && self.leaving.contains_key(&record.name);
+        if is_leaving || !record.is_open(now) || !place.is_index_of(record) {
+            return false;
+        }
+        let old = (place.key, place.long_busy);
+        place.key.load = load_of(now, start, record, settings);
+        place.long_busy = is_long_busy(now, record, self.long_bound);
+        if old == (place.key, place.long_busy) {
+            return true;
+        }
+        for model in &place.models {
+            let Some(pool) = self.pools.get_mut(model) else {
+                continue;
+            };
+            let index = pool.index_mut(place.role);
+            index.reorder(&place.centre, old.0, place.key);
+            pool.long_busy += usize::from(place.long_busy);
+            pool.long_busy -= usize::from(old.1);
+        }
+        true
+    }
+
     fn place_of(
         &mut self,
         now: Instant,
@@ -332,7 +364,6 @@
         }
         let role = record.report.role;
         let start = self.epoch_start.unwrap_or(now);
-        let long_wait = record.prefill_wait(now) > self.long_bound;
         Some(ListedPlace {
             role,
             models: record.report.models.clone(),
@@ -342,7 +373,7 @@
                 salt: record.salt,
                 server,
             },
-            long_busy: role == EngineRole::Prefill && long_wait,
+            long_busy: is_long_busy(now, record, self.long_bound),
         })
     }
 
@@ -364,27 +395,21 @@
             pool.long_busy -= usize::from(place.long_busy);
         }
     }
-
-    fn reorder(&mut self, old: &ListedPlace, new: ListedPlace) {
-        for model in &new.models {
-            let Some(pool) = self.pools.get_mut(model) else {
-                continue;
-            };
-            pool.index_mut(new.role)
-                .reorder(&new.centre, old.key, new.key);
-            pool.long_busy += usize::from(new.long_busy);
-            pool.long_busy -= usize::from(old.long_busy);
-        }
-        self.listed.insert(new.key.server, new);
-    }
 }
 
 impl ListedPlace {
-    fn same_index(&self, other: &Self) -> bool {
-        self.role == other.role && self.centre == other.centre && self.models == other.models
+    fn is_index_of(&self, record: &ServerRecord) -> bool {
+        self.role == record.report.role
+            && self.centre == record.data_centre
+            && self.models == record.report.models
     }
 }
 
+/// Whether a prefill server's queue is as long as a long prompt makes it.
+fn is_long_busy(now: Instant, record: &ServerRecord, bound: Duration) -> bool {
+    record.report.role == EngineRole::Prefill && record.prefill_wait(now) > bound
+}
+
 /// A server as a holder of what it stores now.
 fn holder_of(server: ServerId, record: &ServerRecord) -> PrefixHolder {
     PrefixHolder {
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -20,7 +20,7 @@
 const RANDOM_CANDIDATES: usize = 2;
 
 /// Servers of each role that are weighed in pairs.
-const PAIRED_CANDIDATES: usize = 6;
+const PAIRED_CANDIDATES: usize = 5;
 
 /// Decode steps of the answer that count towards the cost of a pair.
 const WEIGHED_STEPS: u32 = 8;
--- a/crates/gs-control/src/dispatch/prefix_index.rs
+++ b/crates/gs-control/src/dispatch/prefix_index.rs
@@ -24,6 +24,31 @@
     pub stamp: u64,
 }
 
+/// The last holders of one prefix, the latest first.
+#[derive(Clone, Copy, Debug, Default)]
+struct HolderList([Option<PrefixHolder>; MAX_HOLDERS]);
+
+impl HolderList {
+    fn iter(&self) -> impl Iterator<Item = &PrefixHolder> {
+        self.0.iter().flatten()
+    }
+
+    fn remove(&mut self, server: ServerId) {
+        for slot in &mut self.0 {
+            if slot.is_some_and(|known| known.server == server) {
+                *slot = None;
+            }
+        }
+    }
+
+    /// Adds a holder in the first free place, or in place of the one added last.
+    fn push(&mut self, holder: PrefixHolder) {
+        let free = self.0.iter().position(Option::is_none);
+        self.0[..=free.unwrap_or(MAX_HOLDERS - 1)].rotate_right(1);
+        self.0[0] = Some(holder);
+    }
+}
+
 /// A server and the tokens of a prompt that it holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PrefixMatch {
@@ -36,7 +61,7 @@
 /// Holders of prefixes, bounded in size.
 #[derive(Clone, Debug)]
 pub struct PrefixIndex {
-    holders: HashMap<PieceHash, Vec<PrefixHolder>, Xxh3Builder>,
+    holders: HashMap<PieceHash, HolderList, Xxh3Builder>,
     order: VecDeque<PieceHash>,
     capacity: usize,
 }
@@ -87,10 +112,7 @@
             self.order.push_back(piece);
         }
         let holders = self.holders.entry(piece).or_default();
-        holders.retain(|known| known.server != holder.server);
-        if holders.len() == MAX_HOLDERS {
-            holders.remove(0);
-        }
+        holders.remove(holder.server);
         holders.push(holder);
         self.shrink();
     }
@@ -100,7 +122,7 @@
         let Some(holders) = self.holders.get_mut(&piece) else {
             return;
         };
-        holders.retain(|known| known.server != server);
+        holders.remove(server);
     }
 
     /// Servers that hold a prefix of a prompt, the longest match first, each once.
@@ -114,7 +136,7 @@
             let Some(holders) = pieces.get(length - 1).and_then(|p| self.holders.get(p)) else {
                 continue;
             };
-            for holder in holders {
+            for holder in holders.iter() {
                 let known = matches.iter().any(|found| found.server == holder.server);
                 if !known && is_held(holder) {
                     matches.push(PrefixMatch {
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -126,6 +126,12 @@
         Some(record)
     }
 
+    /// Whether a request of the model goes again.
+    pub fn is_returning(&self, model: &ModelName) -> bool {
+        let returning = self.returning.get(model);
+        returning.is_some_and(|keys| !keys.is_empty())
+    }
+
     /// Lists a request among those that go again.
     pub fn add_returning(&mut self, request: RequestId) {
         let Some(record) = self.requests.get(&request) else {
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -87,7 +87,7 @@
         Self {
             policy: PlacementPolicy::default(),
             entries: 1,
-            load_lag: Duration::from_millis(100),
+            load_lag: Duration::from_millis(200),
             report_stale: Duration::from_secs(2),
             full_hold: Duration::from_millis(20),
             suspect_hold: Duration::from_millis(500),
--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -41,7 +41,11 @@
             return;
         }
         self.last_start = Some(now);
-        let models: Vec<ModelName> = self.lanes.keys().cloned().collect();
+        let busy = self
+            .lanes
+            .iter()
+            .filter(|(model, lane)| !lane.queue.is_empty() || self.table.is_returning(model));
+        let models: Vec<ModelName> = busy.map(|(model, _)| model.clone()).collect();
         for model in models {
             if self.start_returning(now, &model, effects) {
                 self.start_queued(now, &model, effects);
