--- a/crates/gs-standin/src/load/mod.rs
+++ b/crates/gs-standin/src/load/mod.rs
@@ -25,11 +25,14 @@
 mod table;
 
 pub use error::LoadError;
-pub use mix::{ClassMix, FloodSpan, LoadMix, ServiceMix, SharedPrefix, TokenRange, TokenSpread};
+pub use exchange::CallEnd;
+pub use mix::{
+    ClassMix, FloodSpan, LoadMix, ServiceMethod, ServiceMix, SharedPrefix, TokenRange, TokenSpread,
+};
 pub use options::{
     LoadCommand, MixOptions, OverheadOptions, StreamsOptions, load_command, mix_options,
 };
-pub use report::{ClassReport, LoadReport, ServiceReport, TimeQuantiles};
+pub use report::{ClassReport, FloodReport, LoadReport, ServiceReport, TimeQuantiles};
 pub use runner::run_mix;
 pub use schedule::{Arrival, ArrivalKind, CompletionPlan, plan_arrivals};
 
