End the attempt of a request whose caller is gone

Cause: the entry says that a caller is gone and sends no end of the attempt; its slot stayed counted until the attempt's expiry, over a minute later.

Change: Withdrawn ends a running request's attempt at once; an end that comes after it is ignored.

--- a/crates/gs-control/src/dispatch/arrivals.rs
+++ b/crates/gs-control/src/dispatch/arrivals.rs
@@ -164,7 +164,6 @@
             was_started: false,
             has_begun: false,
             has_failed: false,
-            is_withdrawn: false,
             avoid: None,
         }
     }
--- a/crates/gs-control/src/dispatch/endings.rs
+++ b/crates/gs-control/src/dispatch/endings.rs
@@ -102,15 +102,15 @@
         }
     }
 
-    /// The caller of a request is gone: a waiting one ends; a running one is left to its attempt's end.
-    pub(super) fn withdraw(&mut self, _now: Instant, request: RequestId) {
-        let Some(record) = self.table.requests.get_mut(&request) else {
-            return;
-        };
-        match record.phase {
-            RequestPhase::Running(_) => record.is_withdrawn = true,
-            RequestPhase::Waiting | RequestPhase::Returning => self.finish(request),
+    /// The caller of a request is gone: the request ends, and what its attempt held is free.
+    pub(super) fn withdraw(&mut self, now: Instant, request: RequestId) {
+        let phase = self.table.requests.get(&request).map(|record| record.phase);
+        if let Some(RequestPhase::Running(attempt)) = phase
+            && let Some(running) = self.table.remove_attempt(attempt)
+        {
+            self.release(now, &running);
         }
+        self.finish(request);
     }
 
     /// Refuses what has waited for too long, and ends attempts of which nothing was heard.
@@ -184,10 +184,6 @@
         let Some(record) = self.table.requests.get(&request) else {
             return;
         };
-        if record.is_withdrawn {
-            self.finish(request);
-            return;
-        }
         if stage == RequestStage::Prefill {
             self.fleet.forget_prompt(running.prefill, &record.pieces);
         }
--- a/crates/gs-control/src/dispatch/messages.rs
+++ b/crates/gs-control/src/dispatch/messages.rs
@@ -100,7 +100,7 @@
     ServerLost(ServerName),
     /// A caller's request has come.
     Arrived(RequestDemand),
-    /// The caller of a request that still waits, or runs, is gone.
+    /// The caller of a request is gone; if the request ran, its attempt has ended as well.
     Withdrawn(RequestId),
     /// The prefill of an attempt has ended well.
     PrefillDone {
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -59,8 +59,6 @@
     pub has_begun: bool,
     /// Whether an attempt failed after work was done for it.
     pub has_failed: bool,
-    /// Whether the caller is gone.
-    pub is_withdrawn: bool,
     /// The server that failed it last.
     pub avoid: Option<ServerId>,
 }
