Skip the empty wait before a prefill

Cause: the entry slept for prefill_after even when it is zero, and the timer's ticks are a millisecond, so each first token came up to a millisecond later. Ruled out: the hop to the control thread (the same before and after).

--- a/crates/gs-entry/src/completion/attempt.rs
+++ b/crates/gs-entry/src/completion/attempt.rs
@@ -113,7 +113,10 @@
         }
         let mut computed_tokens = 0;
         if order.from_index == 0 {
-            sleep(order.prefill_after).await;
+            // The timer's ticks are coarse: even an empty wait would take up to a millisecond.
+            if !order.prefill_after.is_zero() {
+                sleep(order.prefill_after).await;
+            }
             hold.engines.push(order.prefill.address);
             computed_tokens = self.prefill(order, first_token_by).await?;
         }
