--- a/crates/gs-admin/src/accept/operation.rs
+++ b/crates/gs-admin/src/accept/operation.rs
@@ -31,7 +31,9 @@
         };
         calls += 1;
         let answered = async {
-            tokio::time::sleep(after).await;
+            if after > Duration::ZERO {
+                tokio::time::sleep(after).await;
+            }
             make_call(platform, call).await
         };
         match tokio::time::timeout_at(deadline, answered).await {
--- a/crates/gs-admin/src/telemetry.rs
+++ b/crates/gs-admin/src/telemetry.rs
@@ -11,6 +11,8 @@
 const REFUSALS_TOTAL: &str = "gs_admin_refusals_total";
 /// Accepted documents by environment.
 const ACCEPTED_TOTAL: &str = "gs_admin_accepted_total";
+/// Records that history should have and that were not found.
+const HISTORY_GAPS_TOTAL: &str = "gs_admin_history_gaps_total";
 /// Calls to the platform's service for each operation that accepts a document.
 const OPERATION_CALLS: &str = "gs_admin_operation_calls";
 /// Seconds of an operation that accepts a document.
@@ -44,6 +46,11 @@
     counter!(ACCEPTED_TOTAL, "environment" => environment.to_owned()).increment(1);
 }
 
+/// Counts records that history should have and that were not found.
+pub fn count_history_gaps(missing: u64) {
+    counter!(HISTORY_GAPS_TOTAL).increment(missing);
+}
+
 /// Records the cost of an operation.
 pub fn record_operation(calls: u32, elapsed: Duration) {
     metrics::histogram!(OPERATION_CALLS).record(f64::from(calls));
--- a/crates/gs-admin/src/view/history.rs
+++ b/crates/gs-admin/src/view/history.rs
@@ -16,6 +16,7 @@
 use crate::platform::read_all_json;
 use crate::refusal::AdminRefusal;
 use crate::state::AdminState;
+use crate::telemetry;
 
 /// Documents of one answer, unless the call says otherwise.
 const DEFAULT_LIMIT: usize = 20;
@@ -67,6 +68,11 @@
         .map(|sequence| history_key(environment, SequenceNumber(sequence)))
         .collect();
     let earlier = read_all_json(&state.platform, &keys).await?;
+    let missing = keys.len() - earlier.len();
+    if missing > 0 {
+        log::error!(target: "admin", environment, missing; "History has gaps.");
+        telemetry::count_history_gaps(missing as u64);
+    }
     let present = Some(present).filter(|head| head.sequence.0 < end);
     let earlier = earlier.into_iter().map(|(_, head)| head);
     Ok(present.into_iter().chain(earlier).collect())
