--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -59,8 +59,6 @@
     pub has_begun: bool,
     /// Whether an attempt failed after work was done for it.
     pub has_failed: bool,
-    /// Whether the caller is gone.
-    pub is_withdrawn: bool,
     /// The server that failed it last.
     pub avoid: Option<ServerId>,
 }
@@ -126,6 +124,12 @@
         Some(record)
     }
 
+    /// Whether a request of the model goes again.
+    pub fn is_returning(&self, model: &ModelName) -> bool {
+        let returning = self.returning.get(model);
+        returning.is_some_and(|keys| !keys.is_empty())
+    }
+
     /// Lists a request among those that go again.
     pub fn add_returning(&mut self, request: RequestId) {
         let Some(record) = self.requests.get(&request) else {
--- a/crates/gs-standin/tests/load.rs
+++ b/crates/gs-standin/tests/load.rs
@@ -12,8 +12,8 @@
 use gs_protocol::refusal::{ProblemBody, RefusalReason, RequestOutcome};
 use gs_standin::engine::expected_token;
 use gs_standin::load::{
-    ClassMix, FloodSpan, LoadMix, ServiceMix, SharedPrefix, TokenRange, TokenSpread, mix_options,
-    plan_arrivals, run_mix,
+    ClassMix, FloodSpan, LoadMix, ServiceMethod, ServiceMix, SharedPrefix, TokenRange, TokenSpread,
+    mix_options, plan_arrivals, run_mix,
 };
 use serde_json::{Value, json};
 use support::{parse, start};
@@ -73,7 +73,7 @@
 }
 
 async fn echo(body: web::Json<Value>) -> HttpResponse {
-    HttpResponse::Ok().json(json!({ "echo": *body }))
+    HttpResponse::Ok().json(json!({ "path": "/", "echo": *body }))
 }
 
 fn start_entry(behaviour: &str) -> SocketAddr {
@@ -102,6 +102,7 @@
     let desk = ServiceMix {
         name: "desk".to_owned(),
         token: "secret".to_owned(),
+        method: ServiceMethod::Post,
         path: "/services/desk".to_owned(),
         rate_per_s: 10.0,
         keyed: true,
@@ -109,8 +110,14 @@
         answer_ms: 60_000,
         floods: Vec::new(),
     };
+    let mut class = class();
+    class.floods.push(FloodSpan {
+        from_s: 0.0,
+        to_s: 5.0,
+        factor: 1.0,
+    });
     let mix = LoadMix {
-        classes: vec![class()],
+        classes: vec![class],
         services: vec![desk],
     };
     let report = run_mix(&options, mix).expect("report");
@@ -118,6 +125,9 @@
     assert!(class.sent > 0);
     assert_eq!(class.ended(behaviour), class.sent, "{report}");
     assert_eq!(class.good > 0, behaviour == "whole");
+    let flood = class.flood.expect("flood");
+    assert_eq!((flood.sent, flood.good), (class.sent, class.good));
+    assert_eq!(flood.goodput_per_s, class.goodput_per_s);
     assert_eq!(
         class.refused.contains_key("too-late"),
         behaviour == "refused"
