Keep what an entry reported before it was started again

Cause: a new start of an entry wrote its status over the old one, and the monitor lost since when earlier documents had been in force there.

The status object of an entry is one type with its version and what was carried over.

Ruled out: longer reports alone, which a new start would still drop.

--- a/crates/gs-control/src/documents/applied.rs
+++ b/crates/gs-control/src/documents/applied.rs
@@ -46,3 +46,21 @@
         })
     }
 }
+
+/// The report of an entry together with what an earlier start of it had reported, as far as it is kept.
+pub fn join_reports(report: &StatusRecord, before: &StatusRecord) -> StatusRecord {
+    let mut joined = report.clone();
+    let present = AppliedRecord {
+        sequence: before.sequence,
+        since_ms: before.since_ms,
+    };
+    let known = |sequence| {
+        let mut own = report.earlier.iter();
+        report.sequence == sequence || own.any(|applied| applied.sequence == sequence)
+    };
+    let earlier = std::iter::once(present).chain(before.earlier.iter().copied());
+    let kept = earlier.filter(|applied| !known(applied.sequence));
+    joined.earlier.extend(kept);
+    joined.earlier.truncate(MAX_EARLIER);
+    joined
+}
--- a/crates/gs-control/src/documents/mod.rs
+++ b/crates/gs-control/src/documents/mod.rs
@@ -9,7 +9,7 @@
 mod records;
 mod view;
 
-pub use applied::AppliedTrack;
+pub use applied::{AppliedTrack, join_reports};
 pub use backoff::BackoffPolicy;
 pub use calls::{StoreCall, StoreCondition, StoreFault, StoreReply};
 pub use outcome::{PromotionEnd, PromotionStep};
--- a/crates/gs-control/tests/documents/main.rs
+++ b/crates/gs-control/tests/documents/main.rs
@@ -1,6 +1,7 @@
 //! The documents slice under random interleavings.
 
 mod promotion;
+mod reports;
 mod support;
 mod view;
 mod world;
