--- a/crates/gs-control/src/ledger/owner.rs
+++ b/crates/gs-control/src/ledger/owner.rs
@@ -27,6 +27,7 @@
     pub(super) waiters: BTreeMap<ClaimId, Vec<PendingClaim>>,
     replies: Vec<DueReply>,
     pub(super) head_bytes: usize,
+    seal_due: bool,
     pub(super) commit: CommitPath,
 }
 
@@ -63,6 +64,7 @@
             waiters: BTreeMap::new(),
             replies: Vec::new(),
             head_bytes: 0,
+            seal_due: false,
             commit: CommitPath::new(now, version, settings),
         }
     }
@@ -179,9 +181,7 @@
         if head.vacating {
             return OwnerOutcome::Lost(None);
         }
-        if !self.segments.is_sealing() {
-            self.seal(context);
-        }
+        self.seal_due = self.ended_bytes() >= context.settings.seal_bytes;
         OwnerOutcome::Kept
     }
 
@@ -214,21 +214,29 @@
     pub fn pump(&mut self, context: &mut ShardContext) {
         self.commit.pump(context);
         self.segments.pump(context, self.written_horizon_ms);
+        self.seal(context);
         if self.commit.take_turn(context.now, context.settings) {
             self.write_head(context);
         }
     }
 
+    fn ended(&self) -> impl Iterator<Item = &ClaimRecord> {
+        let records = self.tail.values().map(|known| &known.record);
+        records.filter(|record| !matches!(record.state, ClaimState::Open { .. }))
+    }
+
+    fn ended_bytes(&self) -> usize {
+        self.ended().map(ClaimRecord::size_bytes).sum()
+    }
+
+    /// Moves ended claims to a segment. It goes before writes of the head, which would starve it.
     fn seal(&mut self, context: &mut ShardContext) {
-        let is_ended = |known: &&TailClaim| !matches!(known.record.state, ClaimState::Open { .. });
-        let ended = self.tail.values().filter(is_ended);
-        let bytes: usize = ended.clone().map(|known| known.record.size_bytes()).sum();
-        if bytes < context.settings.seal_bytes
-            || !self.commit.take_extra(context.now, context.settings)
-        {
+        let is_due = self.seal_due && !self.segments.is_sealing();
+        if !is_due || !self.commit.take_extra(context.now, context.settings) {
             return;
         }
-        let records: Vec<ClaimRecord> = ended.map(|known| known.record.clone()).collect();
+        self.seal_due = false;
+        let records: Vec<ClaimRecord> = self.ended().cloned().collect();
         self.segments.seal(context, self.fence, &records);
     }
 
--- a/crates/gs-document/src/settings/sections.rs
+++ b/crates/gs-document/src/settings/sections.rs
@@ -219,7 +219,7 @@
         Self {
             shards: 16,
             lease: Duration::from_millis(5_000),
-            writes_per_s: 100,
+            writes_per_s: 90,
             clock_skew: Duration::from_secs(30),
             max_kept_bytes: 4_096,
         }
