--- a/crates/gs-standin/src/load/runner.rs
+++ b/crates/gs-standin/src/load/runner.rs
@@ -1,6 +1,7 @@
 //! Sends planned arrivals from several threads and gathers what came of them.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -21,12 +22,12 @@
 use super::mix::LoadMix;
 use super::options::MixOptions;
 use super::recorder::{ClassRecord, ServiceRecord};
-use super::report::{ClassReport, LoadReport, ServiceReport};
+use super::report::{ClassReport, LoadReport, RunSpans, ServiceReport};
 use super::schedule::{Arrival, ArrivalKind, CompletionPlan, build_prompt, plan_arrivals};
 use super::service::{ServiceCall, call_service};
 
 /// How long the threads get to start before the first arrival.
-const START_WAIT: Duration = Duration::from_millis(200);
+const START_WAIT: Duration = Duration::from_millis(500);
 
 /// What one thread recorded.
 #[derive(Clone, Debug)]
@@ -126,8 +127,10 @@
         start: plan.start,
     });
     if let Some(from) = plan.options.entries_from {
+        // A first list that does not come is asked for again.
+        let _ = context.refresh_entries(from).await;
         let context = Rc::clone(&context);
-        actix_rt::spawn(async move { context.pool.keep_fresh(&context.client, from).await });
+        actix_rt::spawn(async move { context.keep_entries(from).await });
     }
     let mut tasks = JoinSet::new();
     for arrival in plan.arrivals {
@@ -144,6 +147,16 @@
 }
 
 impl ThreadContext {
+    async fn refresh_entries(&self, from: SocketAddr) -> Result<Duration, LoadError> {
+        let token = self.mix.any_token();
+        self.pool.refresh(&self.client, from, token).await
+    }
+
+    async fn keep_entries(&self, from: SocketAddr) {
+        let token = self.mix.any_token();
+        self.pool.keep_fresh(&self.client, from, token).await;
+    }
+
     async fn send(&self, arrival: Arrival) {
         let start = self.start + arrival.at;
         let class = arrival.class;
@@ -155,7 +168,9 @@
 
     async fn send_completion(&self, class: usize, plan: &CompletionPlan, start: Instant) {
         let described = &self.mix.classes[class];
-        self.record.borrow_mut().classes[class].sent += 1;
+        let at = start.saturating_duration_since(self.start);
+        let in_flood = self.mix.floods_at(at.as_secs_f64());
+        self.record.borrow_mut().classes[class].begin(in_flood);
         let prompt = build_prompt(described, plan);
         let call = CompletionCall {
             token: &described.token,
@@ -171,7 +186,7 @@
             Some(entry) => call_entry(&self.client, entry, &call).await,
             None => CallOutcome::without_tokens(CallEnd::Unreachable),
         };
-        self.record.borrow_mut().classes[class].add(described, &outcome);
+        self.record.borrow_mut().classes[class].add(described, &outcome, in_flood);
     }
 
     async fn send_call(&self, class: usize, seed: u64, start: Instant) {
@@ -212,13 +227,17 @@
 }
 
 fn build_report(options: &MixOptions, mix: &LoadMix, record: &RunRecord) -> LoadReport {
+    let spans = RunSpans {
+        whole_s: options.seconds,
+        flood_s: mix.flood_seconds(options.seconds),
+    };
     let classes = mix.classes.iter().zip(&record.classes);
     let services = mix.services.iter().zip(&record.services);
     LoadReport {
         seconds: options.seconds,
         seed: options.seed,
         classes: classes
-            .map(|(class, record)| ClassReport::new(class, record, options.seconds))
+            .map(|(class, record)| ClassReport::new(class, record, spans))
             .collect(),
         services: services
             .map(|(service, record)| ServiceReport::new(service, record))
