Measure claims through separate processes

Change: a bench starts entries, a service and the platform, and measures the time of a claim, platform writes and takeover of a shard whose owner is killed.

--- /dev/null
+++ b/crates/gs-entry/benches/claims.rs
@@ -0,0 +1,149 @@
+//! Measures claims through separate processes: latency, platform writes, throughput and takeover.
+//!
+//! Run with `cargo build --workspace --bins` and `cargo bench -p gs-entry --bench claims --profile dev`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use gs_standin::platform::CallStats;
+use gs_standin::rig::{FleetRig, ProcessSignal, RigError};
+use serde_json::json;
+use support::CLERK;
+use uuid::Uuid;
+
+const IDLE_CLAIMS: usize = 100;
+const LOAD_CALLERS: usize = 64;
+const LOAD_TIME: Duration = Duration::from_secs(10);
+const LEASE_MS: u64 = 5_000;
+
+fn main() {
+    let measured = actix_rt::System::new().block_on(async {
+        measure_rates().await?;
+        measure_takeover().await
+    });
+    if let Err(error) = measured {
+        println!("the measurement failed: {error}");
+    }
+}
+
+async fn charge(rig: &FleetRig, index: usize) -> bool {
+    let address = rig.entries[index].process.address;
+    let (bearer, key) = (format!("Bearer {CLERK}"), Uuid::now_v7().to_string());
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key.as_str()),
+    ];
+    let path = "/services/desk/charges";
+    let call = rig
+        .client
+        .call(address, "POST", path, &headers, Bytes::from_static(b"{}"));
+    call.await.is_ok_and(|answer| answer.status == 200)
+}
+
+async fn writes(rig: &FleetRig) -> Result<u64, RigError> {
+    let address = rig.platform.address;
+    let stats = rig
+        .client
+        .get::<CallStats>(address, "/control/stats")
+        .await?;
+    Ok(stats.writes)
+}
+
+fn quantile_ms(times: &mut [Duration], quantile: f64) -> f64 {
+    times.sort_unstable();
+    let last = times.len().saturating_sub(1);
+    let at = (last as f64 * quantile) as usize;
+    times.get(at).copied().unwrap_or_default().as_secs_f64() * 1e3
+}
+
+async fn measure_rates() -> Result<(), RigError> {
+    let rig = support::start(3, &json!({})).await?;
+    rig.wait_for("a claim at each entry", async || {
+        charge(&rig, 0).await && charge(&rig, 1).await && charge(&rig, 2).await
+    })
+    .await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut times = Vec::new();
+    for number in 0..IDLE_CLAIMS {
+        let sent = Instant::now();
+        if charge(&rig, number % 3).await {
+            times.push(sent.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (half, most) = (quantile_ms(&mut times, 0.5), quantile_ms(&mut times, 0.99));
+    println!(
+        "idle: {} answered, p50 {half:.1} ms, p99 {most:.1} ms",
+        times.len()
+    );
+    let (before, started) = (writes(&rig).await?, Instant::now());
+    let answered = Cell::new(0u32);
+    let callers = (0..LOAD_CALLERS).map(|number| load(&rig, number % 3, &answered, started));
+    join_all(callers).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let written = writes(&rig).await? - before;
+    let rates = (
+        f64::from(answered.get()) / seconds,
+        written as f64 / seconds,
+    );
+    println!(
+        "{LOAD_CALLERS} callers: {:.0} claims/s, {:.1} writes/s",
+        rates.0, rates.1
+    );
+    Ok(())
+}
+
+async fn load(rig: &FleetRig, index: usize, answered: &Cell<u32>, started: Instant) {
+    while started.elapsed() < LOAD_TIME {
+        if charge(rig, index).await {
+            answered.set(answered.get() + 1);
+        }
+    }
+}
+
+/// Kills the owner of the only shard again and again.
+async fn measure_takeover() -> Result<(), RigError> {
+    const ENTRIES: usize = 6;
+    let claims = json!({ "claims": { "shards": 1, "leaseMs": LEASE_MS } });
+    let rig = support::start(ENTRIES, &claims).await?;
+    let mut live: Vec<usize> = (0..ENTRIES).collect();
+    while live.len() > 1 {
+        let owner = find_owner(&rig, &live).await?;
+        live.retain(|index| *index != owner);
+        rig.entries[owner].process.signal(ProcessSignal::Kill)?;
+        let ended = Instant::now();
+        while !charge(&rig, live[0]).await {}
+        println!(
+            "takeover: {} ms at a lease of {LEASE_MS} ms",
+            ended.elapsed().as_millis()
+        );
+    }
+    Ok(())
+}
+
+async fn find_owner(rig: &FleetRig, live: &[usize]) -> Result<usize, RigError> {
+    let found = Cell::new(None);
+    rig.wait_for("an owner", async || {
+        for index in live {
+            let address = rig.entries[*index].process.address;
+            let read = rig
+                .client
+                .call(address, "GET", "/metrics", &[], Bytes::new());
+            let Ok(metrics) = read.await else {
+                continue;
+            };
+            let owns = |line: &str| line == "gs_claim_shards_owned 1";
+            if String::from_utf8_lossy(&metrics.body).lines().any(owns) {
+                found.set(Some(*index));
+            }
+        }
+        found.get().is_some()
+    })
+    .await?;
+    Ok(found.get().unwrap_or_default())
+}
