Add the long randomised run over separate processes

The proofs so far try one fault at a time, each in a scene of its own. The soak starts three entries, five engines, two services and the platform as processes, drives seeded callers and brings about faults from a schedule that depends on the seed only: one, two at once, twice in a row. Checkers assert the eight points while it runs and after all is healed, and every violation is reported with the latest fault events.

Streams count as whole only by their explicit end, as a body that breaks off between two chunks looks like an end to the client. Leaving servers are judged by the time at which an attempt was made, counted from the sign, or from when an entry last started or went on or the platform came back.

--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -5,6 +5,7 @@
 
 use crate::load::LoadError;
 use crate::platform::PlatformStartError;
+use crate::soak::SoakError;
 
 /// Why a stand-in could not start or run.
 #[derive(Debug, thiserror::Error)]
@@ -37,6 +38,13 @@
         #[from]
         source: PlatformStartError,
     },
+    /// The soak could not be run, or found violations.
+    #[error("the soak failed")]
+    Soak {
+        /// Why.
+        #[from]
+        source: SoakError,
+    },
     /// A role that does not exist.
     #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
     UnknownRole {
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of engines, services and the platform, and a load tool. For development only.
+//! Stand-ins of engines, services and the platform, a load tool and a long randomised run. For development only.
 
 pub mod engine;
 mod error;
@@ -7,6 +7,7 @@
 pub mod relay;
 pub mod rig;
 pub mod service;
+pub mod soak;
 
 pub use error::StandinError;
 
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -11,6 +11,7 @@
 use gs_standin::platform::{self, PlatformOptions, platform_options};
 use gs_standin::relay::{self, RelayOptions, relay_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
+use gs_standin::soak::{self, SoakOptions, soak_options};
 use log::error;
 
 const ENGINE_EXAMPLES: &str = "Examples:
@@ -26,6 +27,9 @@
 const RELAY_EXAMPLES: &str = "Example:
  gs-standin relay --to 127.0.0.1:9001 --delay-ms 5 --jitter-ms 2 --stall-share 0.001";
 
+const SOAK_EXAMPLES: &str = "Example:
+ gs-standin soak --seed 7 --minutes 3";
+
 /// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
 /// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
@@ -47,6 +51,9 @@
     /// A TCP relay that delays, cuts and silences connections
     #[bpaf(command("relay"), footer(RELAY_EXAMPLES))]
     Relay(#[bpaf(external(relay_options))] RelayOptions),
+    /// Runs a deployment under seeded faults and checks what must always hold
+    #[bpaf(command("soak"), footer(SOAK_EXAMPLES))]
+    Soak(#[bpaf(external(soak_options))] SoakOptions),
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
@@ -76,6 +83,9 @@
             .block_on(platform::run(options))
             .map_err(StandinError::from)?,
         StandinCommand::Relay(options) => system.block_on(relay::run(options))?,
+        StandinCommand::Soak(options) => system
+            .block_on(soak::run(&options))
+            .map_err(StandinError::from)?,
         StandinCommand::Load(command) => load::run(command).map_err(StandinError::from)?,
     }
     Ok(())
--- a/crates/gs-standin/src/rig/fleet.rs
+++ b/crates/gs-standin/src/rig/fleet.rs
@@ -17,7 +17,7 @@
 use sha2::{Digest, Sha256};
 use uuid::Uuid;
 
-use super::{RigClient, RigError, RigProcess, RigPrograms};
+use super::{CallerAnswer, RigClient, RigError, RigProcess, RigPrograms};
 use crate::platform::VmChange;
 
 /// The environment of a rig.
@@ -240,6 +240,43 @@
         self.put(&key, to_bytes("drain", &record)?).await
     }
 
+    /// Puts a drained server back into use, as an operator does.
+    pub async fn end_drain(&self, server: &str) -> Result<(), RigError> {
+        let path = format!(
+            "/objects/{}",
+            drain_key(ENVIRONMENT, &ServerName::from(server))
+        );
+        let address = self.platform.address;
+        let found = self
+            .client
+            .call(address, "GET", &path, &[], Bytes::new())
+            .await?;
+        let Some(version) = found.header("etag") else {
+            return Ok(());
+        };
+        let headers = [("if-match", version)];
+        let answer = self
+            .client
+            .call(address, "DELETE", &path, &headers, Bytes::new())
+            .await?;
+        expect_success(&path, &answer)
+    }
+
+    /// Removes a record from the VM list.
+    pub async fn unlist(&self, address: SocketAddr) -> Result<(), RigError> {
+        let change = VmChange::Remove(address);
+        self.client
+            .post(self.platform.address, "/control/vms", &change)
+            .await?;
+        Ok(())
+    }
+
+    /// The document that is in force now, by the platform's head.
+    pub async fn head(&self) -> Result<HeadRecord, RigError> {
+        let path = format!("/objects/{}", head_key(ENVIRONMENT));
+        self.client.get(self.platform.address, &path).await
+    }
+
     /// Writes an object, whatever its version is.
     async fn put(&self, key: &str, value: Bytes) -> Result<(), RigError> {
         let path = format!("/objects/{key}");
@@ -257,13 +294,7 @@
             .client
             .call(address, "PUT", &path, &headers, value)
             .await?;
-        if answer.status == 200 {
-            return Ok(());
-        }
-        Err(RigError::Call {
-            path,
-            detail: format!("status {}", answer.status),
-        })
+        expect_success(&path, &answer)
     }
 
     /// Waits until every entry answers `GET /ready` with 200.
@@ -308,6 +339,16 @@
     }
 }
 
+fn expect_success(path: &str, answer: &CallerAnswer) -> Result<(), RigError> {
+    if (200..300).contains(&answer.status) {
+        return Ok(());
+    }
+    Err(RigError::Call {
+        path: path.to_owned(),
+        detail: format!("status {}", answer.status),
+    })
+}
+
 /// The JSON of a record.
 fn to_bytes(path: &str, record: &impl Serialize) -> Result<Bytes, RigError> {
     let bytes = serde_json::to_vec(record).map_err(|error| RigError::Call {
--- a/crates/gs-standin/src/rig/process.rs
+++ b/crates/gs-standin/src/rig/process.rs
@@ -134,11 +134,7 @@
     pub fn wait(&mut self) -> Result<ExitStatus, RigError> {
         let deadline = Instant::now() + PATIENCE;
         while Instant::now() < deadline {
-            let ended = self
-                .child
-                .try_wait()
-                .map_err(RigError::system("waiting for a process"))?;
-            if let Some(status) = ended {
+            if let Some(status) = self.exit_status()? {
                 return Ok(status);
             }
             std::thread::sleep(LOOK_INTERVAL);
@@ -148,6 +144,13 @@
         })
     }
 
+    /// The exit status, once the process has ended by itself.
+    pub fn exit_status(&mut self) -> Result<Option<ExitStatus>, RigError> {
+        self.child
+            .try_wait()
+            .map_err(RigError::system("waiting for a process"))
+    }
+
     /// Ends the process at once.
     pub fn close(self) {
         drop(self);
--- /dev/null
+++ b/crates/gs-standin/src/soak/shared.rs
@@ -0,0 +1,44 @@
+//! What the tasks of a soak share on their thread.
+
+use std::cell::{Cell, RefCell};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use super::board::FleetBoard;
+use super::journal::{CheckPoint, SoakJournal};
+use super::keyed::KeyBook;
+use crate::rig::RigClient;
+
+/// What the tasks share. No borrow is held across an await.
+#[derive(Default)]
+pub struct SoakShared {
+    /// Calls the processes.
+    pub client: RigClient,
+    /// Where everything is.
+    pub board: RefCell<FleetBoard>,
+    /// What happened.
+    pub journal: RefCell<SoakJournal>,
+    /// The idempotency keys and what became of them.
+    pub keys: RefCell<KeyBook>,
+    /// Tells callers and watches to end.
+    pub ended: Cell<bool>,
+}
+
+impl SoakShared {
+    /// Notes something that must always hold and did not.
+    pub fn violate(&self, point: CheckPoint, detail: String) {
+        self.journal.borrow_mut().violate(point, detail);
+    }
+
+    /// Notes something that happened to the fleet.
+    pub fn note(&self, event: &str) {
+        self.journal.borrow_mut().note(event);
+    }
+}
+
+/// Milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
