Draw each start's attempts from a seed of its own

Identities of attempts are drawn from the seed of the settings alone, or from the start's time in milliseconds without one. Entries with the same seed, two entries that start in the same millisecond, and a restarted entry with a set seed therefore made the same attempts: engines took them for repeats (a false refusal bad-request), and a cancel of one would end the other's work. The seed now comes from the entry's name and start too.

Ruled out: malformed bodies (the engine parsed each) and repeats by the HTTP client; the engine knew the attempt from another entry's prefill that was 0 to 30 ms old.

After: the test passes.

--- a/crates/gs-document/src/settings/entry.rs
+++ b/crates/gs-document/src/settings/entry.rs
@@ -69,7 +69,7 @@
     /// How engines are chosen.
     #[serde(default)]
     pub placement: PlacementPolicy,
-    /// The seed of random choices; drawn at the start if absent.
+    /// A part of the seed of random choices, beside the entry's name and start.
     #[serde(default)]
     pub seed: Option<u64>,
     /// Bounds on what callers send and get.
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -19,6 +19,7 @@
 use gs_protocol::peer::{PeerIdentity, PeerState};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::control::{ControlActor, ControlMessage, CountClaims};
 use crate::documents::{AppliedDocument, DocumentOutput, follow_orders, report_status};
@@ -163,7 +164,7 @@
     outputs: ControlOutputs,
     listener: TcpListener,
 ) -> Addr<ControlActor> {
-    let seed = settings.seed.unwrap_or(own.identity.incarnation.0);
+    let seed = own_seed(settings, &own.identity);
     let credentials = PeerCredentials {
         own,
         key: settings.peer_key.clone(),
@@ -301,6 +302,14 @@
     }
 }
 
+/// The seed of this start. It differs between entries and between starts also if the settings name
+/// the same one, as identities of attempts are drawn from it.
+fn own_seed(settings: &EntrySettings, identity: &EntryIdentity) -> u64 {
+    let entry = identity.entry.as_str().as_bytes();
+    let start = identity.incarnation.0;
+    xxh3_64_with_seed(entry, start ^ settings.seed.unwrap_or_default())
+}
+
 /// A number that later starts exceed: milliseconds since 1970.
 fn now_incarnation() -> Incarnation {
     let since = SystemTime::now()
--- a/crates/gs-entry/tests/answers.rs
+++ b/crates/gs-entry/tests/answers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use gs_standin::engine::EngineRuns;
 use gs_standin::rig::{FleetRig, ProcessSignal, RigError, StreamedText};
 use serde_json::{Value, json};
 use support::{CLERK, completion, held};
@@ -135,3 +136,22 @@
     );
     Ok(())
 }
+
+#[actix_rt::test]
+async fn entries_with_the_same_seed_make_attempts_of_their_own() -> TestResult {
+    let rig = support::start(2, &json!({ "seed": 1 })).await?;
+    let mut asked = Vec::new();
+    for number in 0..24 {
+        let entry = rig.entries[number % 2].process.address;
+        let body = completion(&format!("ticket {number}"), 20, true);
+        let client = rig.client.clone();
+        asked.push(async move { client.ask(entry, "/v1/completions", CLERK, &body).await });
+    }
+    for answer in futures_util::future::join_all(asked).await {
+        assert!(answer?.streamed().whole);
+    }
+    let prefill = support::server(&rig, "notes-prefill");
+    let report: EngineRuns = rig.client.get(prefill, "/control/runs").await?;
+    assert_eq!(report.runs.len(), 24, "each request has its own attempt");
+    Ok(())
+}
