Judge false refusals, and leaving servers by what they had begun

Callers of the soak make no mistakes, so a refusal that blames them is a violation. Identities of attempts carry no time, so the check of leaving servers never applied: it now compares what the engine has begun with what it had begun or reserved once the sign must have taken effect.

--- a/crates/gs-standin/src/soak/completion.rs
+++ b/crates/gs-standin/src/soak/completion.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gs_protocol::prefix::seed_prompt;
+use gs_protocol::refusal::RefusalReason;
 use rand::Rng;
 use serde_json::{Value, json};
 
@@ -153,6 +154,9 @@
         };
         if answer.status != 200 {
             return match answer.problem() {
+                Ok(problem) if blames_caller(problem.reason) => {
+                    CompletionEnd::Wrong(format!("a false refusal: {problem:?}"))
+                }
                 Ok(problem) => CompletionEnd::Refused(problem.reason.label().to_owned()),
                 Err(error) => CompletionEnd::Cut(format!("status {}: {error}", answer.status)),
             };
@@ -197,6 +201,24 @@
     }
 }
 
+/// Whether a refusal says that the caller made a mistake. The callers of a soak make none.
+pub fn blames_caller(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::BadRequest
+            | RefusalReason::Forbidden
+            | RefusalReason::KeyExpired
+            | RefusalReason::KeyInvalid
+            | RefusalReason::KeyRequired
+            | RefusalReason::KeyReused
+            | RefusalReason::PromptTooLong
+            | RefusalReason::TooLarge
+            | RefusalReason::Unauthorized
+            | RefusalReason::UnknownModel
+            | RefusalReason::UnknownRoute
+    )
+}
+
 impl CompletionEnd {
     /// The end as a column of the summary.
     pub fn label(&self) -> String {
--- a/crates/gs-standin/src/soak/entries.rs
+++ b/crates/gs-standin/src/soak/entries.rs
@@ -9,7 +9,6 @@
 use super::deployment::{DATA_CENTRE, entry_changes};
 use super::faults::FaultDriver;
 use super::journal::CheckPoint;
-use super::shared::now_ms;
 use crate::rig::{EntryHandle, ProcessSignal, RigError};
 
 /// How long a graceful shutdown may take: longer than the longest request by far.
@@ -101,7 +100,6 @@
             self.rig.entries.insert(slot, handle);
             self.shared.board.borrow_mut().enter(slot, address);
         }
-        self.disturbed_ms = now_ms();
         Ok(())
     }
 }
--- a/crates/gs-standin/src/soak/faults.rs
+++ b/crates/gs-standin/src/soak/faults.rs
@@ -11,7 +11,7 @@
 use super::deployment::{self, DATA_CENTRE, ENGINE_KIND, ENGINE_SLOTS};
 use super::leaving::LeavingWatch;
 use super::schedule::{FaultKind, FaultStep, PlannedFault};
-use super::shared::{SoakShared, now_ms};
+use super::shared::SoakShared;
 use crate::rig::{FleetRig, ProcessSignal, RigError};
 
 /// How many times healing the platform's records is tried.
@@ -26,30 +26,27 @@
     pub rig: FleetRig,
     /// What processes logged that have ended, by name.
     pub logs: Vec<(String, String)>,
-    /// When an entry last started or went on, or the platform last recovered, in milliseconds since 1970.
-    pub disturbed_ms: u64,
     /// Counts replaced processes.
     pub replaced: u32,
     pub(super) shared: Rc<SoakShared>,
     platform: Vec<FaultKind>,
     watches: Vec<LeavingWatch>,
     documents: u64,
-    leave_slack_ms: u64,
+    leave_slack: Duration,
 }
 
 impl FaultDriver {
     /// Steers a running deployment.
-    pub fn new(rig: FleetRig, shared: Rc<SoakShared>, leave_slack_ms: u64) -> Self {
+    pub fn new(rig: FleetRig, shared: Rc<SoakShared>, leave_slack: Duration) -> Self {
         Self {
             rig,
             logs: Vec::new(),
-            disturbed_ms: now_ms(),
             replaced: 0,
             shared,
             platform: Vec::new(),
             watches: Vec::new(),
             documents: 0,
-            leave_slack_ms,
+            leave_slack,
         }
     }
 
@@ -95,13 +92,11 @@
         let outage = self.platform.iter().any(|kind| kind.hides_signs());
         for watch in std::mem::take(&mut self.watches) {
             if outage {
-                let mut journal = self.shared.journal.borrow_mut();
-                journal.skip_check("leaving server: the platform is in an outage");
-                continue;
+                let why = "leaving server: the platform is in an outage";
+                watch.skip(&self.shared, why);
+            } else {
+                watch.check(&self.shared).await;
             }
-            watch
-                .check(&self.shared, self.disturbed_ms, self.leave_slack_ms)
-                .await;
         }
     }
 
@@ -140,11 +135,8 @@
         match fault.kind {
             FaultKind::EntryKilled => self.restart_entry(slot).await,
             FaultKind::EntryPaused => {
-                self.rig.entries[slot]
-                    .process
-                    .signal(ProcessSignal::Continue)?;
-                self.disturbed_ms = now_ms();
-                Ok(())
+                let process = &self.rig.entries[slot].process;
+                process.signal(ProcessSignal::Continue)
             }
             FaultKind::EntryTerminated => self.replace_entry(slot).await,
             FaultKind::EngineKilled => self.replace_engine(slot).await,
@@ -161,7 +153,6 @@
             kind if kind.is_leaving() => self.end_leaving(fault).await,
             kind if kind.is_platform_fault() => {
                 self.platform.retain(|other| *other != kind);
-                self.disturbed_ms = now_ms();
                 self.set_platform().await
             }
             kind => match switches(kind) {
@@ -182,7 +173,8 @@
             }
             _ => self.list_engine(slot, VmState::Leaving).await?,
         }
-        self.watches.push(LeavingWatch::begin(slot));
+        let watch = LeavingWatch::begin(&self.shared, slot, self.leave_slack);
+        self.watches.push(watch);
         Ok(())
     }
 
--- a/crates/gs-standin/src/soak/keyed.rs
+++ b/crates/gs-standin/src/soak/keyed.rs
@@ -10,6 +10,7 @@
 use uuid::Uuid;
 
 use super::board::EntryTarget;
+use super::completion::blames_caller;
 use super::deployment::CALLER_TOKENS;
 use super::journal::CheckPoint;
 use super::shared::SoakShared;
@@ -198,6 +199,11 @@
         }
         match answer.problem() {
             Ok(problem) => {
+                if blames_caller(problem.reason) {
+                    let (kind, key) = (self.kind(), self.key);
+                    let detail = format!("{kind} {key} got a false refusal: {problem:?}");
+                    shared.violate(CheckPoint::Answer, detail);
+                }
                 let reason = problem.reason.label().to_owned();
                 match problem.outcome {
                     RequestOutcome::NotRun => TryEnd::NotRun(reason),
--- a/crates/gs-standin/src/soak/leaving.rs
+++ b/crates/gs-standin/src/soak/leaving.rs
@@ -1,70 +1,84 @@
 //! Checks that leaving servers get no new work.
 
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use actix_rt::task::JoinHandle;
+use gs_protocol::ids::AttemptId;
+use tokio::time::{sleep, timeout};
 
 use super::journal::CheckPoint;
-use super::shared::{SoakShared, now_ms};
+use super::shared::SoakShared;
+use super::watch::read_held;
 use crate::engine::EngineRuns;
 
-/// The stated time in which a sign takes effect, in milliseconds.
-const EFFECT_MS: u64 = 2_000;
+/// The stated time in which a sign takes effect.
+const EFFECT: Duration = Duration::from_millis(2_000);
 
 /// How long a look at an engine waits.
 const LOOK_PATIENCE: Duration = Duration::from_secs(10);
 
 /// A server that was told to leave.
-#[derive(Clone, Copy, Debug)]
 pub struct LeavingWatch {
-    /// The engine's slot.
-    pub slot: usize,
-    /// When the sign was given, in milliseconds since 1970.
-    pub sign_ms: u64,
+    slot: usize,
+    known: JoinHandle<Option<BTreeSet<AttemptId>>>,
 }
 
 impl LeavingWatch {
-    /// Begins with a sign that is given now.
-    pub fn begin(slot: usize) -> Self {
-        Self {
-            slot,
-            sign_ms: now_ms(),
-        }
+    /// Begins with a sign that was given now. Once it must have taken effect, what the engine has
+    /// begun or reserved by then is noted: it may end there.
+    pub fn begin(shared: &Rc<SoakShared>, slot: usize, slack: Duration) -> Self {
+        let shared = Rc::clone(shared);
+        let known = actix_rt::spawn(async move {
+            sleep(EFFECT + slack).await;
+            let mut known = read_begun(&shared, slot).await?;
+            let held = read_held(&shared, slot).await?;
+            known.extend(held.iter().map(|record| record.attempt));
+            Some(known)
+        });
+        Self { slot, known }
     }
 
-    /// Checks the engine's runs. Attempts count by the time at which their entry made them.
-    /// `disturbed_ms` is when an entry last started or went on, or the platform last recovered.
-    pub async fn check(self, shared: &SoakShared, disturbed_ms: u64, slack_ms: u64) {
-        let address = shared.board.borrow().engines[self.slot].address;
-        let call = shared.client.get::<EngineRuns>(address, "/control/runs");
-        let Ok(Ok(report)) = timeout(LOOK_PATIENCE, call).await else {
-            shared
-                .journal
-                .borrow_mut()
-                .skip_check("leaving server: its runs could not be read");
+    /// Checks that the engine has begun nothing since.
+    pub async fn check(self, shared: &SoakShared) {
+        if !self.known.is_finished() {
+            self.known.abort();
+            skip(shared, "leaving server: the sign had not taken effect yet");
+            return;
+        }
+        let (Ok(Some(known)), Some(begun)) =
+            (self.known.await, read_begun(shared, self.slot).await)
+        else {
+            skip(shared, "leaving server: its runs could not be read");
             return;
         };
-        let limit_ms = self.sign_ms.max(disturbed_ms) + EFFECT_MS + slack_ms;
         shared.journal.borrow_mut().count_check("leaving servers");
-        for run in &report.runs {
-            let begun = run.streams_started > 0 || run.prefills_started > 0;
-            let made_ms = made_at_ms(run.attempt.0);
-            if begun && made_ms > limit_ms {
-                let late_ms = made_ms - self.sign_ms;
-                let detail = format!(
-                    "engine {} got {run:?}, made {late_ms} ms after the sign",
-                    self.slot
-                );
-                shared.violate(CheckPoint::Leaving, detail);
-            }
+        for attempt in begun.difference(&known) {
+            let detail = format!("engine {} began {attempt} after its sign", self.slot);
+            shared.violate(CheckPoint::Leaving, detail);
         }
     }
+
+    /// Ends without a check.
+    pub fn skip(self, shared: &SoakShared, why: &'static str) {
+        self.known.abort();
+        skip(shared, why);
+    }
+}
+
+fn skip(shared: &SoakShared, why: &'static str) {
+    shared.journal.borrow_mut().skip_check(why);
 }
 
-/// When an attempt was made, in milliseconds since 1970.
-fn made_at_ms(attempt: uuid::Uuid) -> u64 {
-    attempt.get_timestamp().map_or(0, |timestamp| {
-        let (seconds, nanoseconds) = timestamp.to_unix();
-        seconds * 1_000 + u64::from(nanoseconds) / 1_000_000
-    })
+/// The attempts that an engine has begun.
+async fn read_begun(shared: &SoakShared, slot: usize) -> Option<BTreeSet<AttemptId>> {
+    let address = shared.board.borrow().engines[slot].address;
+    let call = shared.client.get::<EngineRuns>(address, "/control/runs");
+    let report = timeout(LOOK_PATIENCE, call).await.ok()?.ok()?;
+    let begun = report
+        .runs
+        .iter()
+        .filter(|run| run.streams_started > 0 || run.prefills_started > 0);
+    Some(begun.map(|run| run.attempt).collect())
 }
--- a/crates/gs-standin/src/soak/runner.rs
+++ b/crates/gs-standin/src/soak/runner.rs
@@ -50,7 +50,8 @@
     let steps = plan_faults(options.seed, options.duration());
     let shared = Rc::new(SoakShared::default());
     let rig = deployment::start(programs, &shared).await?;
-    let mut driver = FaultDriver::new(rig, Rc::clone(&shared), options.leave_slack_ms);
+    let leave_slack = Duration::from_millis(options.leave_slack_ms);
+    let mut driver = FaultDriver::new(rig, Rc::clone(&shared), leave_slack);
     let callers: Vec<_> = (0..options.callers)
         .map(|number| actix_rt::spawn(run_caller(Rc::clone(&shared), options.seed, number)))
         .collect();
--- a/crates/gs-standin/src/soak/shared.rs
+++ b/crates/gs-standin/src/soak/shared.rs
@@ -1,7 +1,6 @@
 //! What the tasks of a soak share on their thread.
 
 use std::cell::{Cell, RefCell};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use super::board::FleetBoard;
 use super::journal::{CheckPoint, SoakJournal};
@@ -34,11 +33,3 @@
         self.journal.borrow_mut().note(event);
     }
 }
-
-/// Milliseconds since 1970.
-pub fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
