Keep requests that may crash servers apart, and refuse them after two deaths

Cause: a request that ends the engine which runs it was retried and sent again without bound, and each try could end one more engine.

Change: the quarantine slice blames fingerprints (hash of model and prompt) for the ends of servers, identified by server and boot. A death is proven by refused connections of the load poll or by a changed boot; silence proves nothing. With one death a fingerprint runs apart from other suspects, one attempt at a time, until it has survived; with two it is refused as quarantined. Peers are told by a one-way frame, merged by maximum, repeated with doubling waits. The dispatch slice asks the slice before it places. The first token is now told for each attempt, so that resumed streams can survive too.

Ruled out: one blame for every stream of a dying server. Streams that had run for a while would then queue for servers without a suspect and miss their time to resume.

--- a/crates/gs-control/benches/dispatch.rs
+++ b/crates/gs-control/benches/dispatch.rs
@@ -19,6 +19,7 @@
 use gs_protocol::engine::{EngineRole, LoadReport};
 use gs_protocol::ids::{FenceNumber, RequestId};
 use gs_protocol::prefix::PieceHash;
+use gs_protocol::suspicion::PromptFingerprint;
 use uuid::Uuid;
 
 const FLEETS: [u32; 3] = [10, 75, 600];
@@ -82,6 +83,7 @@
             prompt_tokens: PROMPT_TOKENS,
             pieces: (0..u64::from(PROMPT_TOKENS / 16)).map(piece).collect(),
             max_tokens: 100,
+            fingerprint: PromptFingerprint(self.number),
         }
     }
 
--- a/crates/gs-control/src/dispatch/arrivals.rs
+++ b/crates/gs-control/src/dispatch/arrivals.rs
@@ -95,6 +95,9 @@
 
     fn admit(&mut self, now: Instant, demand: RequestDemand) -> Result<(), EarlyRefusal> {
         let (caller, entry) = self.check_rights(&demand)?;
+        if self.is_quarantined(now, demand.fingerprint) {
+            return Err(EarlyRefusal::new(RefusalReason::Quarantined));
+        }
         let request = demand.request;
         let record = self.make_record(now, demand, caller, &entry);
         self.check_queue(now, &record, &entry)?;
@@ -153,6 +156,7 @@
             prompt_tokens: demand.prompt_tokens,
             pieces: demand.pieces,
             max_tokens: demand.max_tokens,
+            fingerprint: demand.fingerprint,
             class,
             first_token: entry.first_token,
             between_tokens: entry.between_tokens,
--- a/crates/gs-control/src/dispatch/baseline.rs
+++ b/crates/gs-control/src/dispatch/baseline.rs
@@ -21,8 +21,10 @@
     let pool = fleet
         .pool_mut(demand.model)
         .ok_or(PlacementBlock::NoServer)?;
-    let decodes = draw_servers(&mut pool.decode, policy, rng);
-    let prefills = draw_servers(&mut pool.prefill, policy, rng);
+    let mut decodes = draw_servers(&mut pool.decode, policy, rng);
+    let mut prefills = draw_servers(&mut pool.prefill, policy, rng);
+    decodes.retain(|server| !demand.closed.contains(server));
+    prefills.retain(|server| !demand.closed.contains(server));
     if decodes.is_empty() || (prefills.is_empty() && !demand.resumes) {
         return Err(PlacementBlock::NoServer);
     }
--- a/crates/gs-control/src/dispatch/endings.rs
+++ b/crates/gs-control/src/dispatch/endings.rs
@@ -129,6 +129,7 @@
             let Some(running) = self.table.remove_attempt(attempt) else {
                 break;
             };
+            self.watch_expiry(now, attempt);
             self.release(now, &running);
             self.refuse_held(
                 running.request,
@@ -338,7 +339,7 @@
 }
 
 /// The server that a stage concerns.
-fn server_of(running: &AttemptRecord, stage: RequestStage) -> ServerId {
+pub(super) fn server_of(running: &AttemptRecord, stage: RequestStage) -> ServerId {
     match stage {
         RequestStage::Prefill => running.prefill,
         RequestStage::Reserve | RequestStage::Transfer | RequestStage::Stream => running.decode,
--- a/crates/gs-control/src/dispatch/messages.rs
+++ b/crates/gs-control/src/dispatch/messages.rs
@@ -6,10 +6,12 @@
 use gs_document::document::EnvironmentDocument;
 use gs_protocol::engine::{CacheEvents, EnginePriority, EngineReason, LoadReport};
 use gs_protocol::ids::{
-    AttemptId, CallerName, DataCentreName, ModelName, RequestId, ServerKindName, ServerName,
+    AttemptId, CallerName, DataCentreName, EntryName, ModelName, RequestId, ServerKindName,
+    ServerName,
 };
 use gs_protocol::prefix::PieceHash;
 use gs_protocol::refusal::RefusalReason;
+use gs_protocol::suspicion::{PromptFingerprint, SuspicionReport};
 
 /// What a request asks of the fleet.
 #[derive(Clone, Debug)]
@@ -26,6 +28,8 @@
     pub pieces: Vec<PieceHash>,
     /// Tokens to generate at most.
     pub max_tokens: u32,
+    /// What the request makes engines do.
+    pub fingerprint: PromptFingerprint,
 }
 
 /// A load report of an engine, and where the engine stands.
@@ -98,6 +102,15 @@
     ServerLeaving(ServerName),
     /// The server is gone or does not answer; a later load report brings it back.
     ServerLost(ServerName),
+    /// No process listens at the server's address; a later load report brings it back.
+    ServerDown(ServerName),
+    /// A peer has told what it knows of requests that crash servers.
+    PeerTold {
+        /// The peer.
+        peer: EntryName,
+        /// What it knows.
+        report: SuspicionReport,
+    },
     /// A caller's request has come.
     Arrived(RequestDemand),
     /// The caller of a request that still waits, or runs, is gone.
--- a/crates/gs-control/src/dispatch/mod.rs
+++ b/crates/gs-control/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod starts;
 mod state;
+mod suspects;
 
 pub use messages::{
     AttemptEnd, DispatchEffect, DispatchEvent, RequestDemand, RequestStage, ServerSighting,
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -58,6 +58,8 @@
     pub time_left: Option<Duration>,
     /// A server that has just failed the request.
     pub avoid: Option<ServerId>,
+    /// Servers that the request must not run on.
+    pub closed: &'a [ServerId],
     /// Whether the stream is resumed, with no prefill beforehand.
     pub resumes: bool,
 }
@@ -88,6 +90,8 @@
     Late,
     /// No server is known that could take the request.
     NoServer,
+    /// The request may crash servers, and has to wait for that.
+    Suspect,
 }
 
 /// A decode server and its part of the cost.
@@ -180,6 +184,7 @@
     let mut candidates: Vec<DecodeCandidate<'a>> = servers
         .into_iter()
         .filter(|server| Some(*server) != demand.avoid || pool.decode.len() == 1)
+        .filter(|server| !demand.closed.contains(server))
         .filter_map(|server| {
             let record = fleet.server(server)?;
             weigh_decode(now, server, record, demand, settings, entries)
@@ -281,6 +286,7 @@
     let mut candidates: Vec<PrefillCandidate<'a>> = servers
         .into_iter()
         .filter(|server| Some(*server) != demand.avoid || pool.prefill.len() == 1)
+        .filter(|server| !demand.closed.contains(server))
         .filter_map(|server| {
             let record = fleet.server(server)?;
             weigh_prefill(now, server, record, demand, settings, &held)
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -6,6 +6,7 @@
 use gs_document::document::CallerRank;
 use gs_protocol::ids::{AttemptId, ModelName, RequestId};
 use gs_protocol::prefix::PieceHash;
+use gs_protocol::suspicion::PromptFingerprint;
 
 use super::fair_queue::{CallerId, QueueKey, SizeClass, StartedTurn};
 use super::own_load::ServerWork;
@@ -37,6 +38,8 @@
     pub pieces: Vec<PieceHash>,
     /// Tokens to generate at most.
     pub max_tokens: u32,
+    /// What it makes engines do.
+    pub fingerprint: PromptFingerprint,
     /// Whether its prefill may hold up others.
     pub class: SizeClass,
     /// The caller's first-token target.
--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -59,7 +59,10 @@
         let Some(returning) = self.table.returning.get(model) else {
             return true;
         };
-        let keys: Vec<ReturnKey> = returning.iter().copied().take(MAX_RETURNING).collect();
+        let mut keys: Vec<ReturnKey> = returning.iter().copied().collect();
+        self.refuse_quarantined(now, &keys, effects);
+        keys.retain(|(_, _, request)| !self.is_held(now, *request));
+        keys.truncate(MAX_RETURNING);
         let mut passed_over = 0;
         for (_, _, request) in keys {
             match self.place(now, request, None) {
@@ -67,6 +70,7 @@
                     self.table.remove_returning(request);
                     self.start(now, request, &choice, None, effects);
                 }
+                Err(PlacementBlock::Suspect) => {}
                 Err(_) if passed_over == MAX_PASSED_OVER => return false,
                 Err(_) => passed_over += 1,
             }
@@ -86,6 +90,7 @@
                     self.start(now, turn.key.request, &choice, started, effects);
                 }
                 Err(PlacementBlock::Late) => passed_over.push(turn.caller),
+                Err(PlacementBlock::Suspect) => self.set_suspect_aside(turn.key.request),
                 Err(_) => return,
             }
         }
@@ -137,6 +142,7 @@
     ) -> Result<PlacementChoice, PlacementBlock> {
         let record = self.table.requests.get(&request);
         let record = record.ok_or(PlacementBlock::NoServer)?;
+        let closed = self.closed_to(now, record.fingerprint, record.phase)?;
         let lane = self.lanes.get(&record.model);
         let lane = lane.ok_or(PlacementBlock::NoServer)?;
         let reserve = record.first_token.mul_f64(self.settings.deadline_margin);
@@ -156,17 +162,23 @@
             leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
             avoid: record.avoid,
+            closed: &closed,
             resumes: record.has_begun,
         };
         let entries = self.entries;
-        choose_servers(
+        let chosen = choose_servers(
             now,
             &mut self.fleet,
             &demand,
             &self.settings,
             entries,
             &mut self.rng,
-        )
+        );
+        // A suspect that finds no server of its own does not hold up others.
+        chosen.map_err(|block| match closed.is_empty() {
+            true => block,
+            false => PlacementBlock::Suspect,
+        })
     }
 
     fn start(
@@ -198,6 +210,7 @@
             return;
         };
         self.count_start(now, &running, choice);
+        self.watch_start(now, attempt, &running);
         self.table.add_attempt(attempt, running);
         effects.push(DispatchEffect::Start {
             request,
--- a/crates/gs-control/src/dispatch/state.rs
+++ b/crates/gs-control/src/dispatch/state.rs
@@ -16,6 +16,7 @@
 use super::request_table::RequestTable;
 use super::retry_budget::RetryBudget;
 use super::settings::DispatchSettings;
+use crate::quarantine::{QuarantineEffect, QuarantineSettings, QuarantineState};
 
 /// Admits requests and places them on model engines.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     pub(super) table: RequestTable,
     pub(super) budget: RetryBudget,
     pub(super) last_start: Option<Instant>,
+    pub(super) quarantine: QuarantineState,
+    pub(super) quarantine_effects: Vec<QuarantineEffect>,
 }
 
 impl DispatchState {
@@ -45,6 +48,8 @@
             table: RequestTable::default(),
             budget: RetryBudget::new(settings.retry_share, settings.retry_floor),
             last_start: None,
+            quarantine: QuarantineState::new(QuarantineSettings::default()),
+            quarantine_effects: Vec::new(),
             settings,
         }
     }
@@ -56,6 +61,7 @@
         event: DispatchEvent,
         effects: &mut Vec<DispatchEffect>,
     ) {
+        self.watch(now, &event);
         match event {
             DispatchEvent::DocumentApplied(document) => self.apply_document(document, effects),
             DispatchEvent::LoadSeen(sighting) => self.see_load(now, &sighting),
@@ -63,14 +69,16 @@
             DispatchEvent::ServerLeaving(name) => {
                 self.fleet.see_leaving(now, &name, &self.settings);
             }
-            DispatchEvent::ServerLost(name) => self.fleet.see_lost(now, &name, &self.settings),
+            DispatchEvent::ServerDown(name) | DispatchEvent::ServerLost(name) => {
+                self.fleet.see_lost(now, &name, &self.settings);
+            }
             DispatchEvent::Arrived(demand) => self.arrive(now, demand, effects),
             DispatchEvent::Withdrawn(request) => self.withdraw(now, request),
             DispatchEvent::PrefillDone { attempt, .. } => self.end_prefill(now, attempt),
             DispatchEvent::FirstToken(attempt) => self.begin_stream(now, attempt),
             DispatchEvent::Ended { attempt, end } => self.end_attempt(now, attempt, end, effects),
             DispatchEvent::EntriesSeen(entries) => self.entries = entries.max(1),
-            DispatchEvent::Tick => {}
+            DispatchEvent::PeerTold { .. } | DispatchEvent::Tick => {}
         }
         self.give_up(now, effects);
         self.start_waiting(now, effects);
--- /dev/null
+++ b/crates/gs-control/src/quarantine/settings.rs
@@ -0,0 +1,42 @@
+//! Settings of the quarantine slice.
+
+use std::time::Duration;
+
+/// Settings of the quarantine slice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuarantineSettings {
+    /// Deaths with which a fingerprint is refused.
+    pub refused_deaths: usize,
+    /// Time of streaming after which a request has shown that it does no harm.
+    pub survival: Duration,
+    /// Wait after a lost attempt until its request goes again, so that peers, if any, hear of the loss first.
+    pub settle: Duration,
+    /// Time after a loss within which the server's death must be proven.
+    pub proof_within: Duration,
+    /// How long an attempt that its caller gave up may still be blamed.
+    pub linger: Duration,
+    /// How long a fingerprint is remembered after its last change.
+    pub memory: Duration,
+    /// Fingerprints remembered at most; the oldest are forgotten first.
+    pub capacity: usize,
+    /// The wait before the first repeat of a report; it doubles with each repeat.
+    pub repeat: Duration,
+    /// How long a peer's list of running suspects holds unless it is repeated.
+    pub peer_stale: Duration,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            refused_deaths: 2,
+            survival: Duration::from_millis(200),
+            settle: Duration::from_millis(50),
+            proof_within: Duration::from_secs(1),
+            linger: Duration::from_secs(2),
+            memory: Duration::from_secs(600),
+            capacity: 10_000,
+            repeat: Duration::from_millis(500),
+            peer_stale: Duration::from_secs(2),
+        }
+    }
+}
--- a/crates/gs-control/tests/dispatch/fixture.rs
+++ b/crates/gs-control/tests/dispatch/fixture.rs
@@ -15,6 +15,7 @@
 use gs_protocol::ids::{AttemptId, FenceNumber, RequestId, ServerName};
 use gs_protocol::prefix::PieceHash;
 use gs_protocol::refusal::RefusalReason;
+use gs_protocol::suspicion::PromptFingerprint;
 use uuid::Uuid;
 
 pub const MODEL: &str = "care-notes";
@@ -106,6 +107,7 @@
             .map(|piece| PieceHash(number << 32 | piece))
             .collect(),
         max_tokens: 20,
+        fingerprint: PromptFingerprint(number),
     }
 }
 
--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -7,6 +7,7 @@
 use gs_protocol::ids::AttemptId;
 use gs_protocol::prefix::hash_pieces;
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
+use gs_protocol::suspicion::PromptFingerprint;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::attempt::{
@@ -55,6 +56,7 @@
             prompt_tokens: plan.prompt_tokens,
             pieces: hash_pieces(&plan.prompt),
             max_tokens: plan.max_tokens,
+            fingerprint: PromptFingerprint::new(&plan.model, &plan.prompt),
         };
         state.control.do_send(ControlMessage::Arrived {
             demand,
@@ -242,14 +244,23 @@
                     .meters
                     .first_token
                     .record(now - self.context.arrived);
-                let event = DispatchEvent::FirstToken(attempt);
-                self.state.control.do_send(ControlMessage::Dispatch(event));
             }
         }
+        self.note_first_of_attempt(attempt);
         self.last_token = Some(now);
         self.tokens += 1;
     }
 
+    /// Tells the control thread of the first token of each try.
+    fn note_first_of_attempt(&mut self, attempt: AttemptId) {
+        let Some(open) = &mut self.open else { return };
+        if std::mem::replace(&mut open.has_token, true) {
+            return;
+        }
+        let event = DispatchEvent::FirstToken(attempt);
+        self.state.control.do_send(ControlMessage::Dispatch(event));
+    }
+
     fn finish(&mut self) {
         self.context.meters.answers.increment(1);
         let Some(open) = self.open.take() else { return };
--- a/crates/gs-entry/src/completion/attempt.rs
+++ b/crates/gs-entry/src/completion/attempt.rs
@@ -72,6 +72,8 @@
     pub first_token_by: Instant,
     /// Prompt tokens that were computed for this try.
     pub computed_tokens: u32,
+    /// Whether a token of it has come.
+    pub has_token: bool,
     hold: AttemptHold,
 }
 
@@ -132,6 +134,7 @@
             reader,
             first_token_by,
             computed_tokens,
+            has_token: false,
             hold,
         })
     }
@@ -203,6 +206,7 @@
             reason: *reason,
         },
         EngineFailure::Broken { .. }
+        | EngineFailure::Unreachable
         | EngineFailure::Silent { .. }
         | EngineFailure::Malformed { .. } => AttemptEnd::Lost { stage, tokens },
     }
--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -58,7 +58,11 @@
     }
 
     fn dispatch(&mut self, event: DispatchEvent, context: &mut Context<Self>) {
-        self.requests.handle(Instant::now(), event, &self.directory);
+        let now = Instant::now();
+        self.requests.handle(now, event, &self.directory);
+        for report in self.requests.take_reports() {
+            self.peers.tell_suspicions(&report);
+        }
         self.arm_wakeup(context);
     }
 
@@ -87,6 +91,7 @@
         let effects = self.peers.tick(now);
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
+        self.requests.record_suspects(now);
         if self.orphans.is_due(now) {
             self.repeat_leaving(context);
             self.look_for_orphans(context);
@@ -195,9 +200,6 @@
                 self.directory.set_drained(drained);
                 self.repeat_leaving(context);
             }
-            ControlMessage::LoadMissed(server) => {
-                self.dispatch(DispatchEvent::ServerLost(server), context);
-            }
             ControlMessage::Reclaim(call) => self.reclaim.add(Instant::now(), call),
             ControlMessage::PeerHeard { peer, state } => {
                 let effects = self.peers.hear(Instant::now(), peer, state);
--- a/crates/gs-entry/src/control/dispatch.rs
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -7,13 +7,16 @@
     DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
     PlacementPolicy as DispatchPolicy,
 };
+use gs_control::quarantine::QuarantineEffect;
 use gs_document::settings::{EntrySettings, PlacementPolicy};
 use gs_protocol::ids::RequestId;
 use gs_protocol::refusal::RefusalReason;
+use gs_protocol::suspicion::SuspicionReport;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::messages::RequestDecision;
 use crate::servers::ServerDirectory;
+use crate::telemetry;
 
 /// The requests of this entry that wait or run, and the slice that decides for them.
 pub struct RequestDesk {
@@ -61,6 +64,28 @@
         self.effects = effects;
     }
 
+    /// Takes the reports on requests that may crash servers, which are for all peers.
+    pub fn take_reports(&mut self) -> Vec<SuspicionReport> {
+        let mut reports = Vec::new();
+        for effect in self.state.take_quarantine_effects() {
+            match effect {
+                QuarantineEffect::Report(report) => reports.push(report),
+                QuarantineEffect::Blamed { fingerprint, death } => {
+                    metrics::counter!(telemetry::BLAMES_TOTAL).increment(1);
+                    let server = death.server.as_str();
+                    log::warn!(target: "quarantine", fingerprint:%, server, boot = death.boot; "Request is blamed for the end of a server.");
+                }
+            }
+        }
+        reports
+    }
+
+    /// Records how many kinds of requests are suspected.
+    pub fn record_suspects(&self, now: Instant) {
+        let suspects = self.state.count_suspects(now);
+        metrics::gauge!(telemetry::SUSPECTS).set(suspects as f64);
+    }
+
     fn carry_out(&mut self, effect: DispatchEffect, directory: &ServerDirectory) {
         match effect {
             DispatchEffect::Start { request, .. } => {
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -74,8 +74,6 @@
     VmsSeen(Vec<VmRecord>),
     /// The servers that operators have taken out of use were read.
     DrainsSeen(BTreeSet<ServerName>),
-    /// An engine did not answer a load poll.
-    LoadMissed(ServerName),
     /// What an attempt holds must be freed.
     Reclaim(ReclaimCall),
     /// A peer was heard.
--- a/crates/gs-entry/src/control/peers.rs
+++ b/crates/gs-entry/src/control/peers.rs
@@ -11,7 +11,8 @@
 };
 use gs_document::settings::EntrySettings;
 use gs_protocol::ids::{EntryName, SequenceNumber};
-use gs_protocol::peer::{PeerIdentity, PeerState};
+use gs_protocol::peer::{PeerFrame, PeerIdentity, PeerState};
+use gs_protocol::suspicion::SuspicionReport;
 use gs_protocol::vm::{VmDuty, VmRecord, VmState};
 use tokio::sync::watch;
 
@@ -90,6 +91,11 @@
         });
     }
 
+    /// Tells all peers of requests that may crash servers.
+    pub fn tell_suspicions(&self, report: &SuspicionReport) {
+        self.links.tell_all(&PeerFrame::Suspicions(report.clone()));
+    }
+
     /// Entries that take part in the fleet, this one included.
     pub fn count_entries(&self) -> u32 {
         let taking_part = |status| matches!(status, MemberStatus::Alive | MemberStatus::Leaving);
--- a/crates/gs-entry/src/engine/client.rs
+++ b/crates/gs-entry/src/engine/client.rs
@@ -1,9 +1,11 @@
 //! Calls to model engines.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use awc::error::{ConnectError, SendRequestError};
 use futures_util::StreamExt;
 use gs_protocol::engine::{
     CacheEvents, CancelOrder, EngineRefusal, HeldRecord, LoadReport, PrefillAnswer, PrefillOrder,
@@ -141,9 +143,7 @@
         let Ok(answer) = timeout(within, sending).await else {
             return Err(self.silent(address, within));
         };
-        let response = answer.map_err(|error| EngineFailure::Broken {
-            detail: error.to_string(),
-        })?;
+        let response = answer.map_err(|error| failure_of(&error))?;
         if response.status().is_success() {
             return Ok(response);
         }
@@ -182,6 +182,18 @@
     }
 }
 
+/// How a call failed that got no answer.
+fn failure_of(error: &SendRequestError) -> EngineFailure {
+    if let SendRequestError::Connect(ConnectError::Io(error)) = error
+        && error.kind() == ErrorKind::ConnectionRefused
+    {
+        return EngineFailure::Unreachable;
+    }
+    EngineFailure::Broken {
+        detail: error.to_string(),
+    }
+}
+
 type EngineResponse = awc::ClientResponse;
 
 fn url(address: SocketAddr, path: &str) -> String {
--- a/crates/gs-entry/src/engine/failure.rs
+++ b/crates/gs-entry/src/engine/failure.rs
@@ -14,6 +14,9 @@
         /// What the client library reports.
         detail: String,
     },
+    /// No process listens at the engine's address.
+    #[error("the engine's address refuses connections")]
+    Unreachable,
     /// Nothing came for too long.
     #[error("the engine was silent for {waited_ms} ms")]
     Silent {
--- a/crates/gs-entry/src/peers/accept.rs
+++ b/crates/gs-entry/src/peers/accept.rs
@@ -6,6 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
+use gs_control::dispatch::DispatchEvent;
 use gs_protocol::peer::{PeerFrame, PeerIdentity, PeerRefusal};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -119,6 +120,12 @@
             answers.push(answer(number, asked).boxed_local());
             Ok(())
         }
+        PeerFrame::Suspicions(report) => {
+            let peer = peer.identity.entry.clone();
+            let event = DispatchEvent::PeerTold { peer, report };
+            parts.control.do_send(ControlMessage::Dispatch(event));
+            Ok(())
+        }
         PeerFrame::Refused(refusal) => Err(PeerError::RefusedByPeer(refusal)),
         _ => Err(PeerError::Refused(PeerRefusal::UnexpectedFrame)),
     }
--- a/crates/gs-entry/src/peers/dial.rs
+++ b/crates/gs-entry/src/peers/dial.rs
@@ -14,7 +14,7 @@
 use tokio_tungstenite::client_async_with_config;
 
 use super::PeerError;
-use super::links::{PeerParts, PendingCall};
+use super::links::{PeerParts, PendingCall, PendingFrame};
 use super::socket::{PeerSocket, silent, socket_config};
 use crate::control::ControlMessage;
 
@@ -29,20 +29,20 @@
     name: EntryName,
     address: SocketAddr,
     parts: PeerParts,
-    mut calls: UnboundedReceiver<PendingCall>,
+    mut frames: UnboundedReceiver<PendingFrame>,
 ) {
     let mut wait = FIRST_RECONNECT;
     loop {
         match open_link(address, &parts).await {
             Ok((socket, peer)) => {
                 wait = FIRST_RECONNECT;
-                let error = run_link(socket, &peer, &parts, &mut calls).await;
+                let error = run_link(socket, &peer, &parts, &mut frames).await;
                 log::info!(target: "peers", peer:% = name; "Link ended: {error}.");
             }
             Err(error) => log::debug!(target: "peers", peer:% = name; "Link failed: {error}."),
         }
-        // Calls that waited for the link fail now rather than after the next connection.
-        while calls.try_recv().is_ok() {}
+        // What waited for the link fails now rather than after the next connection.
+        while frames.try_recv().is_ok() {}
         let jitter = rand::thread_rng().gen_range(0.5..1.0);
         sleep(wait.mul_f64(jitter)).await;
         wait = (wait * 2).min(MAX_RECONNECT);
@@ -97,7 +97,7 @@
     socket: PeerSocket,
     peer: &PeerIdentity,
     parts: &PeerParts,
-    calls: &mut UnboundedReceiver<PendingCall>,
+    frames: &mut UnboundedReceiver<PendingFrame>,
 ) -> PeerError {
     let heard = Instant::now();
     let pending = BTreeMap::new();
@@ -114,7 +114,7 @@
     loop {
         let step = tokio::select! {
             _ = beats.tick() => link.beat().await,
-            Some(call) = calls.recv() => link.call(call).await,
+            Some(frame) = frames.recv() => link.send_pending(frame).await,
             frame = link.socket.receive() => frame.and_then(|frame| link.take(frame)),
         };
         if let Err(error) = step {
@@ -134,6 +134,13 @@
         self.send(&PeerFrame::Heartbeat { number, state }).await
     }
 
+    async fn send_pending(&mut self, pending: PendingFrame) -> Result<(), PeerError> {
+        match pending {
+            PendingFrame::Call(call) => self.call(call).await,
+            PendingFrame::Notice(frame) => self.send(&frame).await,
+        }
+    }
+
     async fn call(&mut self, pending: PendingCall) -> Result<(), PeerError> {
         self.calls += 1;
         let number = self.calls;
--- a/crates/gs-entry/src/peers/links.rs
+++ b/crates/gs-entry/src/peers/links.rs
@@ -8,7 +8,7 @@
 
 use actix::Addr;
 use gs_protocol::ids::EntryName;
-use gs_protocol::peer::{PeerCall, PeerReply, PeerState};
+use gs_protocol::peer::{PeerCall, PeerFrame, PeerReply, PeerState};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -32,6 +32,14 @@
     pub silence: Duration,
 }
 
+/// What waits to be sent over a link.
+pub enum PendingFrame {
+    /// A call.
+    Call(PendingCall),
+    /// A frame that is not answered. Dropped if the link is broken.
+    Notice(PeerFrame),
+}
+
 /// A call that waits to be sent, and where its answer goes.
 pub struct PendingCall {
     /// What is asked.
@@ -41,7 +49,7 @@
 }
 
 struct PeerLink {
-    calls: UnboundedSender<PendingCall>,
+    frames: UnboundedSender<PendingFrame>,
     task: JoinHandle<()>,
 }
 
@@ -55,9 +63,9 @@
     /// Keeps a link to an entry, connecting again whenever it breaks.
     pub fn connect(&mut self, name: &EntryName, address: SocketAddr, parts: PeerParts) {
         self.disconnect(name);
-        let (calls, waiting) = unbounded_channel();
+        let (frames, waiting) = unbounded_channel();
         let task = actix_rt::spawn(keep_link(name.clone(), address, parts, waiting));
-        self.links.insert(name.clone(), PeerLink { calls, task });
+        self.links.insert(name.clone(), PeerLink { frames, task });
     }
 
     /// Ends the link to an entry.
@@ -72,8 +80,17 @@
         let (answer, receiver) = oneshot::channel();
         if let Some(link) = self.links.get(name) {
             // A link that has ended drops the call, which fails the receiver.
-            let _ = link.calls.send(PendingCall { call, answer });
+            let call = PendingCall { call, answer };
+            let _ = link.frames.send(PendingFrame::Call(call));
         }
         receiver
     }
+
+    /// Sends a frame that is not answered to every entry.
+    pub fn tell_all(&self, frame: &PeerFrame) {
+        for link in self.links.values() {
+            // A link that has ended is about to be dropped.
+            let _ = link.frames.send(PendingFrame::Notice(frame.clone()));
+        }
+    }
 }
--- a/crates/gs-entry/src/servers/load.rs
+++ b/crates/gs-entry/src/servers/load.rs
@@ -16,7 +16,7 @@
 use super::ServerDirectory;
 use super::directory::ServerRecord;
 use crate::control::{ControlActor, ControlMessage};
-use crate::engine::{ClientPool, EngineClient};
+use crate::engine::{ClientPool, EngineClient, EngineFailure};
 
 /// The one-way delay to a data centre that the settings do not name.
 const UNKNOWN_DELAY: Duration = Duration::from_millis(5);
@@ -114,7 +114,11 @@
             }
             Err(error) => {
                 log::warn!(target: "servers", server = name.as_str(); "Load poll failed: {error}.");
-                Some(ControlMessage::LoadMissed(name.clone()))
+                let event = match error {
+                    EngineFailure::Unreachable => DispatchEvent::ServerDown(name.clone()),
+                    _ => DispatchEvent::ServerLost(name.clone()),
+                };
+                Some(ControlMessage::Dispatch(event))
             }
         };
         if let Some(message) = message {
--- a/crates/gs-entry/src/telemetry.rs
+++ b/crates/gs-entry/src/telemetry.rs
@@ -24,6 +24,10 @@
 pub const LATE_EVENTS_TOTAL: &str = "gs_late_events_total";
 /// Streams that ended in an explicit error.
 pub const BROKEN_STREAMS_TOTAL: &str = "gs_broken_streams_total";
+/// Times that a kind of request was blamed for the end of a server.
+pub const BLAMES_TOTAL: &str = "gs_blames_total";
+/// Kinds of requests that may crash servers: those that run apart, wait or are refused.
+pub const SUSPECTS: &str = "gs_suspects";
 /// The sequence number of the document in force.
 pub const DOCUMENT_SEQUENCE: &str = "gs_document_sequence";
 
--- a/crates/gs-protocol/src/lib.rs
+++ b/crates/gs-protocol/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod prefix;
 pub mod refusal;
 pub mod service;
+pub mod suspicion;
 pub mod vm;
--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreName, EntryIdentity, SequenceNumber};
+use crate::suspicion::SuspicionReport;
 
 /// The version of these messages. Peers with another version are refused.
 pub const PEER_PROTOCOL_VERSION: u32 = 1;
@@ -137,6 +138,8 @@
         /// What is asked.
         call: PeerCall,
     },
+    /// Tells what the connecting side knows of requests that may crash servers.
+    Suspicions(SuspicionReport),
     /// Answers a call.
     Reply {
         /// Which call is answered.
--- /dev/null
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -0,0 +1,76 @@
+//! What entries tell each other of requests that may crash the backend servers which run them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{ModelName, ServerName};
+
+/// Identifies requests that make engines do the same: a hash of the model and the prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct PromptFingerprint(pub u64);
+
+impl PromptFingerprint {
+    /// The fingerprint of a prompt for a model.
+    pub fn new(model: &ModelName, prompt: &str) -> Self {
+        let seed = xxh3_64_with_seed(model.as_str().as_bytes(), 0);
+        Self(xxh3_64_with_seed(prompt.as_bytes(), seed))
+    }
+}
+
+impl fmt::Display for PromptFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+/// One end of a backend server's process.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ServerDeath {
+    /// The server.
+    pub server: ServerName,
+    /// Which start of the server ended.
+    pub boot: u64,
+}
+
+/// What is known of a fingerprint's part in a death. Of two statements the larger one holds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum BlameState {
+    /// The request lost its connection to the server, which may have died.
+    Suspected,
+    /// The server died, and the request may be the cause.
+    Proven,
+    /// The server did not die, or the request has run well since.
+    Cleared,
+}
+
+/// One fingerprint's part in one death.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BlameRecord {
+    /// The fingerprint.
+    pub fingerprint: PromptFingerprint,
+    /// The death.
+    pub death: ServerDeath,
+    /// What is known.
+    pub state: BlameState,
+}
+
+/// A suspect that runs on a server and has not yet shown that it does no harm.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SuspectRun {
+    /// The fingerprint.
+    pub fingerprint: PromptFingerprint,
+    /// The server.
+    pub server: ServerName,
+}
+
+/// What an entry tells its peers. Repeats and reordered reports do no harm to `blames`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspicionReport {
+    /// Blames that changed lately.
+    pub blames: Vec<BlameRecord>,
+    /// All suspects that the sender runs now.
+    pub running: Vec<SuspectRun>,
+}
