--- a/crates/gs-control/src/dispatch/arrivals.rs
+++ b/crates/gs-control/src/dispatch/arrivals.rs
@@ -170,6 +170,7 @@
             has_failed: false,
             is_withdrawn: false,
             avoid: None,
+            reserved: None,
         }
     }
 
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -10,6 +10,7 @@
 
 use super::fair_queue::{CallerId, QueueKey, SizeClass, StartedTurn};
 use super::own_load::ServerWork;
+use super::placement::PlacementChoice;
 use super::server_record::ServerId;
 
 /// Where a request stands.
@@ -66,6 +67,8 @@
     pub is_withdrawn: bool,
     /// The server that failed it last.
     pub avoid: Option<ServerId>,
+    /// The servers that are kept for it.
+    pub reserved: Option<PlacementChoice>,
 }
 
 impl RequestRecord {
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use gs_protocol::ids::EntryName;
 use thiserror::Error;
 
 /// How backend servers are chosen.
@@ -41,6 +42,8 @@
 /// Settings of the dispatch slice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
+    /// This entry.
+    pub entry: EntryName,
     /// How servers are chosen.
     pub policy: PlacementPolicy,
     /// Entries that share the fleet until [`super::DispatchEvent::EntriesSeen`] says otherwise.
@@ -85,6 +88,7 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
+            entry: EntryName::from("entry"),
             policy: PlacementPolicy::default(),
             entries: 1,
             load_lag: Duration::from_millis(100),
--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -14,6 +14,7 @@
 use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand, choose_servers};
 use super::request_table::{AttemptRecord, RequestPhase, RequestRecord, ReturnKey};
 use super::state::DispatchState;
+use super::suspects::SuspectPermit;
 
 /// Callers whose next request is passed over in one round.
 const MAX_PASSED_OVER: usize = 4;
@@ -142,7 +143,11 @@
     ) -> Result<PlacementChoice, PlacementBlock> {
         let record = self.table.requests.get(&request);
         let record = record.ok_or(PlacementBlock::NoServer)?;
-        let closed = self.closed_to(now, record.fingerprint, record.phase)?;
+        let closed = match self.permit(now, record)? {
+            SuspectPermit::Anywhere => None,
+            SuspectPermit::Apart(closed) => Some(closed),
+            SuspectPermit::Reserved(choice) => return Ok(choice),
+        };
         let lane = self.lanes.get(&record.model);
         let lane = lane.ok_or(PlacementBlock::NoServer)?;
         let reserve = record.first_token.mul_f64(self.settings.deadline_margin);
@@ -162,7 +167,7 @@
             leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
             avoid: record.avoid,
-            closed: &closed,
+            closed: closed.as_deref().unwrap_or_default(),
             resumes: record.has_begun,
         };
         let entries = self.entries;
@@ -174,11 +179,12 @@
             entries,
             &mut self.rng,
         );
-        // A suspect that finds no server of its own does not hold up others.
-        chosen.map_err(|block| match closed.is_empty() {
-            true => block,
-            false => PlacementBlock::Suspect,
-        })
+        if closed.is_none() {
+            return chosen;
+        }
+        // A suspect that has to wait does not hold up others.
+        let choice = chosen.map_err(|_| PlacementBlock::Suspect)?;
+        self.reserve(now, request, choice)
     }
 
     fn start(
--- a/crates/gs-control/src/dispatch/state.rs
+++ b/crates/gs-control/src/dispatch/state.rs
@@ -48,7 +48,7 @@
             table: RequestTable::default(),
             budget: RetryBudget::new(settings.retry_share, settings.retry_floor),
             last_start: None,
-            quarantine: QuarantineState::new(QuarantineSettings::default()),
+            quarantine: QuarantineState::new(settings.entry.clone(), QuarantineSettings::default()),
             quarantine_effects: Vec::new(),
             settings,
         }
--- a/crates/gs-control/src/dispatch/suspects.rs
+++ b/crates/gs-control/src/dispatch/suspects.rs
@@ -8,12 +8,23 @@
 
 use super::endings::server_of;
 use super::messages::{AttemptEnd, DispatchEffect, DispatchEvent};
-use super::placement::PlacementBlock;
-use super::request_table::{AttemptRecord, RequestPhase, ReturnKey};
+use super::placement::{PlacementBlock, PlacementChoice};
+use super::request_table::{AttemptRecord, RequestPhase, RequestRecord, ReturnKey};
 use super::server_record::ServerId;
 use super::state::DispatchState;
 use crate::quarantine::{QuarantineEffect, QuarantineEvent, RunEnd, SuspectGate};
 
+/// Where a request may run.
+#[derive(Clone, Debug)]
+pub enum SuspectPermit {
+    /// On any server.
+    Anywhere,
+    /// On all servers but these, once they have been kept for it.
+    Apart(Vec<ServerId>),
+    /// On the servers that are kept for it.
+    Reserved(PlacementChoice),
+}
+
 impl DispatchState {
     /// Takes what the quarantine slice wants done.
     pub fn take_quarantine_effects(&mut self) -> Vec<QuarantineEffect> {
@@ -93,28 +104,70 @@
         })
     }
 
-    /// The servers that a request must not run on; an error if it is a suspect and may not run now.
-    pub(super) fn closed_to(
+    /// Where a request may run; an error if it is a suspect and may not run now.
+    pub(super) fn permit(
         &self,
         now: Instant,
-        fingerprint: PromptFingerprint,
-        phase: RequestPhase,
-    ) -> Result<Vec<ServerId>, PlacementBlock> {
-        match self.quarantine.gate(now, fingerprint) {
-            SuspectGate::Open => Ok(Vec::new()),
-            SuspectGate::Apart if phase != RequestPhase::Waiting => {
+        record: &RequestRecord,
+    ) -> Result<SuspectPermit, PlacementBlock> {
+        let waits = record.phase == RequestPhase::Waiting;
+        match self.quarantine.gate(now, record.fingerprint) {
+            SuspectGate::Open => Ok(SuspectPermit::Anywhere),
+            SuspectGate::Apart if !waits => {
                 let closed = self.quarantine.closed_servers(now);
-                Ok(closed
-                    .iter()
-                    .filter_map(|name| self.fleet.find(name))
-                    .collect())
+                let closed = closed.iter().filter_map(|name| self.fleet.find(name));
+                Ok(SuspectPermit::Apart(closed.collect()))
             }
-            SuspectGate::Apart | SuspectGate::Held | SuspectGate::Refused => {
-                Err(PlacementBlock::Suspect)
+            SuspectGate::Reserved if !waits => {
+                let reserved = record.reserved.filter(|choice| self.is_usable(choice));
+                let choice = reserved.ok_or(PlacementBlock::Suspect)?;
+                Ok(SuspectPermit::Reserved(choice))
             }
+            SuspectGate::Apart
+            | SuspectGate::Held
+            | SuspectGate::Refused
+            | SuspectGate::Reserved => Err(PlacementBlock::Suspect),
         }
     }
 
+    /// Keeps servers for a suspect; returns them if it may run there at once.
+    pub(super) fn reserve(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        choice: PlacementChoice,
+    ) -> Result<PlacementChoice, PlacementBlock> {
+        let record = self.table.requests.get_mut(&request);
+        let record = record.ok_or(PlacementBlock::Suspect)?;
+        record.reserved = Some(choice);
+        let fingerprint = record.fingerprint;
+        let mut servers = vec![choice.decode];
+        if !record.has_begun {
+            servers.push(choice.prefill);
+        }
+        let records = servers
+            .iter()
+            .filter_map(|server| self.fleet.server(*server));
+        let servers = records.map(|known| known.name.clone()).collect();
+        let reserved = QuarantineEvent::Reserved {
+            fingerprint,
+            servers,
+        };
+        self.tell_quarantine(now, reserved);
+        match self.quarantine.gate(now, fingerprint) {
+            SuspectGate::Reserved => Ok(choice),
+            _ => Err(PlacementBlock::Suspect),
+        }
+    }
+
+    /// Whether servers that were chosen a while ago can still take the request.
+    fn is_usable(&self, choice: &PlacementChoice) -> bool {
+        let listed = |server| self.fleet.listed_load(server).is_some();
+        let decode = self.fleet.server(choice.decode);
+        let has_slot = decode.is_some_and(|known| known.own().streams < known.report.max_streams);
+        has_slot && listed(choice.decode) && listed(choice.prefill)
+    }
+
     /// Moves a suspect from its queue to the requests that are looked at one by one.
     pub(super) fn set_suspect_aside(&mut self, request: RequestId) {
         let Some(record) = self.table.requests.get_mut(&request) else {
--- a/crates/gs-control/src/quarantine/blames.rs
+++ b/crates/gs-control/src/quarantine/blames.rs
@@ -1,14 +1,15 @@
-//! The deaths that each fingerprint is blamed for, in bounded memory.
+//! The deaths that attempts of each fingerprint are blamed for, in bounded memory.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use gs_protocol::ids::AttemptId;
 use gs_protocol::suspicion::{BlameRecord, BlameState, PromptFingerprint, ServerDeath};
 
 use super::settings::QuarantineSettings;
 
-/// Deaths remembered at most for one fingerprint.
-const MAX_DEATHS: usize = 16;
+/// Blames remembered at most for one fingerprint.
+const MAX_BLAMES: usize = 32;
 
 /// Blames sent at most in one report.
 const MAX_REPORTED: usize = 512;
@@ -22,36 +23,59 @@
     Peer,
 }
 
-/// One fingerprint's part in one death.
-#[derive(Clone, Copy, Debug)]
+/// One attempt's part in a death.
+#[derive(Clone, Debug)]
 struct Blame {
+    death: ServerDeath,
     state: BlameState,
     origin: BlameOrigin,
     raised_at: Instant,
 }
 
+impl Blame {
+    fn record(
+        &self,
+        attempt: AttemptId,
+        fingerprint: PromptFingerprint,
+        state: BlameState,
+    ) -> BlameRecord {
+        BlameRecord {
+            attempt,
+            fingerprint,
+            death: self.death.clone(),
+            state,
+        }
+    }
+}
+
 /// One fingerprint.
 #[derive(Clone, Debug)]
 struct SuspectRecord {
-    blames: BTreeMap<ServerDeath, Blame>,
+    blames: BTreeMap<AttemptId, Blame>,
     changed_at: Instant,
     repeat_at: Option<Instant>,
     repeat: Duration,
 }
 
 impl SuspectRecord {
-    /// Forgets a death beyond the bound, a cleared one if there is any.
-    fn bound_deaths(&mut self) {
-        if self.blames.len() <= MAX_DEATHS {
+    /// Whether it is cleared of every death.
+    fn is_cleared(&self) -> bool {
+        let mut blames = self.blames.values();
+        blames.all(|blame| blame.state == BlameState::Cleared)
+    }
+
+    /// Forgets a blame beyond the bound, a cleared one if there is any.
+    fn bound_blames(&mut self) {
+        if self.blames.len() <= MAX_BLAMES {
             return;
         }
         let mut cleared = self.blames.iter();
         let cleared = cleared.find(|(_, blame)| blame.state == BlameState::Cleared);
-        let Some(death) = cleared.map(|(death, _)| death.clone()) else {
+        let Some(attempt) = cleared.map(|(attempt, _)| *attempt) else {
             self.blames.pop_first();
             return;
         };
-        self.blames.remove(&death);
+        self.blames.remove(&attempt);
     }
 }
 
@@ -62,14 +86,13 @@
     pub suspected: usize,
     /// Deaths that did happen.
     pub proven: usize,
-    /// When the last unproven one was raised.
-    pub last_suspected: Option<Instant>,
 }
 
 /// All fingerprints that are blamed or have been cleared lately.
 #[derive(Clone, Debug, Default)]
 pub struct BlameTable {
     records: BTreeMap<PromptFingerprint, SuspectRecord>,
+    suspected: BTreeSet<PromptFingerprint>,
     ages: BTreeSet<(Instant, PromptFingerprint)>,
     repeats: BTreeSet<(Instant, PromptFingerprint)>,
 }
@@ -82,19 +105,14 @@
 }
 
 impl BlameTable {
-    /// Whether nothing is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
-    }
-
     /// How many fingerprints are remembered.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// All fingerprints that are remembered.
-    pub fn fingerprints(&self) -> impl Iterator<Item = PromptFingerprint> {
-        self.records.keys().copied()
+    /// The fingerprints that are not cleared of every death.
+    pub fn suspected(&self) -> impl Iterator<Item = PromptFingerprint> {
+        self.suspected.iter().copied()
     }
 
     /// How many deaths a fingerprint is blamed for, but for one. What was not proven in time does not count.
@@ -105,31 +123,32 @@
         but: Option<&ServerDeath>,
         settings: &QuarantineSettings,
     ) -> BlameCount {
-        let mut count = BlameCount::default();
-        let Some(record) = self.records.get(&fingerprint) else {
-            return count;
-        };
-        for (death, blame) in &record.blames {
-            if Some(death) == but {
-                continue;
-            }
+        let mut proven = BTreeSet::new();
+        let mut suspected = BTreeSet::new();
+        let blames = self.records.get(&fingerprint).into_iter();
+        for blame in blames.flat_map(|record| record.blames.values()) {
             let age = now.saturating_duration_since(blame.raised_at);
             match blame.state {
+                _ if Some(&blame.death) == but => {}
+                BlameState::Proven => {
+                    proven.insert(&blame.death);
+                }
                 BlameState::Suspected if age < settings.proof_within => {
-                    count.suspected += 1;
-                    count.last_suspected = count.last_suspected.max(Some(blame.raised_at));
+                    suspected.insert(&blame.death);
                 }
-                BlameState::Proven => count.proven += 1,
                 BlameState::Cleared | BlameState::Suspected => {}
             }
         }
-        count
+        BlameCount {
+            suspected: suspected.difference(&proven).count(),
+            proven: proven.len(),
+        }
     }
 
-    /// What is known of a fingerprint's part in a death.
-    pub fn state(&self, fingerprint: PromptFingerprint, death: &ServerDeath) -> Option<BlameState> {
+    /// What is known of an attempt's part in a death.
+    pub fn state(&self, fingerprint: PromptFingerprint, attempt: AttemptId) -> Option<BlameState> {
         let record = self.records.get(&fingerprint)?;
-        record.blames.get(death).map(|blame| blame.state)
+        record.blames.get(&attempt).map(|blame| blame.state)
     }
 
     /// Raises a blame to a state; returns whether that changed anything.
@@ -148,17 +167,22 @@
             repeat_at: None,
             repeat: settings.repeat,
         });
-        let known = record.blames.get(&blame.death);
+        let known = record.blames.get(&blame.attempt);
         if known.is_some_and(|known| known.state >= blame.state) {
             return false;
         }
         let raised = Blame {
+            death: blame.death,
             state: blame.state,
             origin,
             raised_at: now,
         };
-        record.blames.insert(blame.death, raised);
-        record.bound_deaths();
+        record.blames.insert(blame.attempt, raised);
+        record.bound_blames();
+        match record.is_cleared() {
+            true => self.suspected.remove(&fingerprint),
+            false => self.suspected.insert(fingerprint),
+        };
         self.ages.remove(&(record.changed_at, fingerprint));
         record.changed_at = now;
         self.ages.insert((now, fingerprint));
@@ -182,12 +206,7 @@
         fingerprint: PromptFingerprint,
         settings: &QuarantineSettings,
     ) {
-        let Some(record) = self.records.get(&fingerprint) else {
-            return;
-        };
-        for death in record.blames.keys().cloned().collect::<Vec<_>>() {
-            self.raise(now, cleared(fingerprint, death), BlameOrigin::Own, settings);
-        }
+        self.clear_where(now, fingerprint, |_| true, settings);
     }
 
     /// Clears every fingerprint of a death that did not happen.
@@ -197,15 +216,25 @@
         death: &ServerDeath,
         settings: &QuarantineSettings,
     ) {
-        let blamed = self.records.iter().filter(|(_, record)| {
-            let blame = record.blames.get(death);
-            blame.is_some_and(|blame| blame.state != BlameState::Cleared)
-        });
-        for fingerprint in blamed
-            .map(|(fingerprint, _)| *fingerprint)
-            .collect::<Vec<_>>()
-        {
-            let record = cleared(fingerprint, death.clone());
+        for fingerprint in self.suspected.iter().copied().collect::<Vec<_>>() {
+            self.clear_where(now, fingerprint, |blame| blame.death == *death, settings);
+        }
+    }
+
+    fn clear_where(
+        &mut self,
+        now: Instant,
+        fingerprint: PromptFingerprint,
+        concerns: impl Fn(&Blame) -> bool,
+        settings: &QuarantineSettings,
+    ) {
+        let blames = self.records.get(&fingerprint).into_iter();
+        let blames = blames.flat_map(|record| &record.blames);
+        let cleared: Vec<_> = blames
+            .filter(|(_, blame)| concerns(blame))
+            .map(|(attempt, blame)| blame.record(*attempt, fingerprint, BlameState::Cleared))
+            .collect();
+        for record in cleared {
             self.raise(now, record, BlameOrigin::Own, settings);
         }
     }
@@ -239,11 +268,9 @@
                 .blames
                 .iter()
                 .filter(|(_, blame)| blame.origin == BlameOrigin::Own);
-            due.extend(own.map(|(death, blame)| BlameRecord {
-                fingerprint,
-                death: death.clone(),
-                state: blame.state,
-            }));
+            due.extend(
+                own.map(|(attempt, blame)| blame.record(*attempt, fingerprint, blame.state)),
+            );
         }
         due
     }
@@ -252,17 +279,10 @@
         let Some((_, fingerprint)) = self.ages.pop_first() else {
             return;
         };
+        self.suspected.remove(&fingerprint);
         let record = self.records.remove(&fingerprint);
         if let Some(at) = record.and_then(|record| record.repeat_at) {
             self.repeats.remove(&(at, fingerprint));
         }
     }
 }
-
-fn cleared(fingerprint: PromptFingerprint, death: ServerDeath) -> BlameRecord {
-    BlameRecord {
-        fingerprint,
-        death,
-        state: BlameState::Cleared,
-    }
-}
--- a/crates/gs-control/src/quarantine/exposures.rs
+++ b/crates/gs-control/src/quarantine/exposures.rs
@@ -28,6 +28,8 @@
     pub phase: ExposurePhase,
     /// How it ended here, if it did so without the server's word.
     pub trace: Option<ExposureTrace>,
+    /// Whether it was a suspect when it was last judged for the server's death.
+    pub was_suspect: Option<bool>,
 }
 
 /// The end of an attempt of which the server has not said anything.
@@ -60,6 +62,7 @@
 pub struct ExposureTable {
     attempts: BTreeMap<AttemptId, AttemptPlaces>,
     servers: BTreeMap<ServerName, BTreeMap<AttemptId, Exposure>>,
+    counts: BTreeMap<PromptFingerprint, usize>,
 }
 
 impl ExposureTable {
@@ -76,6 +79,7 @@
             boot,
             phase,
             trace: None,
+            was_suspect: None,
         };
         let phase = match prefill {
             Some(_) => ExposurePhase::Reserved,
@@ -166,10 +170,16 @@
         }
     }
 
-    /// The attempts on a server.
-    pub fn on(&self, server: &ServerName) -> impl Iterator<Item = (AttemptId, &Exposure)> {
-        let exposures = self.servers.get(server).into_iter().flatten();
-        exposures.map(|(attempt, exposure)| (*attempt, exposure))
+    /// Whether a fingerprint is on any server.
+    pub fn contains(&self, fingerprint: PromptFingerprint) -> bool {
+        self.counts.contains_key(&fingerprint)
+    }
+
+    /// The attempts on a start of a server.
+    pub fn on(&self, death: &ServerDeath) -> impl Iterator<Item = (AttemptId, &Exposure)> {
+        let exposures = self.servers.get(&death.server).into_iter().flatten();
+        let exposures = exposures.map(|(attempt, exposure)| (*attempt, exposure));
+        exposures.filter(|(_, exposure)| exposure.boot == death.boot)
     }
 
     /// All attempts on all servers.
@@ -186,20 +196,35 @@
         });
     }
 
-    /// Drops everything on a start of a server that has ended.
-    pub fn drop_dead(&mut self, death: &ServerDeath) {
-        self.retain_on(&death.server, |exposure| exposure.boot != death.boot);
+    /// Makes traces of all that ran on a start of a server which has ended.
+    pub fn lose_all(&mut self, now: Instant, death: &ServerDeath) {
+        for exposure in self
+            .on_mut(death)
+            .filter(|exposure| exposure.trace.is_none())
+        {
+            exposure.trace = Some(ExposureTrace {
+                ended_at: now,
+                is_lost: true,
+            });
+        }
+    }
+
+    /// The attempts on a start of a server.
+    pub fn on_mut(&mut self, death: &ServerDeath) -> impl Iterator<Item = &mut Exposure> {
+        let exposures = self.servers.get_mut(&death.server).into_iter();
+        let exposures = exposures.flat_map(BTreeMap::values_mut);
+        exposures.filter(|exposure| exposure.boot == death.boot)
     }
 
     /// Drops the traces that ended longer ago than `linger`.
     pub fn drop_old_traces(&mut self, now: Instant, linger: Duration) {
-        self.servers.retain(|_, exposures| {
-            exposures.retain(|_, exposure| {
-                let age = |trace: ExposureTrace| now.saturating_duration_since(trace.ended_at);
+        let age = |trace: ExposureTrace| now.saturating_duration_since(trace.ended_at);
+        let servers: Vec<_> = self.servers.keys().cloned().collect();
+        for server in servers {
+            self.retain_on(&server, |exposure| {
                 exposure.trace.is_none_or(|trace| age(trace) < linger)
             });
-            !exposures.is_empty()
-        });
+        }
     }
 
     fn get(&self, attempt: AttemptId, server: &ServerName) -> Option<&Exposure> {
@@ -208,7 +233,9 @@
 
     fn insert(&mut self, attempt: AttemptId, server: ServerName, exposure: Exposure) {
         let exposures = self.servers.entry(server).or_default();
-        exposures.insert(attempt, exposure);
+        if exposures.insert(attempt, exposure).is_none() {
+            *self.counts.entry(exposure.fingerprint).or_default() += 1;
+        }
     }
 
     fn set_phase(&mut self, attempt: AttemptId, server: &ServerName, phase: ExposurePhase) {
@@ -219,23 +246,41 @@
     }
 
     fn remove(&mut self, attempt: AttemptId, server: &ServerName) {
-        let exposures = self.servers.get_mut(server);
-        let exposures = exposures.map(|exposures| {
-            exposures.remove(&attempt);
-            exposures.is_empty()
-        });
-        if exposures == Some(true) {
+        let Some(exposures) = self.servers.get_mut(server) else {
+            return;
+        };
+        let removed = exposures.remove(&attempt);
+        if exposures.is_empty() {
             self.servers.remove(server);
         }
+        if let Some(exposure) = removed {
+            uncount(&mut self.counts, exposure.fingerprint);
+        }
     }
 
     fn retain_on(&mut self, server: &ServerName, keep: impl Fn(&Exposure) -> bool) {
         let Some(exposures) = self.servers.get_mut(server) else {
             return;
         };
-        exposures.retain(|_, exposure| keep(exposure));
+        exposures.retain(|_, exposure| {
+            let kept = keep(exposure);
+            if !kept {
+                uncount(&mut self.counts, exposure.fingerprint);
+            }
+            kept
+        });
         if exposures.is_empty() {
             self.servers.remove(server);
         }
     }
 }
+
+fn uncount(counts: &mut BTreeMap<PromptFingerprint, usize>, fingerprint: PromptFingerprint) {
+    let Some(count) = counts.get_mut(&fingerprint) else {
+        return;
+    };
+    *count -= 1;
+    if *count == 0 {
+        counts.remove(&fingerprint);
+    }
+}
--- a/crates/gs-control/src/quarantine/messages.rs
+++ b/crates/gs-control/src/quarantine/messages.rs
@@ -19,6 +19,13 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum QuarantineEvent {
+    /// A suspect is to run on servers without another suspect, which are kept for it from now on.
+    Reserved {
+        /// The suspect.
+        fingerprint: PromptFingerprint,
+        /// The servers.
+        servers: Vec<ServerName>,
+    },
     /// An attempt was started.
     Started {
         /// The attempt.
@@ -77,8 +84,10 @@
 pub enum SuspectGate {
     /// On any server.
     Open,
-    /// On a server without another suspect.
+    /// On servers without another suspect, once they have been kept for it.
     Apart,
+    /// On the servers that are kept for it.
+    Reserved,
     /// Nowhere for now: another attempt of its kind runs, or it is not yet known whether a server died.
     Held,
     /// Nowhere.
--- a/crates/gs-control/src/quarantine/mod.rs
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 mod exposures;
 mod messages;
 mod peers;
+mod reservations;
 mod settings;
 mod state;
 mod verdict;
--- a/crates/gs-control/src/quarantine/peers.rs
+++ b/crates/gs-control/src/quarantine/peers.rs
@@ -33,19 +33,20 @@
         self.peers.insert(peer, heard);
     }
 
-    /// Whether a peer runs a fingerprint.
+    /// Whether a peer runs a fingerprint or is about to.
     pub fn runs(&self, fingerprint: PromptFingerprint) -> bool {
         self.running().any(|run| run.fingerprint == fingerprint)
     }
 
-    /// The servers on which peers run suspects.
+    /// The servers on which peers run suspects or are about to.
     pub fn servers(&self) -> impl Iterator<Item = &ServerName> {
         self.running().map(|run| &run.server)
     }
 
-    /// How many suspects peers run on a server.
+    /// How many suspects run on a server by peers' orders.
     pub fn count_on(&self, server: &ServerName) -> usize {
-        self.running().filter(|run| run.server == *server).count()
+        let started = self.running().filter(|run| run.has_started);
+        started.filter(|run| run.server == *server).count()
     }
 
     /// Drops what has not been repeated for too long.
--- a/crates/gs-control/src/quarantine/settings.rs
+++ b/crates/gs-control/src/quarantine/settings.rs
@@ -9,8 +9,10 @@
     pub refused_deaths: usize,
     /// Time of streaming after which a request has shown that it does no harm.
     pub survival: Duration,
-    /// Wait after a lost attempt until its request goes again, so that peers, if any, hear of the loss first.
-    pub settle: Duration,
+    /// How long servers are kept for a suspect before it runs there, so that peers, if any, hear of it first.
+    pub hold: Duration,
+    /// How long servers are kept for a suspect after that.
+    pub use_within: Duration,
     /// Time after a loss within which the server's death must be proven.
     pub proof_within: Duration,
     /// How long an attempt that its caller gave up may still be blamed.
@@ -30,7 +32,8 @@
         Self {
             refused_deaths: 2,
             survival: Duration::from_millis(200),
-            settle: Duration::from_millis(50),
+            hold: Duration::from_millis(50),
+            use_within: Duration::from_millis(200),
             proof_within: Duration::from_secs(1),
             linger: Duration::from_secs(2),
             memory: Duration::from_secs(600),
--- a/crates/gs-control/src/quarantine/state.rs
+++ b/crates/gs-control/src/quarantine/state.rs
@@ -1,7 +1,7 @@
 //! The quarantine slice's state and its events.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{AttemptId, EntryName, ServerName};
 use gs_protocol::suspicion::{
@@ -12,40 +12,50 @@
 use super::exposures::{ExposurePhase, ExposureTable};
 use super::messages::{QuarantineEffect, QuarantineEvent, RunEnd, SuspectGate};
 use super::peers::PeerTable;
+use super::reservations::ReservationTable;
 use super::settings::QuarantineSettings;
 use super::verdict::{DeathWitness, blame};
 use super::watches::{SightingNews, WatchTable};
 
+/// Between two looks for what has become too old.
+const CLEAN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Running suspects told at most in one report.
 const MAX_RUNNING: usize = 256;
 
 /// Says where requests may run that may crash servers.
 #[derive(Clone, Debug)]
 pub struct QuarantineState {
+    own: EntryName,
     settings: QuarantineSettings,
     blames: BlameTable,
     exposures: ExposureTable,
     watches: WatchTable,
     peers: PeerTable,
+    reservations: ReservationTable,
     survivals: BTreeSet<(Instant, AttemptId)>,
     told: Vec<SuspectRun>,
     told_at: Option<Instant>,
     has_peers: bool,
+    clean_at: Option<Instant>,
 }
 
 impl QuarantineState {
-    /// A state that suspects nobody.
-    pub fn new(settings: QuarantineSettings) -> Self {
+    /// The state of an entry that suspects nobody.
+    pub fn new(own: EntryName, settings: QuarantineSettings) -> Self {
         Self {
+            own,
             settings,
             blames: BlameTable::default(),
             exposures: ExposureTable::default(),
             watches: WatchTable::default(),
             peers: PeerTable::default(),
+            reservations: ReservationTable::default(),
             survivals: BTreeSet::new(),
             told: Vec::new(),
             told_at: None,
             has_peers: false,
+            clean_at: None,
         }
     }
 
@@ -58,6 +68,10 @@
     ) {
         self.end_trials(now);
         match event {
+            QuarantineEvent::Reserved {
+                fingerprint,
+                servers,
+            } => self.reservations.add(now, fingerprint, servers),
             QuarantineEvent::Started {
                 attempt,
                 fingerprint,
@@ -66,11 +80,12 @@
             } => self.start(attempt, fingerprint, prefill, decode),
             QuarantineEvent::PrefillDone(attempt) => self.exposures.pass_on(attempt),
             QuarantineEvent::FirstToken(attempt) => self.begin_trial(now, attempt),
-            QuarantineEvent::Ended { attempt, end } => self.end(now, attempt, &end),
+            QuarantineEvent::Ended { attempt, end } => self.end(now, attempt, &end, effects),
             QuarantineEvent::ServerSeen(seen) => self.see(now, &seen, effects),
             QuarantineEvent::ServerDown(server) => {
                 let death = self.watches.death(&server);
                 self.watches.doubt(&server);
+                self.exposures.lose_all(now, &death);
                 self.judge(now, &death, effects);
             }
             QuarantineEvent::PeerTold { peer, report } => self.hear(now, peer, report),
@@ -89,28 +104,30 @@
         if count.total() == 0 {
             return SuspectGate::Open;
         }
-        let settling = count
-            .last_suspected
-            .is_some_and(|at| now.saturating_duration_since(at) < self.settings.settle);
         let is_undecided = count.total() >= self.settings.refused_deaths;
-        if (self.has_peers && settling) || is_undecided || self.runs(fingerprint) {
+        if is_undecided || self.runs(fingerprint) {
             return SuspectGate::Held;
         }
-        SuspectGate::Apart
+        let Some(since) = self.reservations.since(fingerprint) else {
+            return SuspectGate::Apart;
+        };
+        let age = now.saturating_duration_since(since);
+        match self.has_peers && age < self.settings.hold {
+            true => SuspectGate::Held,
+            false => SuspectGate::Reserved,
+        }
     }
 
     /// The servers that take no suspect now.
     pub fn closed_servers(&self, now: Instant) -> BTreeSet<ServerName> {
         let own = self.running_suspects(now).into_iter().map(|run| run.server);
-        own.chain(self.peers.servers().cloned()).collect()
+        let others = self.peers.servers().chain(self.watches.doubted());
+        own.chain(others.cloned()).collect()
     }
 
     /// How many fingerprints run apart, are held or are refused.
     pub fn count_suspects(&self, now: Instant) -> usize {
-        let gates = self
-            .blames
-            .fingerprints()
-            .map(|known| self.gate(now, known));
+        let gates = self.blames.suspected().map(|known| self.gate(now, known));
         gates.filter(|gate| *gate != SuspectGate::Open).count()
     }
 
@@ -130,6 +147,7 @@
             let boot = self.watches.boot(&server);
             (server, boot)
         };
+        self.reservations.remove(fingerprint);
         let prefill = prefill.map(with_boot);
         let decode = with_boot(decode);
         self.exposures.add(attempt, fingerprint, prefill, decode);
@@ -155,7 +173,13 @@
         }
     }
 
-    fn end(&mut self, now: Instant, attempt: AttemptId, end: &RunEnd) {
+    fn end(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        end: &RunEnd,
+        effects: &mut Vec<QuarantineEffect>,
+    ) {
         match end {
             RunEnd::Whole => {
                 let fingerprint = self.exposures.fingerprint(attempt);
@@ -165,7 +189,7 @@
                 }
             }
             RunEnd::Refused => self.exposures.end(attempt),
-            RunEnd::Lost(server) => self.lose(now, attempt, server),
+            RunEnd::Lost(server) => self.lose(now, attempt, server, effects),
             RunEnd::Abandoned => self.exposures.abandon(now, attempt),
         }
     }
@@ -179,20 +203,35 @@
     }
 
     /// Suspects what lost its connection, until it is known whether the server died.
-    fn lose(&mut self, now: Instant, attempt: AttemptId, server: &ServerName) {
+    fn lose(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        server: &ServerName,
+        effects: &mut Vec<QuarantineEffect>,
+    ) {
         let Some(lost) = self.exposures.lose(now, attempt, server) else {
             return;
         };
-        self.watches.doubt(server);
         let death = ServerDeath {
             server: server.clone(),
             boot: lost.boot,
         };
-        let witnesses = self.witnesses(now, &death);
+        if lost.boot != self.watches.boot(server) {
+            self.judge(now, &death, effects);
+            return;
+        }
+        self.watches.doubt(server);
         let peer_suspects = self.peers.count_on(server);
-        let is_fresh = lost.phase == ExposurePhase::Fresh;
-        if is_fresh && blame(&witnesses, peer_suspects).contains(&lost.fingerprint) {
-            self.raise(now, lost.fingerprint, &death, BlameState::Suspected);
+        let blamed = blame(&self.witnesses(now, &death), peer_suspects);
+        if lost.phase == ExposurePhase::Fresh && blamed.contains(&lost.fingerprint) {
+            self.raise(
+                now,
+                attempt,
+                lost.fingerprint,
+                &death,
+                BlameState::Suspected,
+            );
         }
     }
 
@@ -207,38 +246,58 @@
         }
     }
 
-    /// Blames what ran on a server that has died.
+    /// Blames what was lost with a server that has died. What is found lost later is judged then.
     fn judge(&mut self, now: Instant, death: &ServerDeath, effects: &mut Vec<QuarantineEffect>) {
-        let witnesses = self.witnesses(now, death);
-        let peer_suspects = self.peers.count_on(&death.server);
-        let blamed = blame(&witnesses, peer_suspects);
-        for witness in &witnesses {
+        let lost = |witness: &DeathWitness| witness.exposure.trace.is_some();
+        let mut witnesses = self.witnesses(now, death);
+        witnesses.retain(lost);
+        let blamed = blame(&witnesses, self.peers.count_on(&death.server));
+        let is_new = |witness: &&DeathWitness| witness.exposure.was_suspect.is_none();
+        for witness in witnesses.iter().filter(is_new) {
             let fingerprint = witness.exposure.fingerprint;
-            let is_suspected = self.blames.state(fingerprint, death) == Some(BlameState::Suspected);
-            if is_suspected && !blamed.contains(&fingerprint) {
-                self.raise(now, fingerprint, death, BlameState::Cleared);
-            }
-        }
-        for fingerprint in blamed {
-            if self.raise(now, fingerprint, death, BlameState::Proven) {
+            let attempt = witness.attempt;
+            let state = self.blames.state(fingerprint, attempt);
+            let is_suspected = state == Some(BlameState::Suspected);
+            if !blamed.contains(&fingerprint) {
+                if is_suspected {
+                    self.raise(now, attempt, fingerprint, death, BlameState::Cleared);
+                }
+            } else if self.raise(now, attempt, fingerprint, death, BlameState::Proven) {
                 let death = death.clone();
                 effects.push(QuarantineEffect::Blamed { fingerprint, death });
             }
         }
-        self.exposures.drop_dead(death);
+        self.note_judged(&witnesses, death);
+    }
+
+    /// Remembers who was a suspect, so that what is judged later for the same death is judged alike.
+    fn note_judged(&mut self, witnesses: &[DeathWitness], death: &ServerDeath) {
+        let suspects: BTreeSet<_> = witnesses
+            .iter()
+            .filter(|witness| witness.is_suspect)
+            .map(|witness| witness.exposure.fingerprint)
+            .collect();
+        let lost = self.exposures.on_mut(death);
+        for exposure in lost.filter(|exposure| exposure.trace.is_some()) {
+            exposure.was_suspect = Some(suspects.contains(&exposure.fingerprint));
+        }
     }
 
     fn witnesses(&self, now: Instant, death: &ServerDeath) -> Vec<DeathWitness> {
-        let ran = self.exposures.on(&death.server);
-        ran.filter(|(_, exposure)| exposure.boot == death.boot)
-            .map(|(_, exposure)| DeathWitness {
-                exposure: *exposure,
-                is_suspect: self.is_suspect(now, exposure.fingerprint, Some(death)),
-            })
-            .collect()
+        let ran = self.exposures.on(death);
+        ran.map(|(attempt, exposure)| DeathWitness {
+            attempt,
+            exposure: *exposure,
+            is_suspect: exposure
+                .was_suspect
+                .unwrap_or_else(|| self.is_suspect(now, exposure.fingerprint, Some(death))),
+        })
+        .collect()
     }
 
     fn hear(&mut self, now: Instant, peer: EntryName, report: SuspicionReport) {
+        self.reservations
+            .yield_to(&self.own, &peer, &report.running);
         self.peers.hear(now, peer, report.running);
         for blame in report.blames {
             let server = blame.death.server.clone();
@@ -253,19 +312,26 @@
     }
 
     fn forget_old(&mut self, now: Instant) {
+        if self.clean_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.clean_at = Some(now + CLEAN_INTERVAL);
         self.exposures.drop_old_traces(now, self.settings.linger);
         self.peers.forget_old(now, self.settings.peer_stale);
+        self.reservations.forget_old(now, &self.settings);
         self.blames.forget_old(now, &self.settings);
     }
 
     fn raise(
         &mut self,
         now: Instant,
+        attempt: AttemptId,
         fingerprint: PromptFingerprint,
         death: &ServerDeath,
         state: BlameState,
     ) -> bool {
         let record = BlameRecord {
+            attempt,
             fingerprint,
             death: death.clone(),
             state,
@@ -286,14 +352,16 @@
 
     /// Whether a fingerprint runs anywhere and has not survived there yet.
     fn runs(&self, fingerprint: PromptFingerprint) -> bool {
-        let mut own = self.exposures.iter();
-        own.any(|(_, exposure)| exposure.fingerprint == fingerprint && exposure.is_live())
-            || self.peers.runs(fingerprint)
+        let own = self.exposures.iter();
+        let mut own = own.filter(|(_, exposure)| exposure.fingerprint == fingerprint);
+        let runs_here = self.exposures.contains(fingerprint);
+        (runs_here && own.any(|(_, exposure)| exposure.is_live())) || self.peers.runs(fingerprint)
     }
 
     fn running_suspects(&self, now: Instant) -> Vec<SuspectRun> {
-        if self.blames.is_empty() {
-            return Vec::new();
+        let mut suspected = self.blames.suspected();
+        if !suspected.any(|known| self.exposures.contains(known)) {
+            return self.reservations.iter().collect();
         }
         let live = self.exposures.iter().filter(|(_, exposure)| {
             exposure.is_live() && self.is_suspect(now, exposure.fingerprint, None)
@@ -302,7 +370,9 @@
             .map(|(server, exposure)| SuspectRun {
                 fingerprint: exposure.fingerprint,
                 server: server.clone(),
+                has_started: true,
             })
+            .chain(self.reservations.iter())
             .collect();
         running.sort();
         running.dedup();
--- a/crates/gs-control/src/quarantine/verdict.rs
+++ b/crates/gs-control/src/quarantine/verdict.rs
@@ -1,5 +1,6 @@
 //! Who is blamed for a death.
 
+use gs_protocol::ids::AttemptId;
 use gs_protocol::suspicion::PromptFingerprint;
 
 use super::exposures::{Exposure, ExposurePhase};
@@ -7,6 +8,8 @@
 /// One attempt that ran on a server which has died.
 #[derive(Clone, Copy, Debug)]
 pub struct DeathWitness {
+    /// The attempt.
+    pub attempt: AttemptId,
     /// What ran.
     pub exposure: Exposure,
     /// Whether it was suspected before.
--- a/crates/gs-control/src/quarantine/watches.rs
+++ b/crates/gs-control/src/quarantine/watches.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ServerWatch {
     boot: u64,
+    is_doubted: bool,
     sightings: u32,
 }
 
@@ -37,6 +38,7 @@
     pub fn see(&mut self, seen: &ServerDeath) -> SightingNews {
         let fresh = ServerWatch {
             boot: seen.boot,
+            is_doubted: false,
             sightings: 0,
         };
         let Some(watch) = self.watches.get_mut(&seen.server) else {
@@ -49,19 +51,27 @@
             return SightingNews::Died(ServerDeath { server, boot });
         }
         watch.sightings = watch.sightings.saturating_add(1);
-        match watch.sightings == PROVING_SIGHTINGS {
-            true => SightingNews::Alive,
-            false => SightingNews::Nothing,
+        if !watch.is_doubted || watch.sightings < PROVING_SIGHTINGS {
+            return SightingNews::Nothing;
         }
+        watch.is_doubted = false;
+        SightingNews::Alive
     }
 
     /// Asks for a new proof that a server is alive.
     pub fn doubt(&mut self, server: &ServerName) {
         if let Some(watch) = self.watches.get_mut(server) {
+            watch.is_doubted = true;
             watch.sightings = 0;
         }
     }
 
+    /// Servers of which it is not known whether they are alive.
+    pub fn doubted(&self) -> impl Iterator<Item = &ServerName> {
+        let doubted = self.watches.iter().filter(|(_, watch)| watch.is_doubted);
+        doubted.map(|(server, _)| server)
+    }
+
     /// The known start of a server; 0 if it was never seen.
     pub fn boot(&self, server: &ServerName) -> u64 {
         self.watches.get(server).map_or(0, |watch| watch.boot)
--- /dev/null
+++ b/crates/gs-control/tests/quarantine/main.rs
@@ -0,0 +1,156 @@
+//! Properties of the quarantine under random interleavings of entries, servers, crashes and lost messages.
+
+mod world;
+
+use std::time::{Duration, Instant};
+
+use gs_control::quarantine::{
+    QuarantineEffect, QuarantineEvent, QuarantineSettings, QuarantineState, RunEnd, SuspectGate,
+};
+use gs_protocol::ids::{AttemptId, EntryName, ServerName};
+use gs_protocol::suspicion::{PromptFingerprint, ServerDeath};
+use proptest::prelude::any;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use test_case::test_case;
+use uuid::Uuid;
+use world::{CrashStage, World, WorldSetup};
+
+const CASES: u32 = 100;
+
+/// Runs worlds from seeds; a failing seed is printed by the runner.
+fn hold_for_seeds(setup: WorldSetup) {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let outcome = TestRunner::new_with_rng(config, rng).run(&any::<u64>(), |seed| {
+        let mut world = World::new(seed, setup);
+        world.run();
+        let deaths = world.deaths();
+        let most = setup.copies.max(2);
+        assert!(deaths <= most, "{deaths} servers died, {most} at most may");
+        if !setup.losses {
+            assert_eq!(world.refused_innocents(), 0, "innocents are refused");
+        }
+        assert_eq!(world.waiting_innocents(), 0, "innocents never ran");
+        assert!(
+            world.knows_crasher(),
+            "an entry does not refuse the crasher"
+        );
+        Ok(())
+    });
+    outcome.expect("the seed above breaks a property");
+}
+
+const CALM: WorldSetup = WorldSetup {
+    stage: CrashStage::Prefill,
+    copies: 1,
+    cuts: false,
+    losses: false,
+};
+
+#[test_case(CALM; "crash in the prefill")]
+#[test_case(WorldSetup { stage: CrashStage::Load, ..CALM }; "crash before the first token")]
+#[test_case(WorldSetup { stage: CrashStage::Stream, ..CALM }; "crash in the stream")]
+#[test_case(WorldSetup { cuts: true, ..CALM }; "cut connections")]
+#[test_case(WorldSetup { losses: true, ..CALM }; "lost and repeated reports")]
+#[test_case(WorldSetup { stage: CrashStage::Load, copies: 2, ..CALM }; "two copies at once")]
+#[test_case(WorldSetup { copies: 3, ..CALM }; "three copies at once")]
+fn two_servers_die_and_no_innocent_is_refused(setup: WorldSetup) {
+    hold_for_seeds(setup);
+}
+
+fn server(number: u64) -> ServerName {
+    ServerName::new(format!("server-{number}"))
+}
+
+/// One entry and the clock that it is told.
+struct Desk {
+    state: QuarantineState,
+    now: Instant,
+    effects: Vec<QuarantineEffect>,
+    attempts: u64,
+}
+
+impl Desk {
+    fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            state: QuarantineState::new(EntryName::from("entry"), settings),
+            now: Instant::now(),
+            effects: Vec::new(),
+            attempts: 0,
+        }
+    }
+
+    fn send(&mut self, event: QuarantineEvent) {
+        self.state.handle(self.now, event, &mut self.effects);
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.send(QuarantineEvent::Tick);
+    }
+
+    fn see(&mut self, number: u64, boot: u64) {
+        let server = server(number);
+        self.send(QuarantineEvent::ServerSeen(ServerDeath { server, boot }));
+    }
+
+    /// Runs a fingerprint on a server and loses it there.
+    fn lose(&mut self, fingerprint: PromptFingerprint, number: u64) {
+        self.attempts += 1;
+        let attempt = AttemptId(Uuid::from_u64_pair(0, self.attempts));
+        self.send(QuarantineEvent::Started {
+            attempt,
+            fingerprint,
+            prefill: None,
+            decode: server(number),
+        });
+        let end = RunEnd::Lost(server(number));
+        self.send(QuarantineEvent::Ended { attempt, end });
+    }
+}
+
+#[test]
+fn a_cut_connection_blames_nobody() {
+    let mut desk = Desk::new(QuarantineSettings::default());
+    let fingerprint = PromptFingerprint(1);
+    desk.see(1, 1);
+    desk.lose(fingerprint, 1);
+    assert_ne!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+    // The call for the first of these reports may have been answered before the cut.
+    desk.see(1, 1);
+    assert_ne!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+    desk.see(1, 1);
+    assert_eq!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+}
+
+#[test]
+fn memory_is_bounded_and_decays() {
+    const CAPACITY: usize = 50;
+    let settings = QuarantineSettings {
+        capacity: CAPACITY,
+        ..QuarantineSettings::default()
+    };
+    let memory = settings.memory;
+    let mut desk = Desk::new(settings);
+    for number in 0..20 * CAPACITY as u64 {
+        desk.see(number % 10, number);
+        desk.lose(PromptFingerprint(number), number % 10);
+        desk.send(QuarantineEvent::ServerDown(server(number % 10)));
+        desk.pass(Duration::from_millis(1));
+        assert!(desk.state.count_remembered() <= CAPACITY);
+    }
+    let last = PromptFingerprint(20 * CAPACITY as u64 - 1);
+    assert_eq!(desk.state.gate(desk.now, last), SuspectGate::Apart);
+    assert_eq!(
+        desk.state.gate(desk.now, PromptFingerprint(0)),
+        SuspectGate::Open
+    );
+    desk.pass(memory);
+    assert_eq!(desk.state.count_remembered(), 0);
+    assert_eq!(desk.state.gate(desk.now, last), SuspectGate::Open);
+}
--- a/crates/gs-entry/src/control/dispatch.rs
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -29,6 +29,7 @@
     /// A desk without requests.
     pub fn new(settings: &EntrySettings, seed: u64) -> Self {
         let settings = DispatchSettings {
+            entry: settings.name.clone(),
             policy: dispatch_policy(settings.placement),
             ..DispatchSettings::default()
         };
--- /dev/null
+++ b/crates/gs-entry/tests/quarantine.rs
@@ -0,0 +1,199 @@
+//! A request that crashes engines is refused after two deaths, and the requests beside it are answered.
+
+mod support;
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_protocol::caller::EntryList;
+use gs_protocol::engine::LoadReport;
+use gs_protocol::refusal::{RefusalReason, RequestOutcome};
+use gs_standin::rig::{FleetRig, RigError, RigPrograms, ServerShape};
+use serde_json::json;
+use support::{BATCH, CLERK, FAST_ENGINE, completion, document};
+use test_case::test_case;
+
+type TestResult = Result<(), RigError>;
+
+const ENTRIES: usize = 3;
+const HARMED_ENGINES: usize = 4;
+const OTHER_ENGINES: usize = 2;
+const TRIES: usize = 9;
+const STREAMS: usize = 12;
+const TOKENS: u32 = 100;
+
+/// Between an answer to the crashing request and its caller's next try.
+const BETWEEN_TRIES: Duration = Duration::from_millis(200);
+
+/// The text that ends an engine.
+const POISON: &str = "poison";
+
+/// Which engines the text ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Harmed {
+    Decode,
+    Prefill,
+}
+
+impl Harmed {
+    fn role(self) -> &'static str {
+        match self {
+            Self::Decode => "decode",
+            Self::Prefill => "prefill",
+        }
+    }
+}
+
+async fn start_engine(rig: &mut FleetRig, role: &str, number: usize, crash_on: &str) -> TestResult {
+    let shape = ServerShape::Engine {
+        role,
+        model: "notes",
+        arguments: FAST_ENGINE,
+    };
+    let name = format!("notes-{role}-{number}");
+    rig.add_server(&name, "north", &shape).await?;
+    // Steps are slow enough that streams run while engines die.
+    let faults = json!({ "crashOn": crash_on, "slowFactor": 10.0 });
+    support::set_faults(rig, &name, &faults).await
+}
+
+async fn start_fleet(harmed: Harmed) -> Result<FleetRig, RigError> {
+    let programs = RigPrograms::beside(env!("CARGO_BIN_EXE_gs-entry"));
+    let mut rig = FleetRig::start(programs, &[])?;
+    for role in ["decode", "prefill"] {
+        let (engines, crash_on) = match role == harmed.role() {
+            true => (HARMED_ENGINES, POISON),
+            false => (OTHER_ENGINES, ""),
+        };
+        for number in 0..engines {
+            start_engine(&mut rig, role, number, crash_on).await?;
+        }
+    }
+    rig.accept(&document()).await?;
+    for number in 0..ENTRIES {
+        rig.add_entry(
+            &format!("entry-{number}"),
+            "north",
+            &json!({ "seed": number }),
+        )
+        .await?;
+    }
+    rig.wait_ready().await?;
+    wait_peers(&rig).await?;
+    Ok(rig)
+}
+
+/// Waits until every entry lists all entries.
+async fn wait_peers(rig: &FleetRig) -> TestResult {
+    for entry in &rig.entries {
+        let address = entry.process.address;
+        rig.wait_for("a whole list of entries", async || {
+            let bearer = format!("Bearer {CLERK}");
+            let headers = [("authorization", bearer.as_str())];
+            let listed = rig
+                .client
+                .call(address, "GET", "/v1/entries", &headers, Bytes::new())
+                .await;
+            let list = listed.and_then(|answer| answer.json::<EntryList>());
+            list.is_ok_and(|list| list.entries.len() == ENTRIES)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// The engines that answer.
+async fn alive(rig: &FleetRig) -> usize {
+    let mut alive = 0;
+    for server in &rig.servers {
+        let load = rig
+            .client
+            .get::<LoadReport>(server.process.address, "/v1/load")
+            .await;
+        alive += usize::from(load.is_ok());
+    }
+    alive
+}
+
+/// Streams innocent requests through all entries until told to stop; returns how many were answered.
+async fn stream_innocents(
+    rig: &FleetRig,
+    lane: usize,
+    stop: &Cell<bool>,
+) -> Result<usize, RigError> {
+    let mut answered = 0;
+    while !stop.get() {
+        let prompt = format!("wash notes of ward {lane}, day {answered}");
+        let entry = rig.entries[(lane + answered) % ENTRIES].process.address;
+        let body = completion(&prompt, TOKENS, true);
+        let answer = rig
+            .client
+            .ask(entry, "/v1/completions", CLERK, &body)
+            .await?;
+        let text = answer.streamed();
+        assert!(text.whole, "lane {lane}: {answer:?}");
+        assert_eq!(text.tokens.len(), TOKENS as usize);
+        answered += 1;
+    }
+    Ok(answered)
+}
+
+/// Sends the crashing request again and again, each time through the next entry.
+async fn send_crasher(rig: &FleetRig, tries: usize) -> Result<Vec<RefusalReason>, RigError> {
+    let mut reasons = Vec::new();
+    for number in 0..tries {
+        let entry = rig.entries[number % ENTRIES].process.address;
+        let body = completion(&format!("{POISON} of the well"), TOKENS, false);
+        let answer = rig
+            .client
+            .ask(entry, "/v1/completions", BATCH, &body)
+            .await?;
+        let problem = answer.problem()?;
+        if reasons.last() == Some(&RefusalReason::Quarantined) {
+            assert_eq!(problem.reason, RefusalReason::Quarantined);
+            assert_eq!(problem.outcome, RequestOutcome::NotRun);
+        }
+        reasons.push(problem.reason);
+        // Peers hear of a death before the caller's next try.
+        tokio::time::sleep(BETWEEN_TRIES).await;
+    }
+    Ok(reasons)
+}
+
+/// Sends the crashing request beside innocents; returns its refusals.
+async fn send_beside_innocents(rig: &FleetRig) -> Result<Vec<RefusalReason>, RigError> {
+    let stop = Cell::new(false);
+    let innocents = (0..STREAMS).map(|lane| stream_innocents(rig, lane, &stop));
+    let crasher = async {
+        let reasons = send_crasher(rig, TRIES).await;
+        stop.set(true);
+        reasons
+    };
+    let innocents = futures_util::future::try_join_all(innocents);
+    let (reasons, answered) = futures_util::future::join(crasher, innocents).await;
+    assert!(answered?.iter().all(|answered| *answered > 0));
+    reasons
+}
+
+#[test_case(Harmed::Decode; "decode engines")]
+#[test_case(Harmed::Prefill; "prefill engines")]
+fn a_crashing_request_ends_at_most_two_engines(harmed: Harmed) {
+    let check = async {
+        let mut rig = start_fleet(harmed).await?;
+        let reasons = send_beside_innocents(&rig).await?;
+        let died = rig.servers.len() - alive(&rig).await;
+        assert!((1..=2).contains(&died), "{died} engines died: {reasons:?}");
+        assert_eq!(reasons.last(), Some(&RefusalReason::Quarantined));
+        for number in HARMED_ENGINES..HARMED_ENGINES + died {
+            start_engine(&mut rig, harmed.role(), number, POISON).await?;
+        }
+        let reasons = send_crasher(&rig, ENTRIES).await?;
+        assert_eq!(reasons, vec![RefusalReason::Quarantined; ENTRIES]);
+        assert_eq!(rig.servers.len() - alive(&rig).await, died);
+        TestResult::Ok(())
+    };
+    actix_rt::System::new()
+        .block_on(check)
+        .expect("the fleet serves on");
+}
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{ModelName, ServerName};
+use crate::ids::{AttemptId, ModelName, ServerName};
 
 /// Identifies requests that make engines do the same: a hash of the model and the prompt.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -35,7 +35,7 @@
     pub boot: u64,
 }
 
-/// What is known of a fingerprint's part in a death. Of two statements the larger one holds.
+/// What is known of an attempt's part in a death. Of two statements the larger one holds.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum BlameState {
     /// The request lost its connection to the server, which may have died.
@@ -46,10 +46,12 @@
     Cleared,
 }
 
-/// One fingerprint's part in one death.
+/// One attempt's part in a death.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BlameRecord {
-    /// The fingerprint.
+    /// The attempt, which has at most one blame.
+    pub attempt: AttemptId,
+    /// What it ran.
     pub fingerprint: PromptFingerprint,
     /// The death.
     pub death: ServerDeath,
@@ -57,13 +59,15 @@
     pub state: BlameState,
 }
 
-/// A suspect that runs on a server and has not yet shown that it does no harm.
+/// A suspect that runs on a server, or is about to, and has not yet shown that it does no harm.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SuspectRun {
     /// The fingerprint.
     pub fingerprint: PromptFingerprint,
     /// The server.
     pub server: ServerName,
+    /// Whether it runs there already.
+    pub has_started: bool,
 }
 
 /// What an entry tells its peers. Repeats and reordered reports do no harm to `blames`.
@@ -71,6 +75,6 @@
 pub struct SuspicionReport {
     /// Blames that changed lately.
     pub blames: Vec<BlameRecord>,
-    /// All suspects that the sender runs now.
+    /// All suspects that the sender runs now or is about to run.
     pub running: Vec<SuspectRun>,
 }
