Prove that a known suspect alone is blamed, and that a new start is not

Cause: two broken variants of the quarantine passed the tests: one that blames all that runs beside a known suspect, and one that blames what runs on a new start of a server for the end of the old.

Change: a test for each.

--- a/crates/gs-control/tests/quarantine/main.rs
+++ b/crates/gs-control/tests/quarantine/main.rs
@@ -99,8 +99,8 @@
         self.send(QuarantineEvent::ServerSeen(ServerDeath { server, boot }));
     }
 
-    /// Runs a fingerprint on a server and loses it there.
-    fn lose(&mut self, fingerprint: PromptFingerprint, number: u64) {
+    /// Starts to run a fingerprint on a server.
+    fn start(&mut self, fingerprint: PromptFingerprint, number: u64) -> AttemptId {
         self.attempts += 1;
         let attempt = AttemptId(Uuid::from_u64_pair(0, self.attempts));
         self.send(QuarantineEvent::Started {
@@ -109,9 +109,46 @@
             prefill: None,
             decode: server(number),
         });
+        attempt
+    }
+
+    /// Runs a fingerprint on a server and loses it there.
+    fn lose(&mut self, fingerprint: PromptFingerprint, number: u64) {
+        let attempt = self.start(fingerprint, number);
         let end = RunEnd::Lost(server(number));
         self.send(QuarantineEvent::Ended { attempt, end });
     }
+
+    fn gate(&self, fingerprint: PromptFingerprint) -> SuspectGate {
+        self.state.gate(self.now, fingerprint)
+    }
+}
+
+#[test]
+fn a_known_suspect_alone_is_blamed() {
+    let mut desk = Desk::new(QuarantineSettings::default());
+    let [suspect, innocent] = [PromptFingerprint(1), PromptFingerprint(2)];
+    desk.see(1, 1);
+    desk.see(2, 1);
+    desk.lose(suspect, 1);
+    desk.send(QuarantineEvent::ServerDown(server(1)));
+    desk.lose(suspect, 2);
+    desk.lose(innocent, 2);
+    desk.send(QuarantineEvent::ServerDown(server(2)));
+    assert_eq!(desk.gate(suspect), SuspectGate::Refused);
+    assert_eq!(desk.gate(innocent), SuspectGate::Open);
+}
+
+#[test]
+fn what_runs_on_a_new_start_is_not_blamed_for_the_end_of_the_old() {
+    let mut desk = Desk::new(QuarantineSettings::default());
+    let [crasher, innocent] = [PromptFingerprint(1), PromptFingerprint(2)];
+    desk.see(1, 1);
+    desk.lose(crasher, 1);
+    desk.start(innocent, 1);
+    desk.see(1, 2);
+    assert_eq!(desk.gate(crasher), SuspectGate::Apart);
+    assert_eq!(desk.gate(innocent), SuspectGate::Open);
 }
 
 #[test]
@@ -120,12 +157,12 @@
     let fingerprint = PromptFingerprint(1);
     desk.see(1, 1);
     desk.lose(fingerprint, 1);
-    assert_ne!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+    assert_ne!(desk.gate(fingerprint), SuspectGate::Open);
     // The call for the first of these reports may have been answered before the cut.
     desk.see(1, 1);
-    assert_ne!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+    assert_ne!(desk.gate(fingerprint), SuspectGate::Open);
     desk.see(1, 1);
-    assert_eq!(desk.state.gate(desk.now, fingerprint), SuspectGate::Open);
+    assert_eq!(desk.gate(fingerprint), SuspectGate::Open);
 }
 
 #[test]
@@ -145,12 +182,9 @@
         assert!(desk.state.count_remembered() <= CAPACITY);
     }
     let last = PromptFingerprint(20 * CAPACITY as u64 - 1);
-    assert_eq!(desk.state.gate(desk.now, last), SuspectGate::Apart);
-    assert_eq!(
-        desk.state.gate(desk.now, PromptFingerprint(0)),
-        SuspectGate::Open
-    );
+    assert_eq!(desk.gate(last), SuspectGate::Apart);
+    assert_eq!(desk.gate(PromptFingerprint(0)), SuspectGate::Open);
     desk.pass(memory);
     assert_eq!(desk.state.count_remembered(), 0);
-    assert_eq!(desk.state.gate(desk.now, last), SuspectGate::Open);
+    assert_eq!(desk.gate(last), SuspectGate::Open);
 }
