--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -14,6 +14,7 @@
 use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand, choose_servers};
 use super::request_table::{AttemptRecord, RequestPhase, RequestRecord, ReturnKey};
 use super::state::DispatchState;
+use super::suspects::SuspectPermit;
 
 /// Callers whose next request is passed over in one round.
 const MAX_PASSED_OVER: usize = 4;
@@ -63,7 +64,10 @@
         let Some(returning) = self.table.returning.get(model) else {
             return true;
         };
-        let keys: Vec<ReturnKey> = returning.iter().copied().take(MAX_RETURNING).collect();
+        let mut keys: Vec<ReturnKey> = returning.iter().copied().collect();
+        self.refuse_quarantined(now, &keys, effects);
+        keys.retain(|(_, _, request)| !self.is_held(now, *request));
+        keys.truncate(MAX_RETURNING);
         let mut passed_over = 0;
         for (_, _, request) in keys {
             match self.place(now, request, None) {
@@ -71,6 +75,7 @@
                     self.table.remove_returning(request);
                     self.start(now, request, &choice, None, effects);
                 }
+                Err(PlacementBlock::Suspect) => {}
                 Err(_) if passed_over == MAX_PASSED_OVER => return false,
                 Err(_) => passed_over += 1,
             }
@@ -90,6 +95,7 @@
                     self.start(now, turn.key.request, &choice, started, effects);
                 }
                 Err(PlacementBlock::Late) => passed_over.push(turn.caller),
+                Err(PlacementBlock::Suspect) => self.set_suspect_aside(turn.key.request),
                 Err(_) => return,
             }
         }
@@ -141,6 +147,11 @@
     ) -> Result<PlacementChoice, PlacementBlock> {
         let record = self.table.requests.get(&request);
         let record = record.ok_or(PlacementBlock::NoServer)?;
+        let closed = match self.permit(now, record)? {
+            SuspectPermit::Anywhere => None,
+            SuspectPermit::Apart(closed) => Some(closed),
+            SuspectPermit::Reserved(choice) => return Ok(choice),
+        };
         let lane = self.lanes.get(&record.model);
         let lane = lane.ok_or(PlacementBlock::NoServer)?;
         let reserve = record.first_token.mul_f64(self.settings.deadline_margin);
@@ -160,17 +171,24 @@
             leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
             avoid: record.avoid,
+            closed: closed.as_deref().unwrap_or_default(),
             resumes: record.has_begun,
         };
         let entries = self.entries;
-        choose_servers(
+        let chosen = choose_servers(
             now,
             &mut self.fleet,
             &demand,
             &self.settings,
             entries,
             &mut self.rng,
-        )
+        );
+        if closed.is_none() {
+            return chosen;
+        }
+        // A suspect that has to wait does not hold up others.
+        let choice = chosen.map_err(|_| PlacementBlock::Suspect)?;
+        self.reserve(now, request, choice)
     }
 
     fn start(
@@ -202,6 +220,7 @@
             return;
         };
         self.count_start(now, &running, choice);
+        self.watch_start(now, attempt, &running);
         self.table.add_attempt(attempt, running);
         effects.push(DispatchEffect::Start {
             request,
--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -10,6 +10,7 @@
 
 use crate::claims::{ClaimCall, ClaimReply};
 use crate::ids::{DataCentreName, EntryIdentity, SequenceNumber};
+use crate::suspicion::SuspicionReport;
 
 /// The version of these messages. Peers with another version are refused.
 pub const PEER_PROTOCOL_VERSION: u32 = 1;
@@ -144,6 +145,8 @@
         /// What is asked.
         call: PeerCall,
     },
+    /// Tells what the connecting side knows of requests that may crash servers.
+    Suspicions(SuspicionReport),
     /// Answers a call.
     Reply {
         /// Which call is answered.
