--- a/crates/gs-entry/src/completion/attempt.rs
+++ b/crates/gs-entry/src/completion/attempt.rs
@@ -72,6 +72,8 @@
     pub first_token_by: Instant,
     /// Prompt tokens that were computed for this try.
     pub computed_tokens: u32,
+    /// Whether a token of it has come.
+    pub has_token: bool,
     hold: AttemptHold,
 }
 
@@ -113,7 +115,10 @@
         }
         let mut computed_tokens = 0;
         if order.from_index == 0 {
-            sleep(order.prefill_after).await;
+            // The timer's ticks are coarse: even an empty wait would take up to a millisecond.
+            if !order.prefill_after.is_zero() {
+                sleep(order.prefill_after).await;
+            }
             hold.engines.push(order.prefill.address);
             computed_tokens = self.prefill(order, first_token_by).await?;
         }
@@ -132,6 +137,7 @@
             reader,
             first_token_by,
             computed_tokens,
+            has_token: false,
             hold,
         })
     }
@@ -203,6 +209,7 @@
             reason: *reason,
         },
         EngineFailure::Broken { .. }
+        | EngineFailure::Unreachable
         | EngineFailure::Silent { .. }
         | EngineFailure::Malformed { .. } => AttemptEnd::Lost { stage, tokens },
     }
