Let a route's any-segment match plain segments only

Cause: "*" matched empty, parent and encoded segments, and the path was passed on decoded, so a server that normalises paths could run a non-idempotent route for a call that was checked as idempotent. Change: the path is matched and passed on as it came; a segment that is empty, a parent, or holds an encoded separator, percent sign or control character matches no any-segment. Ruled out: normalising here, because the server's own rules are not known.

--- a/crates/gs-entry/src/services/handler.rs
+++ b/crates/gs-entry/src/services/handler.rs
@@ -4,7 +4,7 @@
 
 use actix_web::http::StatusCode;
 use actix_web::http::header::CONTENT_TYPE;
-use actix_web::web::{Data, Path, Payload};
+use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use gs_protocol::ids::{IdempotencyKey, RequestId, ServiceName};
 use gs_protocol::refusal::RefusalReason;
@@ -18,13 +18,15 @@
 use crate::telemetry;
 use crate::traffic::{CallerRefusal, RequestContext, TrafficState, read_body};
 
+/// What comes before the service's name in a path.
+const SERVICES_PREFIX: &str = "/services/";
+
 /// The version of UUIDs that idempotency keys have.
 const KEY_VERSION: usize = 7;
 
 /// Answers a call of a service.
 pub async fn call_service(
     http: HttpRequest,
-    path: Path<(String, String)>,
     payload: Payload,
     state: Data<TrafficState>,
 ) -> HttpResponse {
@@ -36,11 +38,7 @@
             return refusal.response(request);
         }
     };
-    let (service, path) = path.into_inner();
-    let target = CallTarget {
-        service: ServiceName::new(service),
-        path: format!("/{path}"),
-    };
+    let target = CallTarget::read(http.uri().path());
     match answer(&http, &target, &context, payload, &state).await {
         Ok(answer) => respond(&context, answer),
         Err(refusal) => {
@@ -56,6 +54,19 @@
     path: String,
 }
 
+impl CallTarget {
+    /// Splits the path of a request. It stays as it came: a server could read a decoded path otherwise.
+    fn read(path: &str) -> Self {
+        let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or(path);
+        let end = rest.find('/').unwrap_or(rest.len());
+        let (service, path) = rest.split_at(end);
+        Self {
+            service: ServiceName::new(service),
+            path: path.to_owned(),
+        }
+    }
+}
+
 async fn answer(
     http: &HttpRequest,
     target: &CallTarget,
--- a/crates/gs-entry/src/services/mod.rs
+++ b/crates/gs-entry/src/services/mod.rs
@@ -10,3 +10,4 @@
 pub use call::{ServiceAnswer, ServiceCall};
 pub use client::{ServiceClient, ServiceFailure};
 pub use handler::call_service;
+pub use routes::find_route;
--- a/crates/gs-entry/src/services/routes.rs
+++ b/crates/gs-entry/src/services/routes.rs
@@ -1,11 +1,12 @@
 //! Finds the route of a call in the document.
 
 use gs_document::document::{RouteEntry, RouteMethod, ServiceEntry};
+use percent_encoding::percent_decode_str;
 
 /// The segment of a route's path that stands for any one segment.
 const ANY_SEGMENT: &str = "*";
 
-/// Finds the first route that matches a method and a path (without its query).
+/// Finds the first route that matches a method and a path, as it came and without its query.
 pub fn find_route<'a>(
     service: &'a ServiceEntry,
     method: &str,
@@ -22,11 +23,19 @@
     let all = pattern.split('/').all(|wanted| {
         segments
             .next()
-            .is_some_and(|found| wanted == ANY_SEGMENT || wanted == found)
+            .is_some_and(|found| wanted == found || wanted == ANY_SEGMENT && is_plain(found))
     });
     all && segments.next().is_none()
 }
 
+/// Whether a segment names one thing. A server that normalises paths could take any other segment for a
+/// way to another route, which may not be idempotent.
+fn is_plain(segment: &str) -> bool {
+    let decoded: Vec<u8> = percent_decode_str(segment).collect();
+    let suspect = |byte: &u8| matches!(byte, b'/' | b'\\' | b'%' | b';') || byte.is_ascii_control();
+    !matches!(decoded.as_slice(), b"" | b"." | b"..") && !decoded.iter().any(suspect)
+}
+
 fn method_name(method: RouteMethod) -> &'static str {
     match method {
         RouteMethod::Delete => "DELETE",
--- a/crates/gs-entry/tests/services.rs
+++ b/crates/gs-entry/tests/services.rs
@@ -7,8 +7,9 @@
 
 use actix_web::http::Method;
 use bytes::Bytes;
+use gs_document::document::ServiceEntry;
 use gs_entry::engine::ClientPool;
-use gs_entry::services::{ServiceAnswer, ServiceCall, ServiceClient, ServiceFailure};
+use gs_entry::services::{ServiceAnswer, ServiceCall, ServiceClient, ServiceFailure, find_route};
 use gs_protocol::ids::{AttemptId, CallerName, RequestId, ServerKindName};
 use test_case::test_case;
 
@@ -74,3 +75,32 @@
     drop(listener);
     assert!(matches!(call(address), Err(ServiceFailure::NotRun { .. })));
 }
+
+/// A service with an idempotent route beside one that is not.
+fn service() -> ServiceEntry {
+    serde_json::from_value(serde_json::json!({
+        "serverKind": "desk",
+        "routes": [
+            { "method": "GET", "path": "/tickets/*/notes", "idempotent": true },
+            { "method": "POST", "path": "/tickets/*", "idempotent": true },
+            { "method": "POST", "path": "/charges", "idempotent": false },
+        ],
+    }))
+    .expect("service")
+}
+
+#[test_case("GET", "/tickets/12/notes", Some(true); "one segment")]
+#[test_case("POST", "/tickets/wash%20notes", Some(true); "encoded space")]
+#[test_case("POST", "/charges", Some(false); "literal path")]
+#[test_case("POST", "/tickets/", None; "empty segment")]
+#[test_case("POST", "/tickets/..", None; "parent")]
+#[test_case("POST", "/tickets/%2e%2e", None; "encoded parent")]
+#[test_case("POST", "/tickets/..%2fcharges", None; "encoded separator")]
+#[test_case("POST", "/tickets/%252e%252e", None; "encoded twice")]
+#[test_case("POST", "/tickets/12;/../charges", None; "parameters")]
+#[test_case("POST", "/tickets/12/", None; "trailing separator")]
+#[test_case("DELETE", "/charges", None; "another method")]
+fn a_route_matches_plain_segments_only(method: &str, path: &str, idempotent: Option<bool>) {
+    let found = find_route(&service(), method, path).map(|route| route.idempotent);
+    assert_eq!(found, idempotent);
+}
