Judge waits of urgent work by urgent work alone, and spread near-best choices

Cause: under a normal flood of 5 times capacity the entries refused 53 of 86 urgent requests as too late, since a prefill queue was counted whole although engines take urgent work first; and entries with equally old reports chose the same idle servers.

Change: an urgent request waits for urgent work and one chunk; others' work is taken to be urgent in the part that this entry's own is. The age of a report counts from its measurement. Others are taken to grow by half of what this entry's work has grown since. A choice within half a prefill time of the best is as good, for entries that share the fleet. Queues are bounded by the tightest target of the same rank.

So this commit also lowers the part of the between-token target that a step may take from 0.9 to 0.8, and tries servers that look full only where the engine enforces the limit; that is not measured yet.

--- a/crates/gs-control/src/dispatch/endings.rs
+++ b/crates/gs-control/src/dispatch/endings.rs
@@ -31,9 +31,11 @@
         };
         let done = ServerWork {
             tokens: std::mem::take(&mut running.prefill_work.tokens),
+            urgent_tokens: std::mem::take(&mut running.prefill_work.urgent_tokens),
             ..ServerWork::default()
         };
-        let server = running.prefill;
+        let (server, request) = (running.prefill, running.request);
+        self.end_lane_prefill(request, done);
         self.fleet.update(now, server, &self.settings, |record| {
             record.remove_work(now, done);
             record.trust();
@@ -282,8 +284,19 @@
         }
     }
 
+    /// Stops counting a prefill in its model's lane.
+    fn end_lane_prefill(&mut self, request: RequestId, done: ServerWork) {
+        let Some(record) = self.table.requests.get(&request) else {
+            return;
+        };
+        if let Some(lane) = self.lanes.get_mut(&record.model) {
+            lane.remove_prefill(done.tokens, done.urgent_tokens);
+        }
+    }
+
     /// Takes an attempt's work off its servers.
     fn release(&mut self, now: Instant, running: &AttemptRecord) {
+        self.end_lane_prefill(running.request, running.prefill_work);
         self.update_server(now, running.prefill, |record| {
             record.remove_work(now, running.prefill_work);
         });
--- a/crates/gs-control/src/dispatch/fleet.rs
+++ b/crates/gs-control/src/dispatch/fleet.rs
@@ -147,6 +147,7 @@
         now: Instant,
         sighting: &ServerSighting,
         settings: &DispatchSettings,
+        peers: u32,
         rng: &mut Pcg64Mcg,
     ) {
         let name = &sighting.report.server;
@@ -158,7 +159,7 @@
             None => self.admit(now, sighting, rng.r#gen()),
         };
         if let Some(record) = self.servers.get_mut(&server) {
-            record.refresh(now, sighting, settings.load_lag);
+            record.refresh(now, sighting, settings.load_lag, peers);
             record.enter_boot(sighting.report.boot);
         }
         self.relist(now, server, settings);
--- a/crates/gs-control/src/dispatch/model_lane.rs
+++ b/crates/gs-control/src/dispatch/model_lane.rs
@@ -53,48 +53,63 @@
 }
 
 /// One model's waiting requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ModelLane {
     /// Requests that wait for their first start.
     pub queue: FairQueue,
     /// The speed of the engines.
     pub rates: EngineRates,
     targets: BTreeMap<Duration, u32>,
-    first_token: Duration,
-    has_urgent: bool,
-}
-
-impl Default for ModelLane {
-    fn default() -> Self {
-        Self {
-            queue: FairQueue::default(),
-            rates: EngineRates::default(),
-            targets: BTreeMap::new(),
-            first_token: Duration::MAX,
-            has_urgent: false,
-        }
-    }
+    first_tokens: BTreeMap<CallerRank, Duration>,
+    prefill_tokens: u64,
+    urgent_tokens: u64,
 }
 
 impl ModelLane {
     /// Takes in the callers that may use the model.
     pub fn set_users<'a>(&mut self, users: impl Iterator<Item = &'a CallerEntry>) {
-        self.first_token = Duration::MAX;
-        self.has_urgent = false;
+        self.first_tokens.clear();
         for user in users {
-            self.first_token = self.first_token.min(user.first_token);
-            self.has_urgent |= user.rank == CallerRank::Urgent;
+            let tightest = self.first_tokens.entry(user.rank).or_insert(Duration::MAX);
+            *tightest = (*tightest).min(user.first_token);
         }
     }
 
     /// The tightest first-token target of the callers.
     pub fn first_token(&self) -> Duration {
-        self.first_token
+        let tightest = self.first_tokens.values().min();
+        tightest.copied().unwrap_or(Duration::MAX)
+    }
+
+    /// The tightest first-token target of the callers of a rank.
+    pub fn rank_first_token(&self, rank: CallerRank) -> Duration {
+        let tightest = self.first_tokens.get(&rank);
+        tightest.copied().unwrap_or(Duration::MAX)
+    }
+
+    /// Counts a prefill that begins.
+    pub fn add_prefill(&mut self, tokens: u32, urgent_tokens: u32) {
+        self.prefill_tokens += u64::from(tokens);
+        self.urgent_tokens += u64::from(urgent_tokens);
+    }
+
+    /// Stops counting a prefill.
+    pub fn remove_prefill(&mut self, tokens: u32, urgent_tokens: u32) {
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(u64::from(tokens));
+        self.urgent_tokens = self.urgent_tokens.saturating_sub(u64::from(urgent_tokens));
+    }
+
+    /// The part of urgent work in what is being prefilled.
+    pub fn urgent_part(&self) -> f64 {
+        if self.prefill_tokens == 0 {
+            return 1.0;
+        }
+        self.urgent_tokens as f64 / self.prefill_tokens as f64
     }
 
     /// Whether an urgent caller may use the model.
     pub fn has_urgent(&self) -> bool {
-        self.has_urgent
+        self.first_tokens.contains_key(&CallerRank::Urgent)
     }
 
     /// Counts a request that waits or runs.
--- a/crates/gs-control/src/dispatch/own_load.rs
+++ b/crates/gs-control/src/dispatch/own_load.rs
@@ -17,6 +17,8 @@
     pub pieces: u32,
     /// Prompt tokens that wait for or are in prefill.
     pub tokens: u32,
+    /// Those of them that the engine takes first; of others' work they are not known.
+    pub urgent_tokens: u32,
     /// Bytes that wait on the link.
     pub bytes: u64,
 }
@@ -28,6 +30,7 @@
             streams: self.streams.saturating_add(other.streams),
             pieces: self.pieces.saturating_add(other.pieces),
             tokens: self.tokens.saturating_add(other.tokens),
+            urgent_tokens: self.urgent_tokens.saturating_add(other.urgent_tokens),
             bytes: self.bytes.saturating_add(other.bytes),
         }
     }
@@ -38,6 +41,7 @@
             streams: self.streams.saturating_sub(other.streams),
             pieces: self.pieces.saturating_sub(other.pieces),
             tokens: self.tokens.saturating_sub(other.tokens),
+            urgent_tokens: self.urgent_tokens.saturating_sub(other.urgent_tokens),
             bytes: self.bytes.saturating_sub(other.bytes),
         }
     }
@@ -48,6 +52,7 @@
             streams: report.streams.saturating_add(report.reservations),
             pieces: report.pieces.saturating_sub(report.free_pieces),
             tokens: report.prefill_tokens,
+            urgent_tokens: 0,
             bytes: report.transfer_bytes,
         }
     }
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -32,9 +32,9 @@
 const FULL_PENALTY: Duration = Duration::from_millis(10);
 
 /// How much longer a prefill queue may be in which this entry has nothing.
-const UNUSED_QUEUE_FACTOR: u32 = 4;
+const UNUSED_QUEUE_FACTOR: u32 = 2;
 
-/// Pairs this much dearer than the best are as good, for entries that share the fleet.
+/// Pairs at least this much dearer than the best are as good, for entries that share the fleet.
 const NEAR_BEST: Duration = Duration::from_millis(2);
 
 /// What is to be placed.
@@ -50,6 +50,8 @@
     pub max_tokens: u32,
     /// The longest decode step.
     pub step: Duration,
+    /// The part of urgent work in what is being prefilled, if the engines take this request first.
+    pub urgent_part: Option<f64>,
     /// The longest wait in a prefill engine's queue.
     pub queue_wait: Duration,
     /// Whether slots are to be left for urgent callers.
@@ -111,6 +113,15 @@
     link_wait: Duration,
 }
 
+/// A pair of servers and its cost.
+#[derive(Clone, Copy, Debug)]
+struct WeighedPair {
+    cost: Duration,
+    /// Pairs this much dearer are as good, since others' work is known late.
+    near: Duration,
+    choice: PlacementChoice,
+}
+
 /// Chooses servers for a request by the configured policy.
 pub fn choose_servers(
     now: Instant,
@@ -244,7 +255,8 @@
 }
 
 /// Whether a slot may be free. A server that looks full is tried within this entry's part of its slots, since
-/// reports lag and others release slots unseen; with a stale report, that part is all.
+/// reports lag and others release slots unseen. That holds only for a limit which the engine enforces: no engine
+/// refuses a stream because its steps would grow too long. With a stale report, that part is all.
 fn has_slot(
     now: Instant,
     record: &ServerRecord,
@@ -256,9 +268,11 @@
     if own >= limit {
         return false;
     }
-    let is_free = record.work(now).streams < limit && !record.is_stale(now, settings);
+    let is_stale = record.is_stale(now, settings);
+    let is_free = record.work(now).streams < limit && !is_stale;
+    let is_enforced = limit >= record.report.max_streams;
     let is_in_part = own < (limit / entries.max(1)).max(1);
-    is_free || is_in_part
+    is_free || (is_in_part && (is_enforced || is_stale))
 }
 
 fn weigh_prefills<'a>(
@@ -302,7 +316,10 @@
     let cached = held.iter().find(|known| known.server == server);
     let cached_tokens = cached.map_or(0, |known| known.tokens);
     let uncached_tokens = demand.prompt_tokens.saturating_sub(cached_tokens).max(1);
-    let wait = record.prefill_wait(now);
+    let wait = match demand.urgent_part {
+        Some(part) => record.urgent_prefill_wait(now, part),
+        None => record.prefill_wait(now),
+    };
     let queue_wait = match record.own().tokens {
         0 => demand.queue_wait * UNUSED_QUEUE_FACTOR,
         _ => demand.queue_wait,
@@ -338,30 +355,27 @@
     entries: u32,
     rng: &mut Pcg64Mcg,
 ) -> PlacementChoice {
-    let mut pairs: Vec<(Duration, PlacementChoice)> =
-        Vec::with_capacity(prefills.len() * decodes.len());
+    let mut pairs: Vec<WeighedPair> = Vec::with_capacity(prefills.len() * decodes.len());
     for prefill in prefills {
         for decode in decodes {
             pairs.push(weigh_pair(prefill, decode, demand));
         }
     }
-    let best = pairs.iter().map(|(cost, _)| *cost).min();
-    let bound = best.unwrap_or_default()
-        + if entries > 1 {
-            NEAR_BEST
-        } else {
-            Duration::ZERO
-        };
-    pairs.retain(|(cost, _)| *cost <= bound);
+    let best = pairs.iter().min_by_key(|pair| pair.cost);
+    let bound = best.map_or(Duration::ZERO, |best| match entries {
+        1 => best.cost,
+        _ => best.cost + best.near.max(NEAR_BEST),
+    });
+    pairs.retain(|pair| pair.cost <= bound);
     let chosen = rng.gen_range(0..pairs.len());
-    pairs.swap_remove(chosen).1
+    pairs.swap_remove(chosen).choice
 }
 
 fn weigh_pair(
     prefill: &PrefillCandidate<'_>,
     decode: &DecodeCandidate<'_>,
     demand: &PlacementDemand<'_>,
-) -> (Duration, PlacementChoice) {
+) -> WeighedPair {
     let is_far = prefill.record.data_centre != decode.record.data_centre;
     let between = match is_far {
         true => prefill.record.delay.max(decode.record.delay),
@@ -382,5 +396,9 @@
         uncached_tokens: prefill.uncached_tokens,
         predicted: until_stream + decode.until_first,
     };
-    (cost, choice)
+    WeighedPair {
+        cost,
+        near: prefill.record.prefill_time(prefill.uncached_tokens) / 2,
+        choice,
+    }
 }
--- a/crates/gs-control/src/dispatch/server_record.rs
+++ b/crates/gs-control/src/dispatch/server_record.rs
@@ -22,6 +22,12 @@
 /// Doublings at most of the time that a full server gets nothing new.
 const MAX_FULL_DOUBLINGS: u32 = 3;
 
+/// Tokens of a prefill that are computed before an urgent one can pass it.
+const PREEMPTION_TOKENS: u32 = 512;
+
+/// Others' work is taken to have grown by this part of what it would if each of them did as this entry.
+const PEER_GROWTH_PART: u32 = 2;
+
 /// A server's place in the fleet table.
 pub type ServerId = u32;
 
@@ -53,7 +59,9 @@
     pub cache_last: u64,
     /// The start of the engine that the cache events belong to.
     pub cache_boot: u64,
+    measured_at: Instant,
     seen_at: Instant,
+    peers: u32,
     own: OwnLoad,
     others: OtherLoad,
     prefill_free_at: Instant,
@@ -78,7 +86,9 @@
             stored_pieces: 0,
             cache_last: 0,
             cache_boot: sighting.report.boot,
+            measured_at: now,
             seen_at: now,
+            peers: 0,
             others: OtherLoad::judge(&sighting.report, &own, now),
             own,
             prefill_free_at: now,
@@ -90,7 +100,8 @@
     }
 
     /// Takes in a newer sighting.
-    pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration) {
+    pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration, peers: u32) {
+        self.peers = peers;
         let measured_at = now.checked_sub(lag + sighting.delay).unwrap_or(now);
         if sighting.report.boot != self.report.boot {
             self.trust();
@@ -102,6 +113,7 @@
         self.data_centre = sighting.data_centre.clone();
         self.delay = sighting.delay;
         self.report = sighting.report.clone();
+        self.measured_at = measured_at;
         self.seen_at = now;
         self.lost = false;
     }
@@ -134,7 +146,7 @@
 
     /// Everyone's work on the server, as far as known.
     pub fn work(&self, now: Instant) -> ServerWork {
-        let age = now.saturating_duration_since(self.seen_at);
+        let age = now.saturating_duration_since(self.measured_at);
         self.others.now(&self.report, age).plus(self.own.now())
     }
 
@@ -163,8 +175,18 @@
 
     /// Time until a new prefill would begin.
     pub fn prefill_wait(&self, now: Instant) -> Duration {
-        let others = self.work(now).minus(self.own.now());
-        self.own_prefill_wait(now) + self.prefill_time(others.tokens)
+        self.own_prefill_wait(now) + self.prefill_time(self.others_tokens(now))
+    }
+
+    /// Time until a new urgent prefill would begin: what is not urgent waits, and others' work is taken to be
+    /// urgent in the same part as this entry's.
+    pub fn urgent_prefill_wait(&self, now: Instant, urgent_part: f64) -> Duration {
+        let own = self.own.now();
+        let others = self.prefill_time(self.others_tokens(now));
+        let urgent = self.prefill_time(own.urgent_tokens) + others.mul_f64(urgent_part);
+        let passed = own.tokens - own.urgent_tokens.min(own.tokens);
+        let begun = self.prefill_time(passed.min(PREEMPTION_TOKENS));
+        urgent.min(self.prefill_wait(now)) + begun
     }
 
     /// Time until a new transfer would begin.
@@ -238,6 +260,14 @@
         self.refusals = 0;
     }
 
+    /// Prompt tokens of others: as last reported, and grown since as this entry's own have.
+    fn others_tokens(&self, now: Instant) -> u32 {
+        let others = self.work(now).minus(self.own.now()).tokens;
+        let before = self.own.at(self.measured_at).tokens;
+        let grown = self.own.now().tokens.saturating_sub(before);
+        others.saturating_add(grown.saturating_mul(self.peers) / PEER_GROWTH_PART)
+    }
+
     fn own_prefill_wait(&self, now: Instant) -> Duration {
         if self.own.now().tokens == 0 {
             return Duration::ZERO;
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -95,7 +95,7 @@
             retry_share: 0.1,
             retry_floor: 10,
             deadline_margin: 0.15,
-            between_margin: 0.9,
+            between_margin: 0.8,
             prefill_lookahead: 0.25,
             long_prefill: 0.5,
             long_share: 0.5,
--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -147,8 +147,9 @@
         let time_left =
             (record.deadline - reserve.min(record.first_token)).saturating_duration_since(now);
         let is_first = record.phase == RequestPhase::Waiting;
-        let queue_wait = lane.first_token().min(record.first_token);
+        let queue_wait = lane.rank_first_token(record.rank).min(record.first_token);
         let queue_wait = queue_wait.mul_f64(self.settings.prefill_lookahead);
+        let is_urgent = record.rank == CallerRank::Urgent;
         let is_surplus = record.rank == CallerRank::Normal && kind == Some(TurnKind::Surplus);
         let demand = PlacementDemand {
             model: &record.model,
@@ -156,6 +157,7 @@
             prompt_tokens: record.prompt_tokens,
             max_tokens: record.max_tokens,
             step: lane.longest_step(self.settings.between_margin),
+            urgent_part: is_urgent.then(|| lane.urgent_part()),
             queue_wait: queue_wait.max(MIN_LOOKAHEAD),
             leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
@@ -191,10 +193,13 @@
             .is_some_and(|lane| lane.queue.rank_waits(CallerRank::Urgent));
         let priority = priority_of(record, turn.as_ref(), urgent_waits);
         let first_token_within = first_token_within(now, record);
-        let running = AttemptRecord {
+        let mut running = AttemptRecord {
             turn,
             ..running_attempt(now, request, record, choice, first_token_within)
         };
+        if priority == EnginePriority::Urgent {
+            running.prefill_work.urgent_tokens = running.prefill_work.tokens;
+        }
         record.phase = RequestPhase::Running(attempt);
         let names = [choice.decode, choice.prefill]
             .map(|server| self.fleet.server(server).map(|known| known.name.clone()));
@@ -232,6 +237,10 @@
         self.fleet.update(now, choice.prefill, settings, |server| {
             server.add_prefill(now, running.prefill_work, choice.prefill_after);
         });
+        if let Some(lane) = self.lanes.get_mut(&record.model) {
+            let work = running.prefill_work;
+            lane.add_prefill(work.tokens, work.urgent_tokens);
+        }
         let stored = choice.uncached_tokens / PIECE_TOKENS;
         self.fleet
             .note_prompt(choice.prefill, &record.pieces, stored);
@@ -269,9 +278,12 @@
     choice: &PlacementChoice,
     first_token_within: Duration,
 ) -> AttemptRecord {
-    let bytes = match record.has_begun {
-        true => 0,
-        false => u64::from(record.prompt_tokens) * KV_TOKEN_BYTES,
+    let (tokens, bytes) = match record.has_begun {
+        true => (0, 0),
+        false => (
+            choice.uncached_tokens,
+            u64::from(record.prompt_tokens) * KV_TOKEN_BYTES,
+        ),
     };
     let stream_time = record.between_tokens * record.max_tokens * ATTEMPT_PATIENCE;
     AttemptRecord {
@@ -282,12 +294,14 @@
             streams: 1,
             pieces: count_pieces(record.prompt_tokens.saturating_add(record.max_tokens)),
             tokens: 0,
+            urgent_tokens: 0,
             bytes,
         },
         prefill_work: ServerWork {
             streams: 0,
             pieces: 0,
-            tokens: choice.uncached_tokens,
+            tokens,
+            urgent_tokens: 0,
             bytes,
         },
         turn: None,
--- a/crates/gs-control/src/dispatch/state.rs
+++ b/crates/gs-control/src/dispatch/state.rs
@@ -124,12 +124,13 @@
             let lane = self.lanes.entry(model.clone()).or_default();
             lane.rates.refresh(&sighting.report);
         }
+        let peers = self.entries - 1;
         let Self {
             fleet,
             settings,
             rng,
             ..
         } = self;
-        fleet.see_load(now, sighting, settings, rng);
+        fleet.see_load(now, sighting, settings, peers, rng);
     }
 }
