--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -1,20 +1,25 @@
 //! The actor on the control thread.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, SpawnHandle};
 use gs_control::dispatch::DispatchEvent;
+use gs_control::documents::{DocumentEvent, DocumentSource};
+use gs_control::ledger::LedgerEvent;
 use gs_control::membership::{MemberStatus, MembershipEffect};
 use gs_document::settings::EntrySettings;
+use gs_platform::HttpPlatform;
 use gs_protocol::peer::{PeerCall, PeerReply};
 use gs_protocol::vm::VmRecord;
 use tokio::sync::watch;
 
 use super::dispatch::RequestDesk;
-use super::messages::{AnswerPeer, ControlMessage, ReadSnapshot, ServerEndpoint};
+use super::messages::{AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, ServerEndpoint};
 use super::peers::PeerDesk;
-use crate::documents::AppliedDocument;
+use crate::documents::{AppliedDocument, DocumentDesk, DocumentOutput};
+use crate::ledger::ClaimDesk;
 use crate::peers::{FleetView, PeerParts};
 use crate::reclaim::{OrphanLoop, ReclaimLoop};
 use crate::servers::{ServerDirectory, ServerPolls};
@@ -22,15 +27,19 @@
 /// How often time is told to the state machines when nothing else happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often time is told to the ledger.
+const CLAIM_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Owns the decision state. Everything in it runs on one thread.
 pub struct ControlActor {
     settings: Arc<EntrySettings>,
-    document: Option<Arc<AppliedDocument>>,
+    documents: DocumentDesk,
     requests: RequestDesk,
     peers: PeerDesk,
     directory: ServerDirectory,
     polls: ServerPolls,
     reclaim: ReclaimLoop,
+    claims: ClaimDesk,
     orphans: OrphanLoop,
     wakeup: Option<(Instant, SpawnHandle)>,
 }
@@ -42,16 +51,21 @@
         seed: u64,
         parts: PeerParts,
         fleet: watch::Sender<Arc<FleetView>>,
+        documents: DocumentOutput,
+        platform: Rc<HttpPlatform>,
     ) -> Self {
         let own = parts.credentials.own.identity.clone();
+        let (incarnation, environment) = (own.incarnation, &settings.environment);
+        let shared = Rc::clone(&platform);
         Self {
+            documents: DocumentDesk::new(incarnation, environment, shared, documents),
+            claims: ClaimDesk::new(own.clone(), &settings, seed, platform),
             requests: RequestDesk::new(&settings, seed),
             peers: PeerDesk::new(&settings, parts, fleet),
             directory: ServerDirectory::new(&settings),
             polls: ServerPolls::new(Arc::clone(&settings)),
             reclaim: ReclaimLoop::new(&settings),
             orphans: OrphanLoop::new(own, &settings),
-            document: None,
             wakeup: None,
             settings,
         }
@@ -85,6 +99,18 @@
         self.wakeup = Some((at, handle));
     }
 
+    /// Tells the ledger what happened and carries out what it decides.
+    fn claim(&mut self, event: LedgerEvent, context: &mut Context<Self>) {
+        self.claims.handle(event, &self.peers, &context.address());
+    }
+
+    /// Tells the ledger which entries are live; a leaving one is not.
+    fn follow_owners(&mut self, context: &mut Context<Self>) {
+        let members = self.peers.live_identities();
+        let event = self.claims.see_members(members);
+        self.claim(event, context);
+    }
+
     fn tick(&mut self, context: &mut Context<Self>) {
         let now = Instant::now();
         self.reclaim.tick(now);
@@ -92,6 +118,7 @@
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
         self.requests.record_suspects(now);
+        self.follow_document(DocumentEvent::Tick, context);
         if self.orphans.is_due(now) {
             self.repeat_leaving(context);
             self.look_for_orphans(context);
@@ -107,7 +134,7 @@
 
     /// Asks the engines that this entry is the home of what they hold.
     fn look_for_orphans(&self, context: &mut Context<Self>) {
-        let Some(document) = &self.document else {
+        let Some(document) = self.documents.current() else {
             return;
         };
         let engines = self.directory.engines(&document.document);
@@ -117,17 +144,28 @@
         }
     }
 
-    fn apply_document(&mut self, document: Arc<AppliedDocument>, context: &mut Context<Self>) {
+    /// Tells the document slice what happened and brings into force what it decides.
+    fn follow_document(&mut self, event: DocumentEvent, context: &mut Context<Self>) {
+        let applied = self
+            .documents
+            .handle(event, &self.peers, &context.address());
+        if let Some(document) = applied {
+            self.apply_document(&document, context);
+        }
+    }
+
+    fn apply_document(&mut self, document: &AppliedDocument, context: &mut Context<Self>) {
         self.peers.set_sequence(document.sequence);
+        let retention = document.document.key_retention;
+        self.claim(LedgerEvent::RetentionSet(retention), context);
         let event = DispatchEvent::DocumentApplied(Arc::clone(&document.document));
-        self.document = Some(document);
         self.dispatch(event, context);
         self.follow_servers(context);
     }
 
     /// Starts and ends the polls so that they match the directory and the document.
     fn follow_servers(&mut self, context: &mut Context<Self>) {
-        let Some(document) = &self.document else {
+        let Some(document) = self.documents.current() else {
             return;
         };
         let addr = context.address();
@@ -160,6 +198,7 @@
         if changed {
             let entries = self.peers.count_entries();
             self.dispatch(DispatchEvent::EntriesSeen(entries), context);
+            self.follow_owners(context);
         }
     }
 }
@@ -169,6 +208,10 @@
 
     fn started(&mut self, context: &mut Context<Self>) {
         context.run_interval(TICK_INTERVAL, Self::run_tick);
+        context.run_interval(CLAIM_TICK_INTERVAL, |actor, context| {
+            actor.claim(LedgerEvent::Tick, context);
+        });
+        self.follow_owners(context);
         self.see_vms(&[], context);
     }
 }
@@ -194,7 +237,7 @@
                 }
             }
             ControlMessage::Dispatch(event) => self.dispatch(event, context),
-            ControlMessage::DocumentApplied(document) => self.apply_document(document, context),
+            ControlMessage::Document(event) => self.follow_document(event, context),
             ControlMessage::VmsSeen(records) => self.see_vms(&records, context),
             ControlMessage::DrainsSeen(drained) => {
                 self.directory.set_drained(drained);
@@ -202,8 +245,22 @@
             }
             ControlMessage::Reclaim(call) => self.reclaim.add(Instant::now(), call),
             ControlMessage::PeerHeard { peer, state } => {
+                let source = DocumentSource::Peer(peer.identity.entry.clone());
+                let sequence = state.sequence;
                 let effects = self.peers.hear(Instant::now(), peer, state);
                 self.follow_members(&effects, context);
+                let seen = DocumentEvent::SequenceSeen { source, sequence };
+                self.follow_document(seen, context);
+            }
+            ControlMessage::ClaimDemanded { demand, decision } => {
+                self.claims.open(demand.attempt, decision);
+                self.claim(LedgerEvent::Demanded(demand), context);
+            }
+            ControlMessage::Ledger(event) => self.claim(event, context),
+            ControlMessage::Leave => {
+                self.peers.leave();
+                self.claims.leave();
+                self.claim(LedgerEvent::Leaving, context);
             }
             ControlMessage::HeldSeen { engine, records } => {
                 let now = Instant::now();
@@ -211,7 +268,6 @@
                     self.reclaim.add(now, call);
                 }
             }
-            ControlMessage::Leave => self.peers.leave(),
         }
     }
 }
@@ -224,15 +280,32 @@
     }
 }
 
+impl Handler<CountClaims> for ControlActor {
+    type Result = usize;
+
+    fn handle(&mut self, _message: CountClaims, _context: &mut Context<Self>) -> Self::Result {
+        self.claims.count()
+    }
+}
+
 impl Handler<AnswerPeer> for ControlActor {
     type Result = ResponseFuture<Option<PeerReply>>;
 
-    fn handle(&mut self, message: AnswerPeer, _context: &mut Context<Self>) -> Self::Result {
+    fn handle(&mut self, message: AnswerPeer, context: &mut Context<Self>) -> Self::Result {
         match message.call {
             PeerCall::FetchDocument => {
-                let document = self.document.as_ref().map(|document| document.to_peer());
+                let document = self.documents.current().map(|document| document.to_peer());
                 Box::pin(async move { Some(PeerReply::Document(document)) })
             }
+            PeerCall::Claim(call) => {
+                let from = message.from;
+                self.claim(LedgerEvent::Called { from, call }, context);
+                Box::pin(async { Some(PeerReply::Taken) })
+            }
+            PeerCall::ClaimReply(reply) => {
+                self.claim(LedgerEvent::Replied(reply), context);
+                Box::pin(async { Some(PeerReply::Taken) })
+            }
         }
     }
 }
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix::{Actor, Addr};
 use actix_rt::Arbiter;
@@ -20,8 +20,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::control::{ControlActor, ControlMessage};
-use crate::documents::{AppliedDocument, follow_orders};
+use crate::control::{ControlActor, ControlMessage, CountClaims};
+use crate::documents::{AppliedDocument, DocumentOutput, follow_orders, report_status};
 use crate::error::EntryError;
 use crate::options::EntryOptions;
 use crate::peers::{FleetView, PeerCredentials, PeerParts, accept_peers};
@@ -32,6 +32,12 @@
 /// How often recorded metrics are moved into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long the daemon waits at its end for the ends of claimed requests to be written.
+const CLAIM_CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Between two looks at the open claims at the daemon's end.
+const CLAIM_CLOSE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How many connections may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 2_048;
 
@@ -54,7 +60,7 @@
 
 /// What the control thread gets to publish.
 struct ControlOutputs {
-    documents: watch::Sender<Option<Arc<AppliedDocument>>>,
+    applied: watch::Sender<Option<Arc<AppliedDocument>>>,
     fleet: watch::Sender<Arc<FleetView>>,
 }
 
@@ -125,7 +131,7 @@
     let (applied, documents) = watch::channel(None);
     let (fleet_sender, fleet) = watch::channel(Arc::default());
     let outputs = ControlOutputs {
-        documents: applied,
+        applied,
         fleet: fleet_sender,
     };
     let arbiter = Arbiter::new();
@@ -163,7 +169,14 @@
         key: settings.peer_key.clone(),
         timeout: settings.timeouts.connect,
     };
+    let options = HttpPlatformOptions {
+        answer_timeout: settings.timeouts.platform,
+        connect_timeout: settings.timeouts.connect,
+        ..HttpPlatformOptions::new(settings.platform)
+    };
+    let platform = || HttpPlatform::new(options);
     let state = Rc::new(Cell::new(PeerState::default()));
+    let (status_sender, status) = watch::channel(None);
     let control = ControlActor::create(|context| {
         let parts = PeerParts {
             credentials: Rc::new(credentials),
@@ -176,22 +189,18 @@
             Ok(listener) => drop(actix_rt::spawn(accept_peers(listener, parts.clone()))),
             Err(error) => log::error!(target: "peers", "Links cannot be accepted: {error}."),
         }
-        ControlActor::new(Arc::clone(settings), seed, parts, outputs.fleet)
+        let documents = DocumentOutput {
+            applied: outputs.applied,
+            status: status_sender,
+        };
+        let (settings, shared) = (Arc::clone(settings), Rc::new(platform()));
+        ControlActor::new(settings, seed, parts, outputs.fleet, documents, shared)
     });
-    let options = HttpPlatformOptions {
-        answer_timeout: settings.timeouts.platform,
-        connect_timeout: settings.timeouts.connect,
-        ..HttpPlatformOptions::new(settings.platform)
-    };
-    let platform = || HttpPlatform::new(options);
     actix_rt::spawn(poll_vms(platform(), Arc::clone(settings), control.clone()));
-    let (followed, applied) = (Arc::clone(settings), outputs.documents);
-    actix_rt::spawn(follow_orders(
-        platform(),
-        followed,
-        control.clone(),
-        applied,
-    ));
+    let followed = Arc::clone(settings);
+    actix_rt::spawn(follow_orders(platform(), followed, control.clone()));
+    let reported = Arc::clone(settings);
+    actix_rt::spawn(report_status(Rc::new(platform()), reported, status));
     control
 }
 
@@ -265,6 +274,19 @@
         () = server.stop(true) => log::info!(target: "entry", "All requests have ended."),
         () = signals.next() => cut(&server).await,
     }
+    close_claims(&parts.control).await;
+}
+
+/// Waits until the ends of all claimed requests are written, but not for ever.
+async fn close_claims(control: &Addr<ControlActor>) {
+    let deadline = Instant::now() + CLAIM_CLOSE_LIMIT;
+    while Instant::now() < deadline {
+        match control.send(CountClaims).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => tokio::time::sleep(CLAIM_CLOSE_INTERVAL).await,
+        }
+    }
+    log::warn!(target: "entry", "Ends of claimed requests were not written.");
 }
 
 async fn cut(server: &ServerHandle) {
