--- a/crates/gs-admin/tests/processes/main.rs
+++ b/crates/gs-admin/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! The administration daemon as a process, over the platform stand-in.
 
 mod accepting;
+mod api_page;
 mod crashes;
 mod refusing;
 mod support;
--- a/crates/gs-entry/tests/path.rs
+++ b/crates/gs-entry/tests/path.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gs_protocol::caller::EntryList;
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
-use gs_standin::rig::RigError;
+use gs_standin::rig::{RigError, ServerShape};
 use serde_json::{Value, json};
 use support::{CLERK, completion, held};
 use test_case::test_case;
@@ -85,6 +85,34 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn what_one_service_may_have_run_is_not_told_as_not_run() -> TestResult {
+    let mut rig = support::start(1, &json!({})).await?;
+    rig.add_server("desk-2", "north", &ServerShape::Service { kind: "desk" })
+        .await?;
+    let entry = rig.entries[0].process.address;
+    let bearer = format!("Bearer {CLERK}");
+    let headers = [("authorization", bearer.as_str())];
+    let path = "/services/desk/tickets/12";
+    let get = async || {
+        rig.client
+            .call(entry, "GET", path, &headers, Bytes::new())
+            .await
+    };
+    support::set_faults(&rig, "desk-1", &json!({ "notRun": true })).await?;
+    rig.wait_for("the second service", async || {
+        get().await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await?;
+    support::set_faults(&rig, "desk-2", &json!({ "dropAnswerAfterRun": 1000 })).await?;
+    // The servers are tried in random order.
+    for _ in 0..16 {
+        let problem = get().await?.problem()?;
+        assert_eq!(problem.outcome, RequestOutcome::Unknown, "{problem:?}");
+    }
+    Ok(())
+}
+
 fn text(body: &Value) -> String {
     body.to_string()
 }
