Measure what entries cost, by entries, engines, requests and tokens

Change: entries export the processor time of the control thread, resident memory, bytes and frames of links, and bytes of engine polls.

Ruled out: a procfs crate; two small files are read directly. Thread time comes from clock_gettime of the C library through nix, which was already a dependency.

--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -17,6 +17,7 @@
 
 use super::dispatch::RequestDesk;
 use super::messages::{AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, ServerEndpoint};
+use super::meter::{METER_INTERVAL, record_costs};
 use super::peers::PeerDesk;
 use crate::documents::{AppliedDocument, DocumentDesk, DocumentOutput};
 use crate::ledger::ClaimDesk;
@@ -206,6 +207,7 @@
         context.run_interval(CLAIM_TICK_INTERVAL, |actor, context| {
             actor.claim(LedgerEvent::Tick, context);
         });
+        context.run_interval(METER_INTERVAL, |_, _| record_costs());
         self.follow_owners(context);
         self.see_vms(&[], context);
     }
--- a/crates/gs-entry/src/control/mod.rs
+++ b/crates/gs-entry/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod dispatch;
 mod messages;
+mod meter;
 mod peers;
 
 pub use actor::ControlActor;
--- a/crates/gs-entry/src/engine/client.rs
+++ b/crates/gs-entry/src/engine/client.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use gs_protocol::engine::{
     CacheEvents, CancelOrder, EngineRefusal, HeldRecord, LoadReport, PrefillAnswer, PrefillOrder,
@@ -14,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::{ClientPool, EngineFailure, EventReader};
+use crate::telemetry;
 
 /// The largest body of a plain answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4_194_304;
@@ -114,7 +116,9 @@
     ) -> Result<A, EngineFailure> {
         let request = self.pool.client(address).get(url(address, path));
         let response = self.answered(address, within, request.send()).await?;
-        self.read_json(address, within, response).await
+        let body = self.read_body(address, within, response).await?;
+        telemetry::count_engine_poll(body.len());
+        parse(&body)
     }
 
     async fn post<B: Serialize, A: DeserializeOwned>(
@@ -161,15 +165,21 @@
         &self,
         address: SocketAddr,
         within: Duration,
-        mut response: EngineResponse,
+        response: EngineResponse,
     ) -> Result<A, EngineFailure> {
+        parse(&self.read_body(address, within, response).await?)
+    }
+
+    async fn read_body(
+        &self,
+        address: SocketAddr,
+        within: Duration,
+        mut response: EngineResponse,
+    ) -> Result<Bytes, EngineFailure> {
         let Ok(body) = timeout(within, response.body().limit(MAX_ANSWER_BYTES)).await else {
             return Err(self.silent(address, within));
         };
-        let body = body.map_err(|error| EngineFailure::Broken {
-            detail: error.to_string(),
-        })?;
-        serde_json::from_slice(&body).map_err(|error| EngineFailure::Malformed {
+        body.map_err(|error| EngineFailure::Broken {
             detail: error.to_string(),
         })
     }
@@ -184,6 +194,12 @@
 
 type EngineResponse = awc::ClientResponse;
 
+fn parse<A: DeserializeOwned>(body: &[u8]) -> Result<A, EngineFailure> {
+    serde_json::from_slice(body).map_err(|error| EngineFailure::Malformed {
+        detail: error.to_string(),
+    })
+}
+
 fn url(address: SocketAddr, path: &str) -> String {
     format!("http://{address}{path}")
 }
--- a/crates/gs-entry/src/peers/socket.rs
+++ b/crates/gs-entry/src/peers/socket.rs
@@ -11,6 +11,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use super::PeerError;
+use crate::telemetry;
 
 /// The limits of a connection.
 pub fn socket_config() -> WebSocketConfig {
@@ -35,6 +36,7 @@
         let broken = |detail: String| PeerError::Broken { detail };
         let mut bytes = Vec::new();
         ciborium::into_writer(frame, &mut bytes).map_err(|error| broken(error.to_string()))?;
+        telemetry::count_sent_frame(bytes.len());
         let message = Message::Binary(bytes.into());
         self.stream
             .send(message)
@@ -54,7 +56,10 @@
                 detail: error.to_string(),
             })?;
             match message {
-                Message::Binary(bytes) => return decode(&bytes),
+                Message::Binary(bytes) => {
+                    telemetry::count_received_frame(bytes.len());
+                    return decode(&bytes);
+                }
                 Message::Ping(_) | Message::Pong(_) => {}
                 Message::Close(_) | Message::Frame(_) | Message::Text(_) => {
                     return Err(PeerError::Refused(PeerRefusal::UnexpectedFrame));
--- a/crates/gs-entry/src/telemetry.rs
+++ b/crates/gs-entry/src/telemetry.rs
@@ -34,6 +34,21 @@
 /// Claims of this entry's callers that are not closed.
 pub const CLAIMS_OPEN: &str = "gs_claims_open";
 
+/// Processor time of the control thread since its start, in seconds.
+pub const CONTROL_CPU_SECONDS: &str = "gs_control_cpu_seconds";
+/// Memory that the process holds, in bytes.
+pub const RESIDENT_BYTES: &str = "gs_resident_bytes";
+/// Bytes of frames sent to other entries, without the headers of WebSocket and TCP.
+pub const PEER_SENT_BYTES_TOTAL: &str = "gs_peer_sent_bytes_total";
+/// Bytes of frames received from other entries, without the headers of WebSocket and TCP.
+pub const PEER_RECEIVED_BYTES_TOTAL: &str = "gs_peer_received_bytes_total";
+/// Frames sent to other entries.
+pub const PEER_SENT_FRAMES_TOTAL: &str = "gs_peer_sent_frames_total";
+/// Bytes of the bodies that polls of engines brought.
+pub const ENGINE_POLL_BYTES_TOTAL: &str = "gs_engine_poll_bytes_total";
+/// Polls of engines that were answered.
+pub const ENGINE_POLLS_TOTAL: &str = "gs_engine_polls_total";
+
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKET_SECONDS: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0,
@@ -96,6 +111,23 @@
     }
 }
 
+/// Counts a frame sent to another entry.
+pub fn count_sent_frame(bytes: usize) {
+    counter!(PEER_SENT_FRAMES_TOTAL).increment(1);
+    counter!(PEER_SENT_BYTES_TOTAL).increment(bytes as u64);
+}
+
+/// Counts a frame received from another entry.
+pub fn count_received_frame(bytes: usize) {
+    counter!(PEER_RECEIVED_BYTES_TOTAL).increment(bytes as u64);
+}
+
+/// Counts an answered poll of an engine.
+pub fn count_engine_poll(bytes: usize) {
+    counter!(ENGINE_POLLS_TOTAL).increment(1);
+    counter!(ENGINE_POLL_BYTES_TOTAL).increment(bytes as u64);
+}
+
 /// Counts a refusal.
 pub fn count_refusal(caller: Option<&CallerName>, reason: RefusalReason) {
     let caller = caller.map_or("none", CallerName::as_str).to_owned();
--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -5,6 +5,7 @@
 
 use crate::load::LoadError;
 use crate::platform::PlatformStartError;
+use crate::slopes::SlopesError;
 
 /// Why a stand-in could not start or run.
 #[derive(Debug, thiserror::Error)]
@@ -37,6 +38,13 @@
         #[from]
         source: PlatformStartError,
     },
+    /// The slopes could not be measured.
+    #[error("the slopes could not be measured: {source}")]
+    Slopes {
+        /// Why.
+        #[from]
+        source: SlopesError,
+    },
     /// A role that does not exist.
     #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
     UnknownRole {
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod relay;
 pub mod rig;
 pub mod service;
+pub mod slopes;
 
 pub use error::StandinError;
 
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -11,6 +11,7 @@
 use gs_standin::platform::{self, PlatformOptions, platform_options};
 use gs_standin::relay::{self, RelayOptions, relay_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
+use gs_standin::slopes::{self, SlopesOptions, slopes_options};
 use log::error;
 
 const ENGINE_EXAMPLES: &str = "Examples:
@@ -26,6 +27,9 @@
 const RELAY_EXAMPLES: &str = "Example:
  gs-standin relay --to 127.0.0.1:9001 --delay-ms 5 --jitter-ms 2 --stall-share 0.001";
 
+const SLOPES_EXAMPLES: &str = "Example:
+ gs-standin slopes --sweep entries --sweep engines --json";
+
 /// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
 /// Each server logs the line "ready address=IP:PORT" to standard error once it listens.
@@ -50,6 +54,9 @@
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
+    /// Measures what entries cost by number of entries, engines, requests and tokens
+    #[bpaf(command("slopes"), footer(SLOPES_EXAMPLES))]
+    Slopes(#[bpaf(external(slopes_options))] SlopesOptions),
 }
 
 /// What is logged without `RUST_LOG`.
@@ -76,6 +83,9 @@
             .block_on(platform::run(options))
             .map_err(StandinError::from)?,
         StandinCommand::Relay(options) => system.block_on(relay::run(options))?,
+        StandinCommand::Slopes(options) => system
+            .block_on(slopes::run(options))
+            .map_err(StandinError::from)?,
         StandinCommand::Load(command) => load::run(command).map_err(StandinError::from)?,
     }
     Ok(())
--- /dev/null
+++ b/crates/gs-standin/src/slopes/point.rs
@@ -0,0 +1,256 @@
+//! Measures one point: a rig of a given size under a given load.
+
+use std::time::Duration;
+
+use bpaf::Parser;
+use bytes::Bytes;
+use gs_protocol::caller::EntryList;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::report::SweepKind;
+use super::sample::RigSample;
+use super::{SlopesError, SlopesOptions};
+use crate::load::{LoadMix, MixOptions, mix_options, run_mix};
+use crate::rig::{FleetRig, RigPrograms, ServerShape};
+
+/// The token of the one caller.
+const TOKEN: &str = "slopes-caller";
+
+/// Calls a second that the platform's stand-in takes, so that none is refused.
+const PLATFORM_RATE: &str = "1000000";
+
+/// Engines that compute faster than they are asked to.
+const ENGINE_ARGUMENTS: &[&str] = &[
+    "--prefill-rate",
+    "0",
+    "--link-rate",
+    "0",
+    "--step-base-us",
+    "2000",
+    "--step-stream-us",
+    "0",
+];
+
+/// The size and load of a point.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct PointShape {
+    /// Entries.
+    pub entries: usize,
+    /// Engines, half of them for each role.
+    pub engines: usize,
+    /// Requests a second that are sent; none if 0.
+    pub rate: u32,
+    /// Output tokens of each request.
+    pub tokens: u32,
+}
+
+/// What the mean entry and the platform's service cost at a point.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct PointCosts {
+    /// Processor time of the control thread, in seconds a second.
+    pub control_cores: f64,
+    /// Processor time of all other threads, in seconds a second.
+    pub other_cores: f64,
+    /// Memory, in bytes.
+    pub resident_bytes: f64,
+    /// Bytes of frames from and to other entries, a second.
+    pub peer_bytes_per_s: f64,
+    /// Frames to other entries, a second.
+    pub peer_frames_per_s: f64,
+    /// Bytes of bodies from polls of engines, a second.
+    pub poll_bytes_per_s: f64,
+    /// Polls of engines, a second.
+    pub polls_per_s: f64,
+    /// Reads of the platform's service by all entries, a second.
+    pub platform_reads_per_s: f64,
+    /// Writes of the platform's service by all entries, a second.
+    pub platform_writes_per_s: f64,
+    /// Watches of the platform's service that all entries begin, a second.
+    pub platform_watches_per_s: f64,
+    /// Bytes of the list of VMs.
+    pub vm_list_bytes: f64,
+    /// Whole answers a second.
+    pub answers_per_s: f64,
+}
+
+/// A measured point.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SlopePoint {
+    /// The sweep that it belongs to.
+    pub sweep: SweepKind,
+    /// Its size and load.
+    pub shape: PointShape,
+    /// What was measured.
+    pub costs: PointCosts,
+}
+
+/// Starts a rig, measures it and ends it.
+pub async fn measure(
+    options: &SlopesOptions,
+    sweep: SweepKind,
+    shape: PointShape,
+) -> Result<SlopePoint, SlopesError> {
+    let rig = start(shape).await?;
+    wait_complete(&rig, shape.entries).await?;
+    tokio::time::sleep(Duration::from_secs(options.settle_seconds)).await;
+    let before = RigSample::take(&rig).await?;
+    let answers = if shape.rate == 0 {
+        tokio::time::sleep(Duration::from_secs(options.seconds)).await;
+        0
+    } else {
+        drive(&rig, options, shape).await?
+    };
+    let after = RigSample::take(&rig).await?;
+    let vms = rig
+        .client
+        .get::<Value>(rig.platform.address, "/vms")
+        .await?;
+    let vm_list_bytes = vms.to_string().len() as f64;
+    let costs = compare(&before, &after, answers, vm_list_bytes);
+    Ok(SlopePoint {
+        sweep,
+        shape,
+        costs,
+    })
+}
+
+async fn start(shape: PointShape) -> Result<FleetRig, SlopesError> {
+    let own = std::env::current_exe().unwrap_or_default();
+    let programs = RigPrograms::beside(own);
+    let limits = [
+        "--reads-per-s",
+        PLATFORM_RATE,
+        "--writes-per-s",
+        PLATFORM_RATE,
+    ];
+    let mut rig = FleetRig::start(programs, &limits)?;
+    for number in 0..shape.engines {
+        let role = ["prefill", "decode"][number % 2];
+        let engine = ServerShape::Engine {
+            role,
+            model: "base",
+            arguments: ENGINE_ARGUMENTS,
+        };
+        rig.add_server(&format!("engine-{number}"), "north", &engine)
+            .await?;
+    }
+    rig.accept(&document()).await?;
+    let intervals = json!({ "intervals": { "vmPollMs": 1000, "headPollMs": 2000 } });
+    for number in 0..shape.entries {
+        rig.add_entry(&format!("entry-{number}"), "north", &intervals)
+            .await?;
+    }
+    rig.wait_ready().await?;
+    Ok(rig)
+}
+
+fn document() -> Value {
+    let digest = format!("sha256:{:x}", Sha256::digest(TOKEN));
+    json!({
+        "callers": {
+            "slopes": {
+                "tokenDigests": [digest],
+                "rank": "urgent",
+                "firstTokenMs": 10_000,
+                "betweenTokensMs": 1_000,
+                "guaranteedShare": 0.5,
+                "models": ["base"],
+                "services": [],
+            },
+        },
+        "models": {
+            "base": { "serverKind": "base", "maxPromptTokens": 4_000, "maxOutputTokens": 400 },
+        },
+        "services": {},
+        "serverKinds": { "base": { "protocol": "engine", "checksFence": true } },
+    })
+}
+
+/// Waits until every entry names all entries.
+async fn wait_complete(rig: &FleetRig, entries: usize) -> Result<(), SlopesError> {
+    let bearer = format!("Bearer {TOKEN}");
+    let headers = [("authorization", bearer.as_str())];
+    for entry in &rig.entries {
+        let address = entry.process.address;
+        rig.wait_for("a complete list of entries", async || {
+            let call = rig
+                .client
+                .call(address, "GET", "/v1/entries", &headers, Bytes::new());
+            let list = call.await.and_then(|answer| answer.json::<EntryList>());
+            list.is_ok_and(|list| list.entries.len() == entries)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Sends requests for the given time; returns the number of whole answers.
+async fn drive(
+    rig: &FleetRig,
+    options: &SlopesOptions,
+    shape: PointShape,
+) -> Result<u64, SlopesError> {
+    let load = load_options(rig, options, shape)?;
+    let mix = LoadMix::from_options(&load)?;
+    let running = std::thread::spawn(move || run_mix(&load, mix));
+    while !running.is_finished() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let report = running.join().map_err(|_| SlopesError::LoadEnded)??;
+    let whole = report.classes.iter().map(|class| class.ended("whole"));
+    Ok(whole.sum())
+}
+
+fn load_options(
+    rig: &FleetRig,
+    options: &SlopesOptions,
+    shape: PointShape,
+) -> Result<MixOptions, SlopesError> {
+    let addresses = rig.entries.iter().map(|entry| entry.process.address);
+    let entries = addresses.flat_map(|address| ["--entry".to_owned(), address.to_string()]);
+    let flags = [
+        ("--token", TOKEN.to_owned()),
+        ("--model", "base".to_owned()),
+        ("--seconds", options.seconds.to_string()),
+        ("--rate", shape.rate.to_string()),
+        ("--prompt-tokens", "64".to_owned()),
+        ("--output-tokens", shape.tokens.to_string()),
+    ];
+    let flags = flags
+        .into_iter()
+        .flat_map(|(name, value)| [name.to_owned(), value]);
+    let arguments: Vec<String> = entries.chain(flags).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    mix_options()
+        .to_options()
+        .run_inner(arguments.as_slice())
+        .map_err(|_| SlopesError::LoadOptions)
+}
+
+fn compare(before: &RigSample, after: &RigSample, answers: u64, vm_list_bytes: f64) -> PointCosts {
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let (old, new) = (&before.entry, &after.entry);
+    let rate = |old: f64, new: f64| (new - old) / seconds;
+    let count = |old: u64, new: u64| (new - old) as f64 / seconds;
+    let control_cores = rate(old.control_s, new.control_s);
+    let (first, last) = (&before.platform, &after.platform);
+    PointCosts {
+        control_cores,
+        other_cores: rate(old.process_s, new.process_s) - control_cores,
+        resident_bytes: new.resident_bytes,
+        peer_bytes_per_s: rate(old.peer_bytes, new.peer_bytes),
+        peer_frames_per_s: rate(old.peer_frames, new.peer_frames),
+        poll_bytes_per_s: rate(old.poll_bytes, new.poll_bytes),
+        polls_per_s: rate(old.polls, new.polls),
+        platform_reads_per_s: count(first.reads, last.reads),
+        platform_writes_per_s: count(first.writes, last.writes),
+        platform_watches_per_s: count(first.watches, last.watches),
+        vm_list_bytes,
+        answers_per_s: count(0, answers),
+    }
+}
--- /dev/null
+++ b/crates/gs-standin/src/slopes/sample.rs
@@ -0,0 +1,106 @@
+//! What all processes of a rig have cost at one time.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use super::SlopesError;
+use super::cost::{read_cpu_ns, read_metric};
+use crate::platform::CallStats;
+use crate::rig::{EntryHandle, FleetRig};
+
+/// Means over the entries of a rig, as counted since their start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntrySample {
+    /// Processor time of the control thread, in seconds.
+    pub control_s: f64,
+    /// Processor time of the whole process, in seconds.
+    pub process_s: f64,
+    /// Memory, in bytes.
+    pub resident_bytes: f64,
+    /// Bytes of frames sent to and received from other entries.
+    pub peer_bytes: f64,
+    /// Frames sent to other entries.
+    pub peer_frames: f64,
+    /// Bytes of bodies that polls of engines brought.
+    pub poll_bytes: f64,
+    /// Polls of engines.
+    pub polls: f64,
+}
+
+/// One sample of a rig.
+#[derive(Clone, Copy, Debug)]
+pub struct RigSample {
+    /// When it was begun.
+    pub at: Instant,
+    /// The mean entry.
+    pub entry: EntrySample,
+    /// Calls of the platform's service.
+    pub platform: CallStats,
+}
+
+impl RigSample {
+    /// Asks all processes.
+    pub async fn take(rig: &FleetRig) -> Result<Self, SlopesError> {
+        let at = Instant::now();
+        let mut sum = EntrySample::default();
+        for entry in &rig.entries {
+            sum.add(read_entry(rig, entry).await?);
+        }
+        sum.divide(rig.entries.len() as f64);
+        let address = rig.platform.address;
+        let platform = rig.client.get(address, "/control/stats").await?;
+        Ok(Self {
+            at,
+            entry: sum,
+            platform,
+        })
+    }
+}
+
+async fn read_entry(rig: &FleetRig, entry: &EntryHandle) -> Result<EntrySample, SlopesError> {
+    let address = entry.process.address;
+    let call = rig
+        .client
+        .call(address, "GET", "/metrics", &[], Bytes::new());
+    let answer = call.await?;
+    let text = String::from_utf8_lossy(&answer.body);
+    let metric = |name| read_metric(&text, name).ok_or(SlopesError::MissingMetric(name));
+    // Counters that were never counted are not exported.
+    let counter = |name| read_metric(&text, name).unwrap_or(0.0);
+    Ok(EntrySample {
+        control_s: metric("gs_control_cpu_seconds")?,
+        process_s: read_cpu_ns(entry.process.id())? as f64 / 1e9,
+        resident_bytes: metric("gs_resident_bytes")?,
+        peer_bytes: counter("gs_peer_sent_bytes_total") + counter("gs_peer_received_bytes_total"),
+        peer_frames: counter("gs_peer_sent_frames_total"),
+        poll_bytes: counter("gs_engine_poll_bytes_total"),
+        polls: counter("gs_engine_polls_total"),
+    })
+}
+
+impl EntrySample {
+    fn fields(&mut self) -> [&mut f64; 7] {
+        [
+            &mut self.control_s,
+            &mut self.process_s,
+            &mut self.resident_bytes,
+            &mut self.peer_bytes,
+            &mut self.peer_frames,
+            &mut self.poll_bytes,
+            &mut self.polls,
+        ]
+    }
+
+    fn add(&mut self, mut other: Self) {
+        for (field, other) in self.fields().into_iter().zip(other.fields()) {
+            *field += *other;
+        }
+    }
+
+    fn divide(&mut self, by: f64) {
+        for field in self.fields() {
+            *field /= by;
+        }
+    }
+}
