--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -317,10 +317,3 @@
         .unwrap_or_default();
     Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
-
-/// The seed of this start. Attempts draw their identities from it, which engines take for unique among all entries
-/// and starts.
-fn own_seed(settings: &EntrySettings, own: &EntryIdentity) -> u64 {
-    let seed = settings.seed.unwrap_or_default();
-    xxh3_64_with_seed(own.to_string().as_bytes(), seed)
-}
