Keep unknown what one of several services may have run

Cause: an idempotent call goes from one server to the next, and the refusal told the last failure only. If the first server ran the call and its answer was lost, and the next one said that it did not run it, the caller was told not-run. Change: once a server may have run the call, the refusal stays unknown. Ruled out: the claimed path, which ends at the first unknown outcome. Before: what_one_service_may_have_run_is_not_told_as_not_run fails with no-server, not-run.

--- a/crates/gs-entry/src/services/forward.rs
+++ b/crates/gs-entry/src/services/forward.rs
@@ -4,7 +4,7 @@
 
 use actix_web::web::Data;
 use gs_protocol::ids::AttemptId;
-use gs_protocol::refusal::RefusalReason;
+use gs_protocol::refusal::{RefusalReason, RequestOutcome};
 use rand::seq::SliceRandom;
 
 use super::call::{ServiceAnswer, ServiceCall};
@@ -33,6 +33,8 @@
             .await
         {
             Ok(answer) => return Ok(answer),
+            // What one server may have run stays unknown, whatever the next ones say.
+            Err(_) if refusal.outcome == RequestOutcome::Unknown => {}
             Err(failure) => refusal = failure_refusal(&failure),
         }
     }
