--- a/crates/gs-entry/tests/reclaim.rs
+++ b/crates/gs-entry/tests/reclaim.rs
@@ -1,4 +1,4 @@
-//! No engine memory stays held by a request that is gone.
+//! Engines are freed of requests that have ended, however they ended.
 
 mod support;
 
