--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -14,6 +14,7 @@
 use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand, choose_servers};
 use super::request_table::{AttemptRecord, RequestPhase, RequestRecord, ReturnKey};
 use super::state::DispatchState;
+use super::suspects::SuspectPermit;
 
 /// Callers whose next request is passed over in one round.
 const MAX_PASSED_OVER: usize = 4;
@@ -63,7 +64,10 @@
         let Some(returning) = self.table.returning.get(model) else {
             return true;
         };
-        let keys: Vec<ReturnKey> = returning.iter().copied().take(MAX_RETURNING).collect();
+        let mut keys: Vec<ReturnKey> = returning.iter().copied().collect();
+        self.refuse_quarantined(now, &keys, effects);
+        keys.retain(|(_, _, request)| !self.is_held(now, *request));
+        keys.truncate(MAX_RETURNING);
         let mut passed_over = 0;
         for (_, _, request) in keys {
             match self.place(now, request, None) {
@@ -71,6 +75,7 @@
                     self.table.remove_returning(request);
                     self.start(now, request, &choice, None, effects);
                 }
+                Err(PlacementBlock::Suspect) => {}
                 Err(_) if passed_over == MAX_PASSED_OVER => return false,
                 Err(_) => passed_over += 1,
             }
@@ -90,6 +95,7 @@
                     self.start(now, turn.key.request, &choice, started, effects);
                 }
                 Err(PlacementBlock::Late) => passed_over.push(turn.caller),
+                Err(PlacementBlock::Suspect) => self.set_suspect_aside(turn.key.request),
                 Err(_) => return,
             }
         }
@@ -141,14 +147,20 @@
     ) -> Result<PlacementChoice, PlacementBlock> {
         let record = self.table.requests.get(&request);
         let record = record.ok_or(PlacementBlock::NoServer)?;
+        let closed = match self.permit(now, record)? {
+            SuspectPermit::Anywhere => None,
+            SuspectPermit::Apart(closed) => Some(closed),
+            SuspectPermit::Reserved(choice) => return Ok(choice),
+        };
         let lane = self.lanes.get(&record.model);
         let lane = lane.ok_or(PlacementBlock::NoServer)?;
         let reserve = record.first_token.mul_f64(self.settings.deadline_margin);
         let time_left =
             (record.deadline - reserve.min(record.first_token)).saturating_duration_since(now);
         let is_first = record.phase == RequestPhase::Waiting;
-        let queue_wait = lane.first_token().min(record.first_token);
+        let queue_wait = lane.rank_first_token(record.rank).min(record.first_token);
         let queue_wait = queue_wait.mul_f64(self.settings.prefill_lookahead);
+        let is_urgent = record.rank == CallerRank::Urgent;
         let is_surplus = record.rank == CallerRank::Normal && kind == Some(TurnKind::Surplus);
         let demand = PlacementDemand {
             model: &record.model,
@@ -156,21 +168,29 @@
             prompt_tokens: record.prompt_tokens,
             max_tokens: record.max_tokens,
             step: lane.longest_step(self.settings.between_margin),
+            urgent_part: is_urgent.then(|| lane.urgent_part()),
             queue_wait: queue_wait.max(MIN_LOOKAHEAD),
             leaves_headroom: is_surplus && lane.has_urgent(),
             time_left: is_first.then_some(time_left),
             avoid: record.avoid,
+            closed: closed.as_deref().unwrap_or_default(),
             resumes: record.has_begun,
         };
         let entries = self.entries;
-        choose_servers(
+        let chosen = choose_servers(
             now,
             &mut self.fleet,
             &demand,
             &self.settings,
             entries,
             &mut self.rng,
-        )
+        );
+        if closed.is_none() {
+            return chosen;
+        }
+        // A suspect that has to wait does not hold up others.
+        let choice = chosen.map_err(|_| PlacementBlock::Suspect)?;
+        self.reserve(now, request, choice)
     }
 
     fn start(
@@ -191,10 +211,13 @@
             .is_some_and(|lane| lane.queue.rank_waits(CallerRank::Urgent));
         let priority = priority_of(record, turn.as_ref(), urgent_waits);
         let first_token_within = first_token_within(now, record);
-        let running = AttemptRecord {
+        let mut running = AttemptRecord {
             turn,
             ..running_attempt(now, request, record, choice, first_token_within)
         };
+        if priority == EnginePriority::Urgent {
+            running.prefill_work.urgent_tokens = running.prefill_work.tokens;
+        }
         record.phase = RequestPhase::Running(attempt);
         let names = [choice.decode, choice.prefill]
             .map(|server| self.fleet.server(server).map(|known| known.name.clone()));
@@ -202,6 +225,7 @@
             return;
         };
         self.count_start(now, &running, choice);
+        self.watch_start(now, attempt, &running);
         self.table.add_attempt(attempt, running);
         effects.push(DispatchEffect::Start {
             request,
@@ -232,6 +256,10 @@
         self.fleet.update(now, choice.prefill, settings, |server| {
             server.add_prefill(now, running.prefill_work, choice.prefill_after);
         });
+        if let Some(lane) = self.lanes.get_mut(&record.model) {
+            let work = running.prefill_work;
+            lane.add_prefill(work.tokens, work.urgent_tokens);
+        }
         let stored = choice.uncached_tokens / PIECE_TOKENS;
         self.fleet
             .note_prompt(choice.prefill, &record.pieces, stored);
@@ -269,9 +297,12 @@
     choice: &PlacementChoice,
     first_token_within: Duration,
 ) -> AttemptRecord {
-    let bytes = match record.has_begun {
-        true => 0,
-        false => u64::from(record.prompt_tokens) * KV_TOKEN_BYTES,
+    let (tokens, bytes) = match record.has_begun {
+        true => (0, 0),
+        false => (
+            choice.uncached_tokens,
+            u64::from(record.prompt_tokens) * KV_TOKEN_BYTES,
+        ),
     };
     let stream_time = record.between_tokens * record.max_tokens * ATTEMPT_PATIENCE;
     AttemptRecord {
@@ -282,12 +313,14 @@
             streams: 1,
             pieces: count_pieces(record.prompt_tokens.saturating_add(record.max_tokens)),
             tokens: 0,
+            urgent_tokens: 0,
             bytes,
         },
         prefill_work: ServerWork {
             streams: 0,
             pieces: 0,
-            tokens: choice.uncached_tokens,
+            tokens,
+            urgent_tokens: 0,
             bytes,
         },
         turn: None,
