--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -5,6 +5,7 @@
 
 use crate::load::LoadError;
 use crate::platform::PlatformStartError;
+use crate::slopes::SlopesError;
 use crate::soak::SoakError;
 
 /// Why a stand-in could not start or run.
@@ -45,6 +46,13 @@
         #[from]
         source: SoakError,
     },
+    /// The slopes could not be measured.
+    #[error("the slopes could not be measured: {source}")]
+    Slopes {
+        /// Why.
+        #[from]
+        source: SlopesError,
+    },
     /// A role that does not exist.
     #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
     UnknownRole {
