--- a/crates/gs-control/tests/dispatch/random_events.rs
+++ b/crates/gs-control/tests/dispatch/random_events.rs
@@ -7,14 +7,16 @@
     AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, PlacementPolicy, RequestStage,
 };
 use gs_document::document::CallerRank;
-use gs_protocol::engine::{CacheChange, CacheEvent, CacheEvents, EngineReason, EngineRole};
+use gs_protocol::engine::{
+    CacheChange, CacheEvent, CacheEvents, EngineReason, EngineRole, LoadReport,
+};
 use gs_protocol::ids::{AttemptId, RequestId, ServerName};
 use gs_protocol::prefix::PieceHash;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use test_case::test_case;
 
-use crate::fixture::{Bench, MAX_STREAMS, caller, demand, idle_report};
+use crate::fixture::{Bench, MAX_STREAMS, caller, demand, idle_report, sighting};
 
 const CALLERS: [&str; 3] = ["clerks", "vans", "batch"];
 const FIRST_TOKEN: Duration = Duration::from_millis(500);
@@ -34,6 +36,13 @@
     PrefillDone(prop::sample::Index),
     FirstToken(prop::sample::Index),
     End(prop::sample::Index, AttemptEnd),
+    Fleet(FleetStep),
+    Pass(u64),
+}
+
+/// One change of the fleet. Servers with even numbers prefill.
+#[derive(Clone, Copy, Debug)]
+enum FleetStep {
     Load {
         server: usize,
         streams: u32,
@@ -50,7 +59,59 @@
     Leaving(usize),
     Lost(usize),
     Entries(u32),
-    Pass(u64),
+}
+
+impl FleetStep {
+    fn event(self) -> DispatchEvent {
+        match self {
+            Self::Load {
+                server,
+                streams,
+                prefill_tokens,
+                leaving,
+                boot,
+            } => {
+                let role = [EngineRole::Prefill, EngineRole::Decode][server % 2];
+                let idle = idle_report(&server_name(server), role);
+                let report = LoadReport {
+                    streams,
+                    prefill_tokens,
+                    leaving,
+                    boot,
+                    ..idle
+                };
+                DispatchEvent::LoadSeen(sighting(report))
+            }
+            Self::Cache {
+                server,
+                piece,
+                number,
+                stored,
+            } => {
+                let change = match stored {
+                    true => CacheChange::Stored,
+                    false => CacheChange::Evicted,
+                };
+                let event = CacheEvent {
+                    number,
+                    change,
+                    piece: PieceHash(piece),
+                };
+                let events = CacheEvents {
+                    events: vec![event],
+                    last: number,
+                    boot: 1,
+                };
+                let server = server_name(server).as_str().into();
+                DispatchEvent::CacheSeen { server, events }
+            }
+            Self::Leaving(server) => {
+                DispatchEvent::ServerLeaving(server_name(server).as_str().into())
+            }
+            Self::Lost(server) => DispatchEvent::ServerLost(server_name(server).as_str().into()),
+            Self::Entries(entries) => DispatchEvent::EntriesSeen(entries),
+        }
+    }
 }
 
 fn server_name(server: usize) -> String {
@@ -82,8 +143,7 @@
     ]
 }
 
-fn any_step() -> impl Strategy<Value = Step> {
-    let index = any::<prop::sample::Index>;
+fn any_fleet_step() -> impl Strategy<Value = FleetStep> {
     let load = (
         0_usize..8,
         0..MAX_STREAMS + 2,
@@ -91,21 +151,33 @@
         0_u8..10,
         1_u64..3,
     );
+    let cache = (0_usize..8, 0_u64..64, 1_u64..50, any::<bool>());
     prop_oneof![
-        8 => (0..CALLERS.len(), 1_u32..4_000, any::<bool>())
-            .prop_map(|(caller, prompt_tokens, shared)| Step::Arrive { caller, prompt_tokens, shared }),
+        3 => load.prop_map(|(server, streams, prefill_tokens, leaving, boot)| {
+            let leaving = leaving == 0;
+            FleetStep::Load { server, streams, prefill_tokens, leaving, boot }
+        }),
+        1 => cache.prop_map(|(server, piece, number, stored)| {
+            FleetStep::Cache { server, piece, number, stored }
+        }),
+        1 => (0_usize..8).prop_map(FleetStep::Leaving),
+        1 => (0_usize..8).prop_map(FleetStep::Lost),
+        1 => (1_u32..8).prop_map(FleetStep::Entries),
+    ]
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let index = any::<prop::sample::Index>;
+    let arrival = (0..CALLERS.len(), 1_u32..4_000, any::<bool>());
+    prop_oneof![
+        8 => arrival.prop_map(|(caller, prompt_tokens, shared)| {
+            Step::Arrive { caller, prompt_tokens, shared }
+        }),
         1 => index().prop_map(Step::Withdraw),
         3 => index().prop_map(Step::PrefillDone),
         3 => index().prop_map(Step::FirstToken),
         6 => (index(), any_end()).prop_map(|(index, end)| Step::End(index, end)),
-        3 => load.prop_map(|(server, streams, prefill_tokens, leaving, boot)| Step::Load {
-            server, streams, prefill_tokens, leaving: leaving == 0, boot,
-        }),
-        1 => (0_usize..8, 0_u64..64, 1_u64..50, any::<bool>())
-            .prop_map(|(server, piece, number, stored)| Step::Cache { server, piece, number, stored }),
-        1 => (0_usize..8).prop_map(Step::Leaving),
-        1 => (0_usize..8).prop_map(Step::Lost),
-        1 => (1_u32..8).prop_map(Step::Entries),
+        7 => any_fleet_step().prop_map(Step::Fleet),
         6 => (1_u64..120).prop_map(Step::Pass),
     ]
 }
@@ -161,95 +233,54 @@
                 prompt_tokens,
                 shared,
             } => {
-                let number = self.requests.len() as u64 + 1;
-                let mut demand = demand(number, CALLERS[caller], prompt_tokens);
-                if shared {
-                    let pieces = 0..demand.pieces.len() as u64;
-                    demand.pieces = pieces.map(PieceHash).collect();
-                }
-                let due = Some(self.bench.now + FIRST_TOKEN);
-                self.requests.insert(
-                    demand.request,
-                    Seen {
-                        due,
-                        ..Seen::default()
-                    },
-                );
-                self.bench.send(DispatchEvent::Arrived(demand));
-            }
-            Step::Withdraw(index) if !self.requests.is_empty() => {
-                let position = index.index(self.requests.len());
-                let (request, seen) = self.requests.iter_mut().nth(position).expect("a request");
-                seen.ends = 1;
-                if let Some(attempt) = seen.running.take() {
-                    self.streams.remove(&attempt);
-                }
-                self.bench.send(DispatchEvent::Withdrawn(*request));
+                self.arrive(caller, prompt_tokens, shared);
             }
+            Step::Withdraw(index) => self.withdraw(index),
             Step::PrefillDone(index) => {
                 self.with_attempt(index, |attempt| DispatchEvent::PrefillDone {
                     attempt,
                     cached_tokens: 0,
-                });
+                })
             }
             Step::FirstToken(index) => self.with_attempt(index, DispatchEvent::FirstToken),
             Step::End(index, end) => self.end(index, end),
-            Step::Load {
-                server,
-                streams,
-                prefill_tokens,
-                leaving,
-                boot,
-            } => {
-                let role = [EngineRole::Prefill, EngineRole::Decode][server % 2];
-                let mut report = idle_report(&server_name(server), role);
-                report.streams = streams;
-                report.prefill_tokens = prefill_tokens;
-                report.leaving = leaving;
-                report.boot = boot;
-                self.bench.see(report);
-            }
-            Step::Cache {
-                server,
-                piece,
-                number,
-                stored,
-            } => {
-                let change = if stored {
-                    CacheChange::Stored
-                } else {
-                    CacheChange::Evicted
-                };
-                let event = CacheEvent {
-                    number,
-                    change,
-                    piece: PieceHash(piece),
-                };
-                let events = CacheEvents {
-                    events: vec![event],
-                    last: number,
-                    boot: 1,
-                };
-                let server = server_name(server).as_str().into();
-                self.bench.send(DispatchEvent::CacheSeen { server, events });
-            }
-            Step::Leaving(server) => {
-                let name = server_name(server).as_str().into();
-                self.bench.send(DispatchEvent::ServerLeaving(name));
-            }
-            Step::Lost(server) => {
-                let name = server_name(server).as_str().into();
-                self.bench.send(DispatchEvent::ServerLost(name));
-            }
-            Step::Entries(entries) => self.bench.send(DispatchEvent::EntriesSeen(entries)),
             Step::Pass(millis) => self.bench.pass(millis),
-            Step::Withdraw(_) => {}
+            Step::Fleet(step) => self.bench.send(step.event()),
         }
         self.check_effects();
         self.check_deadlines();
         self.check_budget();
     }
 
+    fn arrive(&mut self, caller: usize, prompt_tokens: u32, shared: bool) {
+        let number = self.requests.len() as u64 + 1;
+        let mut demand = demand(number, CALLERS[caller], prompt_tokens);
+        if shared {
+            let pieces = 0..demand.pieces.len() as u64;
+            demand.pieces = pieces.map(PieceHash).collect();
+        }
+        let due = Some(self.bench.now + FIRST_TOKEN);
+        let seen = Seen {
+            due,
+            ..Seen::default()
+        };
+        self.requests.insert(demand.request, seen);
+        self.bench.send(DispatchEvent::Arrived(demand));
+    }
+
+    fn withdraw(&mut self, index: prop::sample::Index) {
+        if self.requests.is_empty() {
+            return;
+        }
+        let position = index.index(self.requests.len());
+        let (request, seen) = self.requests.iter_mut().nth(position).expect("a request");
+        seen.ends = 1;
+        if let Some(attempt) = seen.running.take() {
+            self.streams.remove(&attempt);
+        }
+        self.bench.send(DispatchEvent::Withdrawn(*request));
+    }
+
     fn with_attempt(
         &mut self,
         index: prop::sample::Index,
