--- a/crates/gs-control/tests/dispatch/random_events.rs
+++ b/crates/gs-control/tests/dispatch/random_events.rs
@@ -237,10 +237,11 @@
             }
             Step::Withdraw(index) => self.withdraw(index),
             Step::PrefillDone(index) => {
-                self.with_attempt(index, |attempt| DispatchEvent::PrefillDone {
+                let done = |attempt| DispatchEvent::PrefillDone {
                     attempt,
                     cached_tokens: 0,
-                })
+                };
+                self.with_attempt(index, done);
             }
             Step::FirstToken(index) => self.with_attempt(index, DispatchEvent::FirstToken),
             Step::End(index, end) => self.end(index, end),
