Divide the slots that a report shows as free between the entries

Cause: each entry took every slot that lagged reports showed as free, so batches were overfilled, the next reports showed no free slot, and urgent requests found none; 52 of 86 were refused under a normal flood. The slots left to urgent callers were rounded down to none at 16 streams.

Change: an entry takes its part of the slots that were free at the last report, the remainder by a lot drawn with each report, and what its own streams leave. Normal work beyond its share leaves 10%, rounded.

--- a/crates/gs-control/src/dispatch/fleet.rs
+++ b/crates/gs-control/src/dispatch/fleet.rs
@@ -13,7 +13,7 @@
 use super::own_load::ServerWork;
 use super::prefix_index::{PrefixHolder, PrefixIndex, PrefixMatch};
 use super::role_index::{LoadKey, RoleIndex};
-use super::server_record::{ServerId, ServerRecord};
+use super::server_record::{ReportShare, ServerId, ServerRecord};
 use super::settings::{DispatchSettings, PlacementPolicy};
 
 /// Steps in which decode load is compared, per full batch.
@@ -159,7 +159,9 @@
             None => self.admit(now, sighting, rng.r#gen()),
         };
         if let Some(record) = self.servers.get_mut(&server) {
-            record.refresh(now, sighting, settings.load_lag, peers);
+            let draw = rng.r#gen();
+            let share = ReportShare { peers, draw };
+            record.refresh(now, sighting, settings.load_lag, share);
             record.enter_boot(sighting.report.boot);
         }
         self.relist(now, server, settings);
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -251,7 +251,7 @@
         return limit;
     }
     let headroom = f64::from(limit) * settings.urgent_headroom;
-    limit - limit.min(headroom as u32)
+    limit - limit.min(headroom.round() as u32)
 }
 
 /// Whether a slot may be free. A server that looks full is tried within this entry's part of its slots, since
@@ -269,7 +269,8 @@
         return false;
     }
     let is_stale = record.is_stale(now, settings);
-    let is_free = record.work(now).streams < limit && !is_stale;
+    let has_free = record.work(now).streams < limit && record.has_slot_part(limit);
+    let is_free = has_free && !is_stale;
     let is_enforced = limit >= record.report.max_streams;
     let is_in_part = own < (limit / entries.max(1)).max(1);
     is_free || (is_in_part && (is_enforced || is_stale))
--- a/crates/gs-control/src/dispatch/server_record.rs
+++ b/crates/gs-control/src/dispatch/server_record.rs
@@ -36,6 +36,15 @@
     Duration::from_micros(amount.saturating_mul(1_000_000) / rate.max(1))
 }
 
+/// How entries share what a load report shows.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportShare {
+    /// Other entries that share the fleet.
+    pub peers: u32,
+    /// Decides which entries get a remainder.
+    pub draw: u32,
+}
+
 /// One model engine.
 #[derive(Clone, Debug)]
 pub struct ServerRecord {
@@ -62,6 +71,9 @@
     measured_at: Instant,
     seen_at: Instant,
     peers: u32,
+    draw: u32,
+    own_then: u32,
+    streams_then: u32,
     own: OwnLoad,
     others: OtherLoad,
     prefill_free_at: Instant,
@@ -89,6 +101,9 @@
             measured_at: now,
             seen_at: now,
             peers: 0,
+            draw: 0,
+            own_then: 0,
+            streams_then: ServerWork::reported(&sighting.report).streams,
             others: OtherLoad::judge(&sighting.report, &own, now),
             own,
             prefill_free_at: now,
@@ -100,8 +115,15 @@
     }
 
     /// Takes in a newer sighting.
-    pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration, peers: u32) {
-        self.peers = peers;
+    pub fn refresh(
+        &mut self,
+        now: Instant,
+        sighting: &ServerSighting,
+        lag: Duration,
+        share: ReportShare,
+    ) {
+        self.peers = share.peers;
+        self.draw = share.draw;
         let measured_at = now.checked_sub(lag + sighting.delay).unwrap_or(now);
         if sighting.report.boot != self.report.boot {
             self.trust();
@@ -116,6 +138,8 @@
         self.measured_at = measured_at;
         self.seen_at = now;
         self.lost = false;
+        self.own_then = self.own().streams;
+        self.streams_then = self.work(now).streams;
     }
 
     /// Forgets what the prefix cache held if the engine has started anew.
@@ -212,6 +236,15 @@
         u32::try_from(fit).unwrap_or(u32::MAX).min(max)
     }
 
+    /// Whether this entry may take one more of the slots that were free at the last report: each entry takes its
+    /// part of them, a remainder by lot, and the slots that its own streams have left since.
+    pub fn has_slot_part(&self, limit: u32) -> bool {
+        let entries = self.peers + 1;
+        let free = limit.saturating_sub(self.streams_then);
+        let by_lot = u32::from(self.draw % entries < free % entries);
+        self.own().streams < self.own_then + free / entries + by_lot
+    }
+
     /// Adds a stream or reservation of this entry.
     pub fn add_stream(&mut self, now: Instant, work: ServerWork) {
         self.own.add(now, work);
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -99,7 +99,7 @@
             prefill_lookahead: 0.25,
             long_prefill: 0.5,
             long_share: 0.5,
-            urgent_headroom: 0.06,
+            urgent_headroom: 0.1,
             poll_interval: Duration::from_millis(5),
             retry_patience: 2.0,
             resume_within: Duration::from_secs(2),
