Watch the heads of claims by one listing

Cause: the next in line read the whole head of each of its shards twice a second, 32 reads/s for 16 shards. Change: one listing of the heads' versions serves all shards of an entry. The head is read only to take it, after a handover, or when a caller asks an entry that knows no recent owner. Segments have their own prefix, so that a listing names heads alone.

--- a/crates/gs-control/benches/claims/fleet.rs
+++ b/crates/gs-control/benches/claims/fleet.rs
@@ -10,6 +10,7 @@
 use gs_protocol::ids::{
     AttemptId, CallerName, EntryIdentity, EntryName, IdempotencyKey, Incarnation, ObjectVersion,
 };
+use gs_protocol::platform::ObjectEntry;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use uuid::Uuid;
@@ -23,7 +24,6 @@
 /// One way between two entries.
 const PEER_DELAY: Duration = Duration::from_millis(5);
 const RUN_TIME: Duration = Duration::from_millis(20);
-const HEAD_PARTS: usize = 4;
 
 /// What is simulated.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +52,8 @@
     pub granted: Vec<Duration>,
     pub writes: u64,
     pub written_bytes: u64,
+    pub reads: u64,
+    pub listings: u64,
     pub largest_head: usize,
 }
 
@@ -246,6 +248,7 @@
     fn reach_store(&mut self, index: usize, effect: &LedgerEffect) {
         let (operation, reply) = match effect {
             LedgerEffect::Read { operation, key } => {
+                self.report.reads += 1;
                 let found = self.store.objects.get(key);
                 let found = found.map(|(version, value, _)| (*version, value.clone()));
                 (*operation, StoreReply::Read(found))
@@ -260,6 +263,12 @@
                 self.report.written_bytes += value.len() as u64;
                 (*operation, self.write(key, value, *expected))
             }
+            LedgerEffect::Probe { prefix } => {
+                self.report.listings += 1;
+                let listed = self.list(prefix);
+                let event = LedgerEvent::Probed(Some(listed));
+                return self.add(index, STORE_DELAY, Step::Event(event));
+            }
             _ => return,
         };
         let event = LedgerEvent::Stored { operation, reply };
@@ -273,7 +282,7 @@
         }
         self.store.revision += 1;
         let version = ObjectVersion(self.store.revision);
-        let is_head = key.split('/').count() == HEAD_PARTS;
+        let is_head = key.contains("/claims/");
         if is_head {
             self.report.largest_head = self.report.largest_head.max(value.len());
         }
@@ -284,6 +293,20 @@
         StoreReply::Written(version)
     }
 
+    fn list(&self, prefix: &str) -> Vec<ObjectEntry> {
+        let found = self
+            .store
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        found
+            .map(|(key, (version, ..))| ObjectEntry {
+                key: key.clone(),
+                version: *version,
+            })
+            .collect()
+    }
+
     /// Ends the first entry; the others see it after a time. Returns the time until all shards are owned.
     pub fn end_entry(&mut self, seen_after: Duration) -> Duration {
         let ended_at = self.elapsed;
--- a/crates/gs-control/benches/claims/main.rs
+++ b/crates/gs-control/benches/claims/main.rs
@@ -13,8 +13,10 @@
 const ANSWER_BYTES: usize = 200;
 
 fn main() {
-    println!("| entries | claims/s | writes/s | MB/s written | grant p50 ms | p99 ms | µs/claim |");
-    println!("|---|---|---|---|---|---|---|");
+    println!(
+        "| entries | claims/s | writes/s | reads and listings/s | MB/s written | grant p50 ms | p99 ms | µs/claim |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
     for (entries, rate) in [(7, 1), (7, 10), (7, 100), (7, 500), (7, 2_000), (14, 2_000)] {
         measure_rate(entries, rate);
     }
@@ -39,9 +41,10 @@
     let seconds = plan.time.as_secs_f64();
     let claims = report.granted.len().max(1) as f64;
     println!(
-        "| {entries} | {:.0} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} |",
+        "| {entries} | {:.0} | {:.1} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} |",
         claims / seconds,
         report.writes as f64 / seconds,
+        (report.reads + report.listings) as f64 / seconds,
         report.written_bytes as f64 / seconds / 1e6,
         report.grant_ms(0.5),
         report.grant_ms(0.99),
--- a/crates/gs-control/src/ledger/messages.rs
+++ b/crates/gs-control/src/ledger/messages.rs
@@ -4,6 +4,7 @@
 
 use gs_protocol::claims::{ClaimCall, ClaimFingerprint, ClaimReply, KeptAnswer};
 use gs_protocol::ids::{AttemptId, CallerName, EntryIdentity, IdempotencyKey, ObjectVersion};
+use gs_protocol::platform::ObjectEntry;
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
 
 /// One call of the platform's service.
@@ -81,6 +82,8 @@
         /// How it ended.
         reply: StoreReply,
     },
+    /// The versions of the heads were listed; none if that failed.
+    Probed(Option<Vec<ObjectEntry>>),
     /// The entry is shutting down: it hands over its shards.
     Leaving,
     /// Time has passed.
@@ -117,6 +120,11 @@
         /// The version that the object must have.
         version: ObjectVersion,
     },
+    /// List the versions of the objects under a prefix; the event that answers is [`LedgerEvent::Probed`].
+    Probe {
+        /// The prefix.
+        prefix: String,
+    },
     /// Run the attempt: its claim is written.
     Grant(AttemptId),
     /// Give the caller the kept answer of an earlier attempt.
--- a/crates/gs-control/src/ledger/record.rs
+++ b/crates/gs-control/src/ledger/record.rs
@@ -2,7 +2,7 @@
 
 use gs_protocol::claims::{ClaimFingerprint, ClaimId, KeptAnswer};
 use gs_protocol::ids::{AttemptId, EntryIdentity, FenceNumber};
-use gs_protocol::objects::shard_key;
+use gs_protocol::objects::segment_key;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -132,12 +132,7 @@
 impl SegmentRef {
     /// The key of the segment's object.
     pub fn key(&self, environment: &str, shard: u32) -> String {
-        format!(
-            "{}/{:08}-{:06}",
-            shard_key(environment, shard),
-            self.fence.0,
-            self.index
-        )
+        segment_key(environment, shard, self.fence, self.index)
     }
 
     /// Whether a key of this time can be in the segment.
--- a/crates/gs-control/src/ledger/settings.rs
+++ b/crates/gs-control/src/ledger/settings.rs
@@ -17,8 +17,8 @@
     pub lease: Duration,
     /// Time added to the lease before an owner is replaced.
     pub lease_margin: Duration,
-    /// Interval between reads of the head of a shard that this entry should own, or is next in line
-    /// for.
+    /// Interval between listings of the heads' versions, while this entry should own a shard that another
+    /// owns, or is next in line for one.
     pub observe_interval: Duration,
     /// Time for which another entry must be preferred before a shard is handed to it.
     pub rebalance_after: Duration,
--- a/crates/gs-control/src/ledger/shard.rs
+++ b/crates/gs-control/src/ledger/shard.rs
@@ -10,12 +10,12 @@
 use super::messages::{LedgerEffect, OperationNumber, StoreReply};
 use super::owner::{OwnedShard, OwnerOutcome};
 use super::record::{ShardHead, decode};
+use super::settings::LedgerSettings;
 
-/// A head that was read, and since when it has not changed.
+/// A version of the head, and since when it has not changed.
 #[derive(Debug)]
-struct SeenHead {
+struct SeenVersion {
     version: ObjectVersion,
-    owner: Option<EntryIdentity>,
     first_at: Instant,
     last_at: Instant,
 }
@@ -23,9 +23,12 @@
 /// A shard that another entry owns, or nobody.
 #[derive(Debug)]
 struct ShardWatch {
-    seen: Option<SeenHead>,
+    seen: Option<SeenVersion>,
+    /// The owner when the head was last read.
+    owner: Option<EntryIdentity>,
+    owner_at: Option<Instant>,
     reading: Option<OperationNumber>,
-    read_at: Instant,
+    read_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -44,43 +47,64 @@
 }
 
 impl ShardWatch {
-    fn new(now: Instant) -> Self {
+    fn new(read_at: Option<Instant>) -> Self {
         Self {
             seen: None,
+            owner: None,
+            owner_at: None,
             reading: None,
-            read_at: now,
+            read_at,
         }
     }
 
-    /// Notes a head and says whether its owner may be replaced.
-    fn note(&mut self, context: &ShardContext, version: ObjectVersion, head: &ShardHead) -> bool {
-        let settings = context.settings;
-        let now = context.now;
-        let gap = settings.lease;
+    /// Notes the head's version and says whether it has been the same for the lease and its margin.
+    fn note(&mut self, now: Instant, version: ObjectVersion, settings: &LedgerSettings) -> bool {
         let same = self.seen.take().filter(|seen| {
-            seen.version == version && now.saturating_duration_since(seen.last_at) < gap
+            let gap = now.saturating_duration_since(seen.last_at);
+            seen.version == version && gap < settings.lease
         });
         let first_at = same.map_or(now, |seen| seen.first_at);
-        let owner = head.owner.clone();
-        self.seen = Some(SeenHead {
+        self.seen = Some(SeenVersion {
             version,
-            owner,
             first_at,
             last_at: now,
         });
-        let Some(owner) = &head.owner else {
-            return true;
-        };
-        let unchanged = now.saturating_duration_since(first_at);
-        owner.entry == settings.identity.entry
-            || unchanged >= settings.lease + settings.lease_margin
+        now.saturating_duration_since(first_at) >= settings.lease + settings.lease_margin
+    }
+
+    /// Notes a head that was read and says whether its owner may be replaced.
+    fn note_head(
+        &mut self,
+        context: &ShardContext,
+        version: ObjectVersion,
+        head: &ShardHead,
+    ) -> bool {
+        let settings = context.settings;
+        let is_lapsed = self.note(context.now, version, settings);
+        self.owner = head.owner.clone();
+        self.owner_at = Some(context.now);
+        let own_name = &settings.identity.entry;
+        is_lapsed
+            || head
+                .owner
+                .as_ref()
+                .is_none_or(|owner| owner.entry == *own_name)
+    }
+
+    /// Reads the head again if what is known of its owner is old.
+    fn refresh(&mut self, context: &ShardContext) {
+        let interval = context.settings.observe_interval;
+        let is_old = |at: Instant| context.now.saturating_duration_since(at) >= interval;
+        if self.read_at.is_none() && self.owner_at.is_none_or(is_old) {
+            self.read_at = Some(context.now);
+        }
     }
 }
 
 impl ShardSlot {
     pub fn new(now: Instant) -> Self {
         Self {
-            role: ShardRole::Watched(ShardWatch::new(now)),
+            role: ShardRole::Watched(ShardWatch::new(Some(now))),
             preferred: None,
             preferred_since: now,
             standby: false,
@@ -112,7 +136,25 @@
     /// Reads the head at the next turn.
     pub fn look_now(&mut self, now: Instant) {
         if let ShardRole::Watched(watch) = &mut self.role {
-            watch.read_at = now;
+            watch.read_at = Some(now);
+        }
+    }
+
+    /// Whether the version of the head is of interest.
+    pub fn wants_probe(&self, own: &EntryIdentity) -> bool {
+        let is_watched = matches!(self.role, ShardRole::Watched(_));
+        is_watched && (self.standby || self.preferred.as_ref() == Some(own))
+    }
+
+    /// Takes in the listed version of the head; none if it does not exist.
+    pub fn probed(&mut self, context: &ShardContext, version: Option<ObjectVersion>) {
+        let ShardRole::Watched(watch) = &mut self.role else {
+            return;
+        };
+        let is_lapsed =
+            version.is_none_or(|version| watch.note(context.now, version, context.settings));
+        if is_lapsed {
+            watch.read_at = Some(context.now);
         }
     }
 
@@ -129,10 +171,11 @@
             ShardRole::Owned(owned) => owned.call(context, from, call),
             ShardRole::Watched(watch) => {
                 let Some(attempt) = attempt_of(&call) else {
-                    watch.read_at = context.now;
+                    watch.read_at = Some(context.now);
                     return;
                 };
-                let owner = watch.seen.as_ref().and_then(|seen| seen.owner.clone());
+                watch.refresh(context);
+                let owner = watch.owner.clone();
                 context.reply(from, ClaimReply::NotOwner { attempt, owner });
             }
         }
@@ -153,8 +196,6 @@
             }
             ShardRole::Watched(watch) if watch.reading == Some(operation) => {
                 watch.reading = None;
-                let interval = context.settings.observe_interval;
-                watch.read_at = context.jittered(interval);
                 self.looked(context, reply);
             }
             ShardRole::Watched(_) => {}
@@ -162,7 +203,11 @@
     }
 
     fn looked(&mut self, context: &mut ShardContext, reply: &StoreReply) {
-        let (StoreReply::Read(found), ShardRole::Watched(watch)) = (reply, &mut self.role) else {
+        let ShardRole::Watched(watch) = &mut self.role else {
+            return;
+        };
+        let StoreReply::Read(found) = reply else {
+            watch.read_at = Some(context.jittered(context.settings.observe_interval));
             return;
         };
         let found = match found {
@@ -177,7 +222,7 @@
             },
         };
         let is_free = match &found {
-            Some((version, head)) => watch.note(context, *version, head),
+            Some((version, head)) => watch.note_head(context, *version, head),
             None => true,
         };
         if is_free && self.preferred.as_ref() == Some(&context.settings.identity) {
@@ -188,7 +233,7 @@
 
     fn lose(&mut self, context: &mut ShardContext, owner: Option<&EntryIdentity>) {
         log::info!(target: "ledger", shard = context.shard; "the shard is given up");
-        let watch = ShardRole::Watched(ShardWatch::new(context.now));
+        let watch = ShardRole::Watched(ShardWatch::new(Some(context.now)));
         if let ShardRole::Owned(owned) = std::mem::replace(&mut self.role, watch) {
             owned.close(context, owner);
         }
@@ -219,8 +264,9 @@
                 owned.pump(context);
             }
             ShardRole::Watched(watch) => {
-                let is_due = watch.reading.is_none() && watch.read_at <= context.now;
-                if is_due && (is_preferred || self.standby) {
+                let is_due = watch.read_at.is_some_and(|at| at <= context.now);
+                if is_due && is_preferred && watch.reading.is_none() {
+                    watch.read_at = None;
                     let key = shard_key(&context.settings.environment, context.shard);
                     watch.reading = Some(context.read(key));
                 }
--- a/crates/gs-control/src/ledger/state.rs
+++ b/crates/gs-control/src/ledger/state.rs
@@ -5,7 +5,9 @@
 
 use gs_protocol::claims::{ClaimCall, ClaimReply};
 use gs_protocol::ids::EntryIdentity;
-use rand::SeedableRng;
+use gs_protocol::objects::{shard_key, shard_prefix};
+use gs_protocol::platform::ObjectEntry;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -42,6 +44,8 @@
     serial: u64,
     random: Pcg64Mcg,
     swept_at: Instant,
+    /// When the heads are listed next; none while a listing is under way.
+    probe_at: Option<Instant>,
 }
 
 impl LedgerState {
@@ -56,6 +60,7 @@
             serial: 0,
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             swept_at: now,
+            probe_at: Some(now),
             settings,
         }
     }
@@ -125,6 +130,7 @@
                     slot.stored(context, operation, &reply);
                 });
             }
+            LedgerEvent::Probed(listed) => self.probed(now, wall_ms, listed, effects),
             LedgerEvent::Leaving => self.leave(now),
             LedgerEvent::Tick => self.tick(now, wall_ms, effects),
         }
@@ -192,6 +198,7 @@
         if sweeps {
             self.swept_at = now;
         }
+        self.probe(now, effects);
         let members = self.members.clone();
         let is_gone = |holder: &EntryIdentity| {
             let member = members.get(&holder.entry);
@@ -206,6 +213,39 @@
         }
     }
 
+    /// Asks for the versions of all heads with one call, if any is of interest.
+    fn probe(&mut self, now: Instant, effects: &mut Vec<LedgerEffect>) {
+        let own = &self.settings.identity;
+        let is_due = self.probe_at.is_some_and(|at| at <= now);
+        if is_due && self.shards.iter().any(|slot| slot.wants_probe(own)) {
+            self.probe_at = None;
+            let prefix = shard_prefix(&self.settings.environment);
+            effects.push(LedgerEffect::Probe { prefix });
+        }
+    }
+
+    fn probed(
+        &mut self,
+        now: Instant,
+        wall_ms: u64,
+        listed: Option<Vec<ObjectEntry>>,
+        effects: &mut Vec<LedgerEffect>,
+    ) {
+        let jitter = self.random.gen_range(0.5..1.5);
+        self.probe_at = Some(now + self.settings.observe_interval.mul_f64(jitter));
+        let Some(listed) = listed else {
+            return;
+        };
+        for shard in 0..self.settings.shards {
+            let key = shard_key(&self.settings.environment, shard);
+            let found = listed.iter().find(|entry| entry.key == key);
+            let version = found.map(|entry| entry.version);
+            self.with_shard(now, wall_ms, shard, effects, |slot, context| {
+                slot.probed(context, version);
+            });
+        }
+    }
+
     fn see_members(&mut self, now: Instant, members: Vec<EntryIdentity>) {
         let members = members
             .into_iter()
--- a/crates/gs-control/tests/ledger/store.rs
+++ b/crates/gs-control/tests/ledger/store.rs
@@ -4,6 +4,7 @@
 
 use gs_control::ledger::{LedgerEffect, OperationNumber, StoreReply};
 use gs_protocol::ids::{EntryIdentity, ObjectVersion};
+use gs_protocol::platform::ObjectEntry;
 
 /// A call on its way.
 #[derive(Clone, Debug)]
@@ -42,6 +43,20 @@
         }
     }
 
+    /// The versions of the objects under a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<ObjectEntry> {
+        let found = self
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        found
+            .map(|(key, (version, _))| ObjectEntry {
+                key: key.clone(),
+                version: *version,
+            })
+            .collect()
+    }
+
     fn version(&self, key: &str) -> Option<ObjectVersion> {
         self.objects.get(key).map(|(version, _)| *version)
     }
--- a/crates/gs-control/tests/ledger/world.rs
+++ b/crates/gs-control/tests/ledger/world.rs
@@ -69,6 +69,11 @@
         reply: ClaimReply,
     },
     Store(StoreCall),
+    /// A listing of the store.
+    Probe {
+        from: EntryIdentity,
+        prefix: String,
+    },
     /// A call whose answer was given up, and which may still take effect.
     Ghost(LedgerEffect),
     /// The request itself, on its way to the service.
@@ -200,6 +205,7 @@
                     effect,
                 }));
             }
+            LedgerEffect::Probe { prefix } => self.messages.push(Message::Probe { from, prefix }),
             LedgerEffect::Call { to, call } => self.messages.push(Message::Call { from, to, call }),
             LedgerEffect::Reply { to, reply } => self.messages.push(Message::Reply { to, reply }),
             LedgerEffect::Grant(attempt) => {
@@ -390,6 +396,13 @@
                 }
             }
             Message::Store(call) => self.deliver_store(&call),
+            Message::Probe { from, prefix } => {
+                let is_lost = self.outage || (self.faults.lost && self.random.gen_bool(0.1));
+                let listed = (!is_lost).then(|| self.store.list(&prefix));
+                if let Some(index) = self.find(&from) {
+                    self.give(index, LedgerEvent::Probed(listed));
+                }
+            }
             Message::Ghost(effect) => {
                 self.store.apply(&effect);
             }
--- a/crates/gs-entry/src/ledger/desk.rs
+++ b/crates/gs-entry/src/ledger/desk.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::settings::ledger_settings;
-use super::store::start_call;
+use super::store::{start_call, start_probe};
 use crate::control::{ControlActor, ControlMessage, PeerDesk};
 use crate::telemetry;
 
@@ -120,6 +120,7 @@
             LedgerEffect::Reply { to, reply } => {
                 peers.send(&to.entry, PeerCall::ClaimReply(reply));
             }
+            LedgerEffect::Probe { prefix } => start_probe(prefix, &self.platform, control),
             LedgerEffect::Read { .. }
             | LedgerEffect::Write { .. }
             | LedgerEffect::Remove { .. } => {
--- a/crates/gs-entry/src/ledger/store.rs
+++ b/crates/gs-entry/src/ledger/store.rs
@@ -32,6 +32,16 @@
     });
 }
 
+/// Starts a listing; its end comes back to the control thread as an event.
+pub fn start_probe(prefix: String, platform: &Rc<HttpPlatform>, control: &Addr<ControlActor>) {
+    let (platform, control) = (Rc::clone(platform), control.clone());
+    actix_rt::spawn(async move {
+        let listed = platform.list(&prefix).await.ok();
+        let event = LedgerEvent::Probed(listed.map(|list| list.objects));
+        control.do_send(ControlMessage::Ledger(event));
+    });
+}
+
 fn read_call(effect: LedgerEffect) -> Option<(OperationNumber, StoreCall)> {
     match effect {
         LedgerEffect::Read { operation, key } => Some((operation, StoreCall::Read(key))),
--- a/crates/gs-protocol/src/objects.rs
+++ b/crates/gs-protocol/src/objects.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{OperationId, OperatorName, SequenceNumber, ServerName};
+use crate::ids::{FenceNumber, OperationId, OperatorName, SequenceNumber, ServerName};
 
 /// The prefix of the keys that every entry watches: the head and the servers that are out of use.
 pub fn orders_prefix(environment: &str) -> String {
@@ -49,11 +49,24 @@
     format!("gs/{environment}/status/{entry}")
 }
 
-/// The key of a shard of claims.
+/// The prefix of the heads of all shards of claims.
+pub fn shard_prefix(environment: &str) -> String {
+    format!("gs/{environment}/claims/")
+}
+
+/// The key of the head of a shard of claims.
 pub fn shard_key(environment: &str, shard: u32) -> String {
     format!("gs/{environment}/claims/{shard:04}")
 }
 
+/// The key of a segment of a shard of claims.
+pub fn segment_key(environment: &str, shard: u32, fence: FenceNumber, index: u32) -> String {
+    format!(
+        "gs/{environment}/segments/{shard:04}/{fence:08}-{index:06}",
+        fence = fence.0
+    )
+}
+
 /// The key of a lease.
 pub fn lease_key(environment: &str, duty: &str) -> String {
     format!("gs/{environment}/leases/{duty}")
