--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -11,6 +11,7 @@
 use gs_standin::platform::{self, PlatformOptions, platform_options};
 use gs_standin::relay::{self, RelayOptions, relay_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
+use gs_standin::slopes::{self, SlopesOptions, slopes_options};
 use gs_standin::soak::{self, SoakOptions, soak_options};
 use log::error;
 
@@ -29,6 +30,8 @@
 
 const SOAK_EXAMPLES: &str = "Example:
  gs-standin soak --seed 7 --minutes 3";
+const SLOPES_EXAMPLES: &str = "Example:
+ gs-standin slopes --sweep entries --sweep engines --json";
 
 /// Stand-ins for development: engines, services and the platform at modelled speed.
 ///
@@ -57,6 +60,9 @@
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
+    /// Measures what entries cost by number of entries, engines, requests and tokens
+    #[bpaf(command("slopes"), footer(SLOPES_EXAMPLES))]
+    Slopes(#[bpaf(external(slopes_options))] SlopesOptions),
 }
 
 /// What is logged without `RUST_LOG`.
@@ -86,6 +92,9 @@
         StandinCommand::Soak(options) => system
             .block_on(soak::run(&options))
             .map_err(StandinError::from)?,
+        StandinCommand::Slopes(options) => system
+            .block_on(slopes::run(options))
+            .map_err(StandinError::from)?,
         StandinCommand::Load(command) => load::run(command).map_err(StandinError::from)?,
     }
     Ok(())
