Aim a fault mix at keys about to expire

Change: a mix of crashes and differing views in which most requests repeat a key near the end of the retention.

--- a/crates/gs-control/tests/ledger/main.rs
+++ b/crates/gs-control/tests/ledger/main.rs
@@ -34,6 +34,7 @@
 #[test_case(Faults { outages: true, lost: true, ..Faults::default() }; "outages and lost answers")]
 #[test_case(Faults { pauses: true, twice: true, views: true, ..Faults::default() }; "pauses")]
 #[test_case(Faults { crashes: true, lost: true, twice: true, ..Faults::default() }; "crashes")]
+#[test_case(Faults { crashes: true, views: true, edge: true, ..Faults::default() }; "keys about to expire")]
 #[test_case(Faults::all(); "everything at once")]
 fn a_key_runs_at_most_once_and_refusals_are_true(faults: Faults) {
     hold_for_seeds(faults);
--- a/crates/gs-control/tests/ledger/world.rs
+++ b/crates/gs-control/tests/ledger/world.rs
@@ -8,6 +8,7 @@
 use gs_protocol::ids::{
     AttemptId, CallerName, EntryIdentity, EntryName, IdempotencyKey, Incarnation,
 };
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use uuid::Uuid;
@@ -32,6 +33,8 @@
     pub lost: bool,
     pub twice: bool,
     pub views: bool,
+    /// Most requests repeat a key that is about to expire.
+    pub edge: bool,
 }
 
 impl Faults {
@@ -44,6 +47,7 @@
             lost: true,
             twice: true,
             views: true,
+            edge: false,
         }
     }
 }
@@ -282,9 +286,11 @@
             key.time_ms()
                 .is_some_and(|made_ms| made_ms.abs_diff(edge_ms) < EDGE_MS)
         };
-        let edge = self.keys.iter().position(near_edge);
+        let edge: Vec<_> = self.keys.iter().copied().filter(near_edge).collect();
+        let edge = edge.choose(&mut self.random).copied();
+        let edge_tenths = if self.faults.edge { 7 } else { 3 };
         match (self.random.gen_range(0..10), edge) {
-            (0..3, Some(edge)) => self.keys[edge],
+            (tenth, Some(edge)) if tenth < edge_tenths => edge,
             (0..8, _) => self.keys[self.random.gen_range(recent..self.keys.len())],
             _ => self.keys[self.random.gen_range(0..self.keys.len())],
         }
