--- a/crates/gs-control/tests/ledger/world.rs
+++ b/crates/gs-control/tests/ledger/world.rs
@@ -8,6 +8,7 @@
 use gs_protocol::ids::{
     AttemptId, CallerName, EntryIdentity, EntryName, IdempotencyKey, Incarnation,
 };
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use uuid::Uuid;
@@ -32,6 +33,8 @@
     pub lost: bool,
     pub twice: bool,
     pub views: bool,
+    /// Most requests repeat a key that is about to expire.
+    pub edge: bool,
 }
 
 impl Faults {
@@ -44,6 +47,7 @@
             lost: true,
             twice: true,
             views: true,
+            edge: false,
         }
     }
 }
@@ -69,6 +73,11 @@
         reply: ClaimReply,
     },
     Store(StoreCall),
+    /// A listing of the store.
+    Probe {
+        from: EntryIdentity,
+        prefix: String,
+    },
     /// A call whose answer was given up, and which may still take effect.
     Ghost(LedgerEffect),
     /// The request itself, on its way to the service.
@@ -200,6 +209,7 @@
                     effect,
                 }));
             }
+            LedgerEffect::Probe { prefix } => self.messages.push(Message::Probe { from, prefix }),
             LedgerEffect::Call { to, call } => self.messages.push(Message::Call { from, to, call }),
             LedgerEffect::Reply { to, reply } => self.messages.push(Message::Reply { to, reply }),
             LedgerEffect::Grant(attempt) => {
@@ -276,9 +286,11 @@
             key.time_ms()
                 .is_some_and(|made_ms| made_ms.abs_diff(edge_ms) < EDGE_MS)
         };
-        let edge = self.keys.iter().position(near_edge);
+        let edge: Vec<_> = self.keys.iter().copied().filter(near_edge).collect();
+        let edge = edge.choose(&mut self.random).copied();
+        let edge_tenths = if self.faults.edge { 7 } else { 3 };
         match (self.random.gen_range(0..10), edge) {
-            (0..3, Some(edge)) => self.keys[edge],
+            (tenth, Some(edge)) if tenth < edge_tenths => edge,
             (0..8, _) => self.keys[self.random.gen_range(recent..self.keys.len())],
             _ => self.keys[self.random.gen_range(0..self.keys.len())],
         }
@@ -390,6 +402,13 @@
                 }
             }
             Message::Store(call) => self.deliver_store(&call),
+            Message::Probe { from, prefix } => {
+                let is_lost = self.outage || (self.faults.lost && self.random.gen_bool(0.1));
+                let listed = (!is_lost).then(|| self.store.list(&prefix));
+                if let Some(index) = self.find(&from) {
+                    self.give(index, LedgerEvent::Probed(listed));
+                }
+            }
             Message::Ghost(effect) => {
                 self.store.apply(&effect);
             }
