--- a/crates/gs-ctl/tests/pages.rs
+++ b/crates/gs-ctl/tests/pages.rs
@@ -1,4 +1,4 @@
-//! The operators' pages name only what exists.
+//! The pages name only what exists.
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -97,3 +97,61 @@
         }
     }
 }
+
+/// The files below a folder of the repository, without what builds leave there.
+fn files_below(folder: &Path, kind: &str, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).expect("the folder is there") {
+        let path = entry.expect("the entry is readable").path();
+        let name = path.file_name().and_then(|name| name.to_str());
+        if path.is_dir() && !name.is_some_and(|name| name == "target" || name.starts_with('.')) {
+            files_below(&path, kind, found);
+        } else if path.extension().is_some_and(|found| found == kind) {
+            found.push(path);
+        }
+    }
+}
+
+fn list_files(kind: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    files_below(&root(), kind, &mut found);
+    found
+}
+
+#[test]
+fn links_lead_to_files() {
+    for page in list_files("md") {
+        let text = read_text(&page);
+        let folder = page.parent().expect("a folder");
+        let links = text.split("](").skip(1);
+        let targets = links.filter_map(|rest| rest.split([')', '#']).next());
+        for target in targets.filter(|target| !target.is_empty() && !target.contains("://")) {
+            let path = folder.join(target);
+            assert!(path.exists(), "{} links to {target}", page.display());
+        }
+    }
+}
+
+#[test]
+fn the_proofs_name_only_tests_that_exist() {
+    let sources: Vec<_> = list_files("rs")
+        .iter()
+        .map(|path| read_text(path))
+        .collect();
+    let page = read_text(&root().join("docs/PROOFS.md"));
+    let quoted = page.split('`').skip(1).step_by(2);
+    let is_test = |name: &&str| {
+        name.matches('_').count() > 2
+            && name
+                .chars()
+                .all(|part| part.is_ascii_lowercase() || part == '_')
+    };
+    let names: BTreeSet<_> = quoted.filter(is_test).collect();
+    assert!(names.len() > 20, "{names:?}");
+    for name in names {
+        let definition = format!("fn {name}(");
+        assert!(
+            sources.iter().any(|text| text.contains(&definition)),
+            "{name}"
+        );
+    }
+}
