Give a resumed stream its first-token time before it counts as silent

Cause: a stream that is resumed computes its prompt anew at the decode engine, and counted as lost after timeouts.engineSilentMs without a token. With a long prompt each retry was lost in the same way until the budget was used up. Change: until the first token of a resumed attempt, the longer of its first-token time and the silence counts. Ruled out: the first-token time alone, which for an old stream is half a second and shorter than the silence. Before: a_stream_with_a_long_prompt_is_resumed fails (the answer broke off after 18 tokens: server-failed). After: it passes twice in a row; it takes about 23 s. A milder slowdown of the engine did not show the fault, as each lost try left a part of the prompt in the engine's cache.

--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -290,9 +290,12 @@
 
     /// How long the stream may be silent now.
     fn silence(&self) -> Duration {
+        let silent = self.state.settings.timeouts.engine_silent;
         match (&self.open, self.last_token) {
             (Some(open), None) => remaining(open.first_token_by),
-            _ => self.state.settings.timeouts.engine_silent,
+            // A resumed stream computes its prompt first.
+            (Some(open), Some(_)) if !open.has_token => remaining(open.first_token_by).max(silent),
+            _ => silent,
         }
     }
 
--- a/crates/gs-entry/tests/answers.rs
+++ b/crates/gs-entry/tests/answers.rs
@@ -97,6 +97,33 @@
         .expect("the answer is whole");
 }
 
+/// Computing the prompt anew takes longer than an engine may be silent within a stream.
+#[actix_rt::test]
+async fn a_stream_with_a_long_prompt_is_resumed() -> TestResult {
+    let rig = support::start_with(2, 1, &json!({ "timeouts": { "engineSilentMs": 500 } })).await?;
+    let prompt = "word ".repeat(2800);
+    for name in ["notes-decode-0", "notes-decode-1"] {
+        support::set_faults(&rig, name, &json!({ "slowFactor": 10.0 })).await?;
+    }
+    let (answer, killed) = futures_util::future::join(ask(&rig, &prompt), async {
+        rig.wait_for("a stream", async || busy_decoder(&rig).await.is_some())
+            .await?;
+        tokio::time::sleep(HEAD_START * 3).await;
+        let index = busy_decoder(&rig).await.expect("the stream still runs");
+        let other = rig.servers[3 - index].name.as_str();
+        support::set_faults(&rig, other, &json!({ "slowFactor": 100.0 })).await?;
+        rig.servers[index].process.signal(ProcessSignal::Kill)?;
+        Ok::<_, RigError>(other)
+    })
+    .await;
+    let other = killed?;
+    support::set_faults(&rig, other, &json!({ "slowFactor": 1.0 })).await?;
+    // Asked last, so that no engine has the prompt in its cache before.
+    let expected = ask(&rig, &prompt).await?;
+    assert_eq!(answer?, expected, "no token is lost or doubled");
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn an_answer_that_cannot_go_on_ends_in_an_error() -> TestResult {
     let rig = support::start(1, &json!({ "timeouts": { "engineSilentMs": 500 } })).await?;
