--- a/crates/gs-entry/src/documents/fetch.rs
+++ b/crates/gs-entry/src/documents/fetch.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot::Receiver;
 
 /// Why a document was not fetched.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum FetchError {
     /// The platform's service did not answer as needed.
     #[error(transparent)]
--- a/crates/gs-entry/src/engine/failure.rs
+++ b/crates/gs-entry/src/engine/failure.rs
@@ -3,7 +3,7 @@
 use gs_protocol::engine::EngineReason;
 
 /// Why an engine did not do what it was asked.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum EngineFailure {
     /// The engine refused, and said so: nothing runs.
     #[error("the engine refused: {0:?}")]
--- a/crates/gs-entry/src/error.rs
+++ b/crates/gs-entry/src/error.rs
@@ -1,7 +1,7 @@
 //! Why the entry does not start or run.
 
 /// What failed, from the operator's point of view.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum EntryError {
     /// The settings file cannot be read.
     #[error("settings file \"{path}\" cannot be read")]
--- a/crates/gs-entry/src/peers/error.rs
+++ b/crates/gs-entry/src/peers/error.rs
@@ -3,7 +3,7 @@
 use gs_protocol::peer::PeerRefusal;
 
 /// Why a link ended.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum PeerError {
     /// No connection was made.
     #[error("no connection was made: {detail}")]
--- a/crates/gs-entry/src/services/client.rs
+++ b/crates/gs-entry/src/services/client.rs
@@ -24,7 +24,7 @@
 const BODILESS_STATUSES: [u16; 2] = [204, 304];
 
 /// Why a service gave no answer.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum ServiceFailure {
     /// No byte of the call can have reached the service, or it said that it did not run the call.
     #[error("the service did not run the call: {detail}")]
--- a/crates/gs-entry/src/traffic/refusal.rs
+++ b/crates/gs-entry/src/traffic/refusal.rs
@@ -10,7 +10,7 @@
 use gs_protocol::refusal::{PROBLEM_MEDIA_TYPE, ProblemBody, RefusalReason, RequestOutcome};
 
 /// Why a request is refused and what is known of it.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("{detail}")]
 pub struct CallerRefusal {
     /// Why.
--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -44,7 +44,7 @@
 }
 
 /// Why a peer is refused.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, thiserror::Error, PartialEq, Serialize)]
 pub enum PeerRefusal {
     /// The peer speaks another version.
     #[error("the peer speaks protocol version {found}; version {expected} is spoken here")]
