Tell suspicions over links of both directions, and hold anew after pauses

An entry can be known as alive before its own link is open, and a process that was not scheduled for longer than the hold starts what it has reserved before it reads reports.

Change: reports go over accepted links too, are numbered so that an older one does not replace a newer, and all are repeated when an entry comes. A gap of more than 20 ms between two events restarts the hold.

--- a/crates/gs-control/src/dispatch/messages.rs
+++ b/crates/gs-control/src/dispatch/messages.rs
@@ -6,7 +6,7 @@
 use gs_document::document::EnvironmentDocument;
 use gs_protocol::engine::{CacheEvents, EnginePriority, EngineReason, LoadReport};
 use gs_protocol::ids::{
-    AttemptId, CallerName, DataCentreName, EntryName, ModelName, RequestId, ServerKindName,
+    AttemptId, CallerName, DataCentreName, EntryIdentity, ModelName, RequestId, ServerKindName,
     ServerName,
 };
 use gs_protocol::prefix::PieceHash;
@@ -107,7 +107,7 @@
     /// A peer has told what it knows of requests that crash servers.
     PeerTold {
         /// The peer.
-        peer: EntryName,
+        peer: EntryIdentity,
         /// What it knows.
         report: SuspicionReport,
     },
--- a/crates/gs-control/src/quarantine/blames.rs
+++ b/crates/gs-control/src/quarantine/blames.rs
@@ -249,6 +249,17 @@
         }
     }
 
+    /// Tells peers of everything again.
+    pub fn repeat_all(&mut self, now: Instant) {
+        let known = self.repeats.iter();
+        self.repeats = known.map(|(_, fingerprint)| (now, *fingerprint)).collect();
+        for (_, fingerprint) in &self.repeats {
+            if let Some(record) = self.records.get_mut(fingerprint) {
+                record.repeat_at = Some(now);
+            }
+        }
+    }
+
     /// Takes the blames that are due to be told to peers.
     pub fn take_due(&mut self, now: Instant) -> Vec<BlameRecord> {
         let mut due = Vec::new();
--- a/crates/gs-control/src/quarantine/messages.rs
+++ b/crates/gs-control/src/quarantine/messages.rs
@@ -1,6 +1,6 @@
 //! Events and effects of the quarantine slice.
 
-use gs_protocol::ids::{AttemptId, EntryName, ServerName};
+use gs_protocol::ids::{AttemptId, EntryIdentity, ServerName};
 use gs_protocol::suspicion::{PromptFingerprint, ServerDeath, SuspicionReport};
 
 /// How an attempt ended, as far as blame goes.
@@ -55,7 +55,7 @@
     /// A peer has told what it knows.
     PeerTold {
         /// The peer.
-        peer: EntryName,
+        peer: EntryIdentity,
         /// What it knows.
         report: SuspicionReport,
     },
--- a/crates/gs-control/src/quarantine/peers.rs
+++ b/crates/gs-control/src/quarantine/peers.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use gs_protocol::ids::{EntryName, ServerName};
+use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, ServerName};
 use gs_protocol::suspicion::{PromptFingerprint, SuspectRun};
 
 /// What one peer runs.
 #[derive(Clone, Debug)]
 struct PeerRuns {
     running: Vec<SuspectRun>,
+    report: (Incarnation, u64),
     heard_at: Instant,
 }
 
@@ -20,17 +21,26 @@
 }
 
 impl PeerTable {
-    /// Takes over what a peer runs.
-    pub fn hear(&mut self, now: Instant, peer: EntryName, running: Vec<SuspectRun>) {
-        if running.is_empty() {
-            self.peers.remove(&peer);
-            return;
+    /// Takes over what a peer runs; returns whether that is news. Reports may come twice and out of order.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        peer: &EntryIdentity,
+        number: u64,
+        running: &[SuspectRun],
+    ) -> bool {
+        let report = (peer.incarnation, number);
+        let known = self.peers.get(&peer.entry);
+        if known.is_some_and(|known| known.report >= report) {
+            return false;
         }
         let heard = PeerRuns {
-            running,
+            running: running.to_vec(),
+            report,
             heard_at: now,
         };
-        self.peers.insert(peer, heard);
+        self.peers.insert(peer.entry.clone(), heard);
+        true
     }
 
     /// Whether a peer runs a fingerprint or is about to.
--- a/crates/gs-control/src/quarantine/reservations.rs
+++ b/crates/gs-control/src/quarantine/reservations.rs
@@ -40,6 +40,13 @@
         Some(reservation.since)
     }
 
+    /// Holds everything anew.
+    pub fn restart(&mut self, now: Instant) {
+        for reservation in self.reservations.values_mut() {
+            reservation.since = now;
+        }
+    }
+
     /// Keeps nothing for a fingerprint any more.
     pub fn remove(&mut self, fingerprint: PromptFingerprint) {
         self.reservations.remove(&fingerprint);
--- a/crates/gs-control/src/quarantine/state.rs
+++ b/crates/gs-control/src/quarantine/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use gs_protocol::ids::{AttemptId, EntryName, ServerName};
+use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, ServerName};
 use gs_protocol::suspicion::{
     BlameRecord, BlameState, PromptFingerprint, ServerDeath, SuspectRun, SuspicionReport,
 };
@@ -20,6 +20,9 @@
 /// Between two looks for what has become too old.
 const CLEAN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time between two events while a request waits, unless the process was paused.
+const MAX_GAP: Duration = Duration::from_millis(20);
+
 /// Running suspects told at most in one report.
 const MAX_RUNNING: usize = 256;
 
@@ -36,6 +39,8 @@
     survivals: BTreeSet<(Instant, AttemptId)>,
     told: Vec<SuspectRun>,
     told_at: Option<Instant>,
+    reports: u64,
+    handled_at: Option<Instant>,
     has_peers: bool,
     clean_at: Option<Instant>,
 }
@@ -54,6 +59,8 @@
             survivals: BTreeSet::new(),
             told: Vec::new(),
             told_at: None,
+            reports: 0,
+            handled_at: None,
             has_peers: false,
             clean_at: None,
         }
@@ -66,6 +73,7 @@
         event: QuarantineEvent,
         effects: &mut Vec<QuarantineEffect>,
     ) {
+        self.note_pause(now);
         self.end_trials(now);
         match event {
             QuarantineEvent::Reserved {
@@ -88,8 +96,13 @@
                 self.exposures.lose_all(now, &death);
                 self.judge(now, &death, effects);
             }
-            QuarantineEvent::PeerTold { peer, report } => self.hear(now, peer, report),
-            QuarantineEvent::EntriesSeen(entries) => self.has_peers = entries > 1,
+            QuarantineEvent::PeerTold { peer, report } => self.hear(now, &peer, report),
+            QuarantineEvent::EntriesSeen(entries) => {
+                self.has_peers = entries > 1;
+                // An entry that has just come knows nothing yet.
+                self.blames.repeat_all(now);
+                self.told_at = None;
+            }
             QuarantineEvent::Tick => self.forget_old(now),
         }
         self.report(now, effects);
@@ -136,6 +149,14 @@
         self.blames.len()
     }
 
+    /// Holds reservations anew after a pause of this process, in which reports of peers were not read.
+    fn note_pause(&mut self, now: Instant) {
+        let last = self.handled_at.replace(now);
+        if last.is_some_and(|last| now.saturating_duration_since(last) > MAX_GAP) {
+            self.reservations.restart(now);
+        }
+    }
+
     fn start(
         &mut self,
         attempt: AttemptId,
@@ -295,10 +316,13 @@
         .collect()
     }
 
-    fn hear(&mut self, now: Instant, peer: EntryName, report: SuspicionReport) {
-        self.reservations
-            .yield_to(&self.own, &peer, &report.running);
-        self.peers.hear(now, peer, report.running);
+    fn hear(&mut self, now: Instant, peer: &EntryIdentity, report: SuspicionReport) {
+        let SuspicionReport {
+            number, running, ..
+        } = &report;
+        if self.peers.hear(now, peer, *number, running) {
+            self.reservations.yield_to(&self.own, &peer.entry, running);
+        }
         for blame in report.blames {
             let server = blame.death.server.clone();
             let is_new = blame.state != BlameState::Cleared;
@@ -393,7 +417,9 @@
         }
         self.told = running.clone();
         self.told_at = Some(now);
+        self.reports += 1;
         effects.push(QuarantineEffect::Report(SuspicionReport {
+            number: self.reports,
             blames,
             running,
         }));
--- a/crates/gs-control/tests/quarantine/world.rs
+++ b/crates/gs-control/tests/quarantine/world.rs
@@ -6,7 +6,7 @@
 use gs_control::quarantine::{
     QuarantineEffect, QuarantineEvent, QuarantineSettings, QuarantineState, RunEnd, SuspectGate,
 };
-use gs_protocol::ids::{AttemptId, EntryName, ServerName};
+use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, Incarnation, ServerName};
 use gs_protocol::suspicion::{PromptFingerprint, ServerDeath, SuspicionReport};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -456,7 +456,10 @@
             for _ in 0..copies {
                 let longest = if self.setup.losses { 6 } else { 1 };
                 let event = QuarantineEvent::PeerTold {
-                    peer: self.entries[from].name.clone(),
+                    peer: EntryIdentity {
+                        entry: self.entries[from].name.clone(),
+                        incarnation: Incarnation(1),
+                    },
                     report: report.clone(),
                 };
                 let at = self.step + self.random.gen_range(1..=longest);
--- a/crates/gs-entry/src/control/peers.rs
+++ b/crates/gs-entry/src/control/peers.rs
@@ -93,7 +93,11 @@
 
     /// Tells all peers of requests that may crash servers.
     pub fn tell_suspicions(&self, report: &SuspicionReport) {
-        self.links.tell_all(&PeerFrame::Suspicions(report.clone()));
+        // Without an open link there is nobody to tell.
+        let _ = self
+            .parts
+            .notices
+            .send(PeerFrame::Suspicions(report.clone()));
     }
 
     /// Entries that take part in the fleet, this one included.
--- a/crates/gs-entry/src/peers/accept.rs
+++ b/crates/gs-entry/src/peers/accept.rs
@@ -6,14 +6,13 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
-use gs_control::dispatch::DispatchEvent;
 use gs_protocol::peer::{PeerFrame, PeerIdentity, PeerRefusal};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::accept_async_with_config;
 
 use super::PeerError;
-use super::links::PeerParts;
+use super::links::{PeerParts, next_notice, take_suspicions};
 use super::socket::{PeerSocket, silent, socket_config};
 use crate::control::{AnswerPeer, ControlActor, ControlMessage};
 
@@ -74,12 +73,14 @@
 
 async fn run_link(mut socket: PeerSocket, peer: &PeerIdentity, parts: &PeerParts) -> PeerError {
     let mut answers = PendingAnswers::new();
+    let mut notices = parts.notices.subscribe();
     loop {
         let step = tokio::select! {
             received = socket.receive_within(parts.silence) => match received {
                 Ok(frame) => take(&mut socket, frame, peer, parts, &answers).await,
                 Err(error) => Err(error),
             },
+            notice = next_notice(&mut notices) => send(&mut socket, &notice, parts).await,
             Some(answer) = answers.next() => match answer {
                 Ok(frame) => send(&mut socket, &frame, parts).await,
                 Err(error) => Err(error),
@@ -121,9 +122,7 @@
             Ok(())
         }
         PeerFrame::Suspicions(report) => {
-            let peer = peer.identity.entry.clone();
-            let event = DispatchEvent::PeerTold { peer, report };
-            parts.control.do_send(ControlMessage::Dispatch(event));
+            take_suspicions(peer, report, parts);
             Ok(())
         }
         PeerFrame::Refused(refusal) => Err(PeerError::RefusedByPeer(refusal)),
--- a/crates/gs-entry/src/peers/dial.rs
+++ b/crates/gs-entry/src/peers/dial.rs
@@ -14,7 +14,7 @@
 use tokio_tungstenite::client_async_with_config;
 
 use super::PeerError;
-use super::links::{PeerParts, PendingCall, PendingFrame};
+use super::links::{PeerParts, PendingCall, next_notice, take_suspicions};
 use super::socket::{PeerSocket, silent, socket_config};
 use crate::control::ControlMessage;
 
@@ -29,20 +29,20 @@
     name: EntryName,
     address: SocketAddr,
     parts: PeerParts,
-    mut frames: UnboundedReceiver<PendingFrame>,
+    mut calls: UnboundedReceiver<PendingCall>,
 ) {
     let mut wait = FIRST_RECONNECT;
     loop {
         match open_link(address, &parts).await {
             Ok((socket, peer)) => {
                 wait = FIRST_RECONNECT;
-                let error = run_link(socket, &peer, &parts, &mut frames).await;
+                let error = run_link(socket, &peer, &parts, &mut calls).await;
                 log::info!(target: "peers", peer:% = name; "Link ended: {error}.");
             }
             Err(error) => log::debug!(target: "peers", peer:% = name; "Link failed: {error}."),
         }
-        // What waited for the link fails now rather than after the next connection.
-        while frames.try_recv().is_ok() {}
+        // Calls that waited for the link fail now rather than after the next connection.
+        while calls.try_recv().is_ok() {}
         let jitter = rand::thread_rng().gen_range(0.5..1.0);
         sleep(wait.mul_f64(jitter)).await;
         wait = (wait * 2).min(MAX_RECONNECT);
@@ -97,7 +97,7 @@
     socket: PeerSocket,
     peer: &PeerIdentity,
     parts: &PeerParts,
-    frames: &mut UnboundedReceiver<PendingFrame>,
+    calls: &mut UnboundedReceiver<PendingCall>,
 ) -> PeerError {
     let heard = Instant::now();
     let pending = BTreeMap::new();
@@ -111,10 +111,12 @@
         heard,
     };
     let mut beats = interval(parts.heartbeat);
+    let mut notices = parts.notices.subscribe();
     loop {
         let step = tokio::select! {
             _ = beats.tick() => link.beat().await,
-            Some(frame) = frames.recv() => link.send_pending(frame).await,
+            Some(call) = calls.recv() => link.call(call).await,
+            notice = next_notice(&mut notices) => link.send(&notice).await,
             frame = link.socket.receive() => frame.and_then(|frame| link.take(frame)),
         };
         if let Err(error) = step {
@@ -134,13 +136,6 @@
         self.send(&PeerFrame::Heartbeat { number, state }).await
     }
 
-    async fn send_pending(&mut self, pending: PendingFrame) -> Result<(), PeerError> {
-        match pending {
-            PendingFrame::Call(call) => self.call(call).await,
-            PendingFrame::Notice(frame) => self.send(&frame).await,
-        }
-    }
-
     async fn call(&mut self, pending: PendingCall) -> Result<(), PeerError> {
         self.calls += 1;
         let number = self.calls;
@@ -177,6 +172,10 @@
                 }
                 Ok(())
             }
+            PeerFrame::Suspicions(report) => {
+                take_suspicions(self.peer, report, self.parts);
+                Ok(())
+            }
             PeerFrame::Refused(refusal) => Err(PeerError::RefusedByPeer(refusal)),
             _ => Err(PeerError::Refused(PeerRefusal::UnexpectedFrame)),
         }
--- a/crates/gs-entry/src/peers/links.rs
+++ b/crates/gs-entry/src/peers/links.rs
@@ -7,15 +7,18 @@
 use std::time::Duration;
 
 use actix::Addr;
+use gs_control::dispatch::DispatchEvent;
 use gs_protocol::ids::EntryName;
-use gs_protocol::peer::{PeerCall, PeerFrame, PeerReply, PeerState};
+use gs_protocol::peer::{PeerCall, PeerFrame, PeerIdentity, PeerReply, PeerState};
+use gs_protocol::suspicion::SuspicionReport;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{broadcast, oneshot};
 use tokio::task::JoinHandle;
 
 use super::dial::keep_link;
 use super::handshake::PeerCredentials;
-use crate::control::ControlActor;
+use crate::control::{ControlActor, ControlMessage};
 
 /// What all links of this entry share.
 #[derive(Clone)]
@@ -24,6 +27,8 @@
     pub credentials: Rc<PeerCredentials>,
     /// What this entry tells its peers.
     pub state: Rc<Cell<PeerState>>,
+    /// Frames that go to all peers and are not answered, over every open link of either direction.
+    pub notices: broadcast::Sender<PeerFrame>,
     /// The control thread's actor.
     pub control: Addr<ControlActor>,
     /// Between two heartbeats.
@@ -32,14 +37,6 @@
     pub silence: Duration,
 }
 
-/// What waits to be sent over a link.
-pub enum PendingFrame {
-    /// A call.
-    Call(PendingCall),
-    /// A frame that is not answered. Dropped if the link is broken.
-    Notice(PeerFrame),
-}
-
 /// A call that waits to be sent, and where its answer goes.
 pub struct PendingCall {
     /// What is asked.
@@ -49,7 +46,7 @@
 }
 
 struct PeerLink {
-    frames: UnboundedSender<PendingFrame>,
+    calls: UnboundedSender<PendingCall>,
     task: JoinHandle<()>,
 }
 
@@ -63,9 +60,9 @@
     /// Keeps a link to an entry, connecting again whenever it breaks.
     pub fn connect(&mut self, name: &EntryName, address: SocketAddr, parts: PeerParts) {
         self.disconnect(name);
-        let (frames, waiting) = unbounded_channel();
+        let (calls, waiting) = unbounded_channel();
         let task = actix_rt::spawn(keep_link(name.clone(), address, parts, waiting));
-        self.links.insert(name.clone(), PeerLink { frames, task });
+        self.links.insert(name.clone(), PeerLink { calls, task });
     }
 
     /// Ends the link to an entry.
@@ -80,17 +77,26 @@
         let (answer, receiver) = oneshot::channel();
         if let Some(link) = self.links.get(name) {
             // A link that has ended drops the call, which fails the receiver.
-            let call = PendingCall { call, answer };
-            let _ = link.frames.send(PendingFrame::Call(call));
+            let _ = link.calls.send(PendingCall { call, answer });
         }
         receiver
     }
+}
 
-    /// Sends a frame that is not answered to every entry.
-    pub fn tell_all(&self, frame: &PeerFrame) {
-        for link in self.links.values() {
-            // A link that has ended is about to be dropped.
-            let _ = link.frames.send(PendingFrame::Notice(frame.clone()));
+/// Waits for the next frame that goes to all peers. What a slow link misses is repeated by its sender.
+pub async fn next_notice(notices: &mut broadcast::Receiver<PeerFrame>) -> PeerFrame {
+    loop {
+        match notices.recv().await {
+            Ok(notice) => return notice,
+            Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => std::future::pending().await,
         }
     }
 }
+
+/// Hands on what a peer says of requests that may crash servers.
+pub fn take_suspicions(peer: &PeerIdentity, report: SuspicionReport, parts: &PeerParts) {
+    let peer = peer.identity.clone();
+    let event = DispatchEvent::PeerTold { peer, report };
+    parts.control.do_send(ControlMessage::Dispatch(event));
+}
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -18,7 +18,7 @@
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::{PeerIdentity, PeerState};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::control::{ControlActor, ControlMessage, CountClaims};
@@ -30,6 +30,9 @@
 use crate::telemetry;
 use crate::traffic::{TrafficState, configure_routes};
 
+/// Frames to all peers that a link may be behind by.
+const NOTICES_WAITING: usize = 64;
+
 /// How often recorded metrics are moved into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -182,6 +185,7 @@
         let parts = PeerParts {
             credentials: Rc::new(credentials),
             state,
+            notices: broadcast::Sender::new(NOTICES_WAITING),
             control: actix::AsyncContext::address(context),
             heartbeat: settings.intervals.heartbeat,
             silence: settings.intervals.suspect_after,
--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -145,7 +145,7 @@
         /// What is asked.
         call: PeerCall,
     },
-    /// Tells what the connecting side knows of requests that may crash servers.
+    /// Tells what the sender, of either side, knows of requests that may crash servers.
     Suspicions(SuspicionReport),
     /// Answers a call.
     Reply {
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -73,6 +73,8 @@
 /// What an entry tells its peers. Repeats and reordered reports do no harm to `blames`.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspicionReport {
+    /// Which report of this start of the sender this is.
+    pub number: u64,
     /// Blames that changed lately.
     pub blames: Vec<BlameRecord>,
     /// All suspects that the sender runs now or is about to run.
