Work out what the planned size costs, from measured slopes

Cause: the page on capacity must follow from measurements, and must not drift from them.

'gs-standin slopes' also holds open streams, for the memory of each.

--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::capacity::CapacityError;
 use crate::load::LoadError;
 use crate::platform::PlatformStartError;
 use crate::slopes::SlopesError;
@@ -45,6 +46,13 @@
         #[from]
         source: SlopesError,
     },
+    /// The capacity could not be worked out.
+    #[error("the capacity could not be worked out: {source}")]
+    Capacity {
+        /// Why.
+        #[from]
+        source: CapacityError,
+    },
     /// A role that does not exist.
     #[error("role \"{text}\" is neither \"prefill\" nor \"decode\"")]
     UnknownRole {
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of engines, services and the platform, and a load tool. For development only.
 
+pub mod capacity;
 pub mod engine;
 mod error;
 pub mod load;
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -6,6 +6,7 @@
 use env_logger::Env;
 use error_stack::Report;
 use gs_standin::StandinError;
+use gs_standin::capacity::{self, CapacityOptions, capacity_options};
 use gs_standin::engine::{self, EngineOptions, engine_options};
 use gs_standin::load::{self, LoadCommand, load_command};
 use gs_standin::platform::{self, PlatformOptions, platform_options};
@@ -27,6 +28,9 @@
 const RELAY_EXAMPLES: &str = "Example:
  gs-standin relay --to 127.0.0.1:9001 --delay-ms 5 --jitter-ms 2 --stall-share 0.001";
 
+const CAPACITY_EXAMPLES: &str = "Example:
+ gs-standin capacity docs/capacity-measured.json";
+
 const SLOPES_EXAMPLES: &str = "Example:
  gs-standin slopes --sweep entries --sweep engines --json";
 
@@ -54,6 +58,9 @@
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
+    /// Works out from measured figures what the planned size costs
+    #[bpaf(command("capacity"), footer(CAPACITY_EXAMPLES))]
+    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
     /// Measures what entries cost by number of entries, engines, requests and tokens
     #[bpaf(command("slopes"), footer(SLOPES_EXAMPLES))]
     Slopes(#[bpaf(external(slopes_options))] SlopesOptions),
@@ -83,6 +90,9 @@
             .block_on(platform::run(options))
             .map_err(StandinError::from)?,
         StandinCommand::Relay(options) => system.block_on(relay::run(options))?,
+        StandinCommand::Capacity(options) => {
+            capacity::run(&options).map_err(StandinError::from)?;
+        }
         StandinCommand::Slopes(options) => system
             .block_on(slopes::run(options))
             .map_err(StandinError::from)?,
--- a/crates/gs-standin/src/slopes/mod.rs
+++ b/crates/gs-standin/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Measures what idle and busy entries cost, by number of entries, engines, requests and tokens.
 
 mod cost;
+mod drive;
 mod error;
 mod fit;
 mod options;
--- a/crates/gs-standin/src/slopes/options.rs
+++ b/crates/gs-standin/src/slopes/options.rs
@@ -13,6 +13,8 @@
 const REQUEST_RATES: &[u32] = &[0, 25, 50, 100, 200];
 /// Output tokens of the sweep over tokens.
 const TOKEN_COUNTS: &[u32] = &[8, 32, 64, 128];
+/// Streams of the sweep over streams.
+const STREAM_COUNTS: &[u32] = &[0, 100, 200, 400];
 
 /// Engines of the sweep over entries.
 const FEW_ENGINES: usize = 2;
@@ -24,6 +26,8 @@
 const FEW_TOKENS: u32 = 8;
 /// Requests a second of the sweep over tokens.
 const TOKEN_SWEEP_RATE: u32 = 50;
+/// Output tokens of the sweep over streams.
+const STREAM_TOKENS: u32 = 400;
 
 /// What to measure.
 #[derive(Bpaf, Clone, Debug)]
@@ -34,7 +38,7 @@
     /// Seconds between readiness and the measurement
     #[bpaf(argument("S"), fallback(3), display_fallback)]
     pub settle_seconds: u64,
-    /// Which sweep: entries, engines, requests or tokens; may be given again, all by default
+    /// Which sweep: entries, engines, requests, tokens or streams; may be given again, all by default
     #[bpaf(argument("SWEEP"), many)]
     pub sweep: Vec<SweepKind>,
     /// Print JSON
@@ -74,6 +78,7 @@
         SweepKind::Engines => map(ENGINE_COUNTS, |count| idle(FEW_ENTRIES, count)),
         SweepKind::Requests => map(REQUEST_RATES, |rate| busy(rate, FEW_TOKENS)),
         SweepKind::Tokens => map(TOKEN_COUNTS, |tokens| busy(TOKEN_SWEEP_RATE, tokens)),
+        SweepKind::Streams => map(STREAM_COUNTS, |count| busy(count, STREAM_TOKENS)),
     }
 }
 
--- a/crates/gs-standin/src/slopes/point.rs
+++ b/crates/gs-standin/src/slopes/point.rs
@@ -2,21 +2,20 @@
 
 use std::time::Duration;
 
-use bpaf::Parser;
 use bytes::Bytes;
 use gs_protocol::caller::EntryList;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+use super::drive::{drive, hold};
 use super::report::SweepKind;
 use super::sample::RigSample;
 use super::{SlopesError, SlopesOptions};
-use crate::load::{LoadMix, MixOptions, mix_options, run_mix};
 use crate::rig::{FleetRig, RigPrograms, ServerShape};
 
 /// The token of the one caller.
-const TOKEN: &str = "slopes-caller";
+pub(super) const TOKEN: &str = "slopes-caller";
 
 /// Calls a second that the platform's stand-in takes, so that none is refused.
 const PLATFORM_RATE: &str = "1000000";
@@ -33,6 +32,22 @@
     "0",
 ];
 
+/// Engines that hold many slow streams.
+const SLOW_ENGINE_ARGUMENTS: &[&str] = &[
+    "--prefill-rate",
+    "0",
+    "--link-rate",
+    "0",
+    "--step-base-us",
+    "30000",
+    "--step-stream-us",
+    "0",
+    "--max-streams",
+    "2000",
+    "--pieces",
+    "100000",
+];
+
 /// The size and load of a point.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -41,7 +56,7 @@
     pub entries: usize,
     /// Engines, half of them for each role.
     pub engines: usize,
-    /// Requests a second that are sent; none if 0.
+    /// Requests a second that are sent, or streams that are held; none if 0.
     pub rate: u32,
     /// Output tokens of each request.
     pub tokens: u32,
@@ -95,17 +110,19 @@
     sweep: SweepKind,
     shape: PointShape,
 ) -> Result<SlopePoint, SlopesError> {
-    let rig = start(shape).await?;
+    let rig = start(sweep, shape).await?;
     wait_complete(&rig, shape.entries).await?;
     tokio::time::sleep(Duration::from_secs(options.settle_seconds)).await;
     let before = RigSample::take(&rig).await?;
-    let answers = if shape.rate == 0 {
+    let (after, answers) = if shape.rate == 0 {
         tokio::time::sleep(Duration::from_secs(options.seconds)).await;
-        0
+        (RigSample::take(&rig).await?, 0)
+    } else if sweep == SweepKind::Streams {
+        hold(&rig, shape).await?
     } else {
-        drive(&rig, options, shape).await?
+        let answers = drive(&rig, options.seconds, shape).await?;
+        (RigSample::take(&rig).await?, answers)
     };
-    let after = RigSample::take(&rig).await?;
     let vms = rig
         .client
         .get::<Value>(rig.platform.address, "/vms")
@@ -119,7 +136,7 @@
     })
 }
 
-async fn start(shape: PointShape) -> Result<FleetRig, SlopesError> {
+async fn start(sweep: SweepKind, shape: PointShape) -> Result<FleetRig, SlopesError> {
     let own = std::env::current_exe().unwrap_or_default();
     let programs = RigPrograms::beside(own);
     let limits = [
@@ -129,12 +146,16 @@
         PLATFORM_RATE,
     ];
     let mut rig = FleetRig::start(programs, &limits)?;
+    let arguments = match sweep {
+        SweepKind::Streams => SLOW_ENGINE_ARGUMENTS,
+        _ => ENGINE_ARGUMENTS,
+    };
     for number in 0..shape.engines {
         let role = ["prefill", "decode"][number % 2];
         let engine = ServerShape::Engine {
             role,
             model: "base",
-            arguments: ENGINE_ARGUMENTS,
+            arguments,
         };
         rig.add_server(&format!("engine-{number}"), "north", &engine)
             .await?;
@@ -189,49 +210,6 @@
     Ok(())
 }
 
-/// Sends requests for the given time; returns the number of whole answers.
-async fn drive(
-    rig: &FleetRig,
-    options: &SlopesOptions,
-    shape: PointShape,
-) -> Result<u64, SlopesError> {
-    let load = load_options(rig, options, shape)?;
-    let mix = LoadMix::from_options(&load)?;
-    let running = std::thread::spawn(move || run_mix(&load, mix));
-    while !running.is_finished() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    let report = running.join().map_err(|_| SlopesError::LoadEnded)??;
-    let whole = report.classes.iter().map(|class| class.ended("whole"));
-    Ok(whole.sum())
-}
-
-fn load_options(
-    rig: &FleetRig,
-    options: &SlopesOptions,
-    shape: PointShape,
-) -> Result<MixOptions, SlopesError> {
-    let addresses = rig.entries.iter().map(|entry| entry.process.address);
-    let entries = addresses.flat_map(|address| ["--entry".to_owned(), address.to_string()]);
-    let flags = [
-        ("--token", TOKEN.to_owned()),
-        ("--model", "base".to_owned()),
-        ("--seconds", options.seconds.to_string()),
-        ("--rate", shape.rate.to_string()),
-        ("--prompt-tokens", "64".to_owned()),
-        ("--output-tokens", shape.tokens.to_string()),
-    ];
-    let flags = flags
-        .into_iter()
-        .flat_map(|(name, value)| [name.to_owned(), value]);
-    let arguments: Vec<String> = entries.chain(flags).collect();
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    mix_options()
-        .to_options()
-        .run_inner(arguments.as_slice())
-        .map_err(|_| SlopesError::LoadOptions)
-}
-
 fn compare(before: &RigSample, after: &RigSample, answers: u64, vm_list_bytes: f64) -> PointCosts {
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let (old, new) = (&before.entry, &after.entry);
--- a/crates/gs-standin/src/slopes/report.rs
+++ b/crates/gs-standin/src/slopes/report.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::drive::OPEN_WAIT;
 use super::fit::{LineFit, fit_line};
 use super::point::{PointCosts, SlopePoint};
 
@@ -20,11 +21,19 @@
     Requests,
     /// Tokens a second, at one entry and a fixed rate of requests.
     Tokens,
+    /// Open streams, at one entry.
+    Streams,
 }
 
 impl SweepKind {
     /// Every sweep.
-    pub const ALL: [Self; 4] = [Self::Entries, Self::Engines, Self::Requests, Self::Tokens];
+    pub const ALL: [Self; 5] = [
+        Self::Entries,
+        Self::Engines,
+        Self::Requests,
+        Self::Tokens,
+        Self::Streams,
+    ];
 
     fn label(self) -> &'static str {
         match self {
@@ -32,6 +41,7 @@
             Self::Engines => "engines",
             Self::Requests => "requests",
             Self::Tokens => "tokens",
+            Self::Streams => "streams",
         }
     }
 
@@ -42,6 +52,7 @@
             Self::Engines => point.shape.engines as f64,
             Self::Requests => point.costs.answers_per_s,
             Self::Tokens => point.costs.answers_per_s * f64::from(point.shape.tokens),
+            Self::Streams => point.costs.answers_per_s * OPEN_WAIT.as_secs_f64(),
         }
     }
 }
