--- a/crates/gs-control/benches/dispatch.rs
+++ b/crates/gs-control/benches/dispatch.rs
@@ -1,16 +1,11 @@
 //! Cost of dispatch events against the number of servers known in full.
 
-#![expect(
-    missing_docs,
-    reason = "criterion_group! makes a public function without a comment"
-)]
-
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion};
 use gs_control::dispatch::{
     AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState, RequestDemand,
     ServerSighting,
@@ -19,6 +14,7 @@
 use gs_protocol::engine::{EngineRole, LoadReport};
 use gs_protocol::ids::{FenceNumber, RequestId};
 use gs_protocol::prefix::PieceHash;
+use gs_protocol::suspicion::PromptFingerprint;
 use uuid::Uuid;
 
 const FLEETS: [u32; 3] = [10, 75, 600];
@@ -82,6 +78,7 @@
             prompt_tokens: PROMPT_TOKENS,
             pieces: (0..u64::from(PROMPT_TOKENS / 16)).map(piece).collect(),
             max_tokens: 100,
+            fingerprint: PromptFingerprint(self.number),
         }
     }
 
@@ -241,11 +238,11 @@
     group.finish();
 }
 
-criterion_group!(
-    benches,
-    bench_start,
-    bench_wait,
-    bench_request,
-    bench_report
-);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    bench_start(&mut criterion);
+    bench_wait(&mut criterion);
+    bench_request(&mut criterion);
+    bench_report(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -6,9 +6,11 @@
 use gs_document::document::CallerRank;
 use gs_protocol::ids::{AttemptId, ModelName, RequestId};
 use gs_protocol::prefix::PieceHash;
+use gs_protocol::suspicion::PromptFingerprint;
 
 use super::fair_queue::{CallerId, QueueKey, SizeClass, StartedTurn};
 use super::own_load::ServerWork;
+use super::placement::PlacementChoice;
 use super::server_record::ServerId;
 
 /// Where a request stands.
@@ -37,6 +39,8 @@
     pub pieces: Vec<PieceHash>,
     /// Tokens to generate at most.
     pub max_tokens: u32,
+    /// What it makes engines do.
+    pub fingerprint: PromptFingerprint,
     /// Whether its prefill may hold up others.
     pub class: SizeClass,
     /// The caller's first-token target.
@@ -59,10 +63,10 @@
     pub has_begun: bool,
     /// Whether an attempt failed after work was done for it.
     pub has_failed: bool,
-    /// Whether the caller is gone.
-    pub is_withdrawn: bool,
     /// The server that failed it last.
     pub avoid: Option<ServerId>,
+    /// The servers that are kept for it.
+    pub reserved: Option<PlacementChoice>,
 }
 
 impl RequestRecord {
@@ -126,6 +130,12 @@
         Some(record)
     }
 
+    /// Whether a request of the model goes again.
+    pub fn is_returning(&self, model: &ModelName) -> bool {
+        let returning = self.returning.get(model);
+        returning.is_some_and(|keys| !keys.is_empty())
+    }
+
     /// Lists a request among those that go again.
     pub fn add_returning(&mut self, request: RequestId) {
         let Some(record) = self.requests.get(&request) else {
--- a/crates/gs-control/src/dispatch/server_record.rs
+++ b/crates/gs-control/src/dispatch/server_record.rs
@@ -22,6 +22,12 @@
 /// Doublings at most of the time that a full server gets nothing new.
 const MAX_FULL_DOUBLINGS: u32 = 3;
 
+/// Tokens of a prefill that are computed before an urgent one can pass it.
+const PREEMPTION_TOKENS: u32 = 512;
+
+/// Others' work is taken to have grown by this part of what it would if each of them did as this entry.
+const PEER_GROWTH_PART: u32 = 2;
+
 /// A server's place in the fleet table.
 pub type ServerId = u32;
 
@@ -30,6 +36,15 @@
     Duration::from_micros(amount.saturating_mul(1_000_000) / rate.max(1))
 }
 
+/// How entries share what a load report shows.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportShare {
+    /// Other entries that share the fleet.
+    pub peers: u32,
+    /// Decides which entries get a remainder.
+    pub draw: u32,
+}
+
 /// One model engine.
 #[derive(Clone, Debug)]
 pub struct ServerRecord {
@@ -53,7 +68,12 @@
     pub cache_last: u64,
     /// The start of the engine that the cache events belong to.
     pub cache_boot: u64,
+    measured_at: Instant,
     seen_at: Instant,
+    peers: u32,
+    draw: u32,
+    own_then: u32,
+    streams_then: u32,
     own: OwnLoad,
     others: OtherLoad,
     prefill_free_at: Instant,
@@ -78,7 +98,12 @@
             stored_pieces: 0,
             cache_last: 0,
             cache_boot: sighting.report.boot,
+            measured_at: now,
             seen_at: now,
+            peers: 0,
+            draw: 0,
+            own_then: 0,
+            streams_then: ServerWork::reported(&sighting.report).streams,
             others: OtherLoad::judge(&sighting.report, &own, now),
             own,
             prefill_free_at: now,
@@ -90,7 +115,15 @@
     }
 
     /// Takes in a newer sighting.
-    pub fn refresh(&mut self, now: Instant, sighting: &ServerSighting, lag: Duration) {
+    pub fn refresh(
+        &mut self,
+        now: Instant,
+        sighting: &ServerSighting,
+        lag: Duration,
+        share: ReportShare,
+    ) {
+        self.peers = share.peers;
+        self.draw = share.draw;
         let measured_at = now.checked_sub(lag + sighting.delay).unwrap_or(now);
         if sighting.report.boot != self.report.boot {
             self.trust();
@@ -102,8 +135,11 @@
         self.data_centre = sighting.data_centre.clone();
         self.delay = sighting.delay;
         self.report = sighting.report.clone();
+        self.measured_at = measured_at;
         self.seen_at = now;
         self.lost = false;
+        self.own_then = self.own().streams;
+        self.streams_then = self.work(now).streams;
     }
 
     /// Forgets what the prefix cache held if the engine has started anew.
@@ -134,7 +170,7 @@
 
     /// Everyone's work on the server, as far as known.
     pub fn work(&self, now: Instant) -> ServerWork {
-        let age = now.saturating_duration_since(self.seen_at);
+        let age = now.saturating_duration_since(self.measured_at);
         self.others.now(&self.report, age).plus(self.own.now())
     }
 
@@ -163,8 +199,18 @@
 
     /// Time until a new prefill would begin.
     pub fn prefill_wait(&self, now: Instant) -> Duration {
-        let others = self.work(now).minus(self.own.now());
-        self.own_prefill_wait(now) + self.prefill_time(others.tokens)
+        self.own_prefill_wait(now) + self.prefill_time(self.others_tokens(now))
+    }
+
+    /// Time until a new urgent prefill would begin: what is not urgent waits, and others' work is taken to be
+    /// urgent in the same part as this entry's.
+    pub fn urgent_prefill_wait(&self, now: Instant, urgent_part: f64) -> Duration {
+        let own = self.own.now();
+        let others = self.prefill_time(self.others_tokens(now));
+        let urgent = self.prefill_time(own.urgent_tokens) + others.mul_f64(urgent_part);
+        let passed = own.tokens - own.urgent_tokens.min(own.tokens);
+        let begun = self.prefill_time(passed.min(PREEMPTION_TOKENS));
+        urgent.min(self.prefill_wait(now)) + begun
     }
 
     /// Time until a new transfer would begin.
@@ -190,6 +236,15 @@
         u32::try_from(fit).unwrap_or(u32::MAX).min(max)
     }
 
+    /// Whether this entry may take one more of the slots that were free at the last report: each entry takes its
+    /// part of them, a remainder by lot, and the slots that its own streams have left since.
+    pub fn has_slot_part(&self, limit: u32) -> bool {
+        let entries = self.peers + 1;
+        let free = limit.saturating_sub(self.streams_then);
+        let by_lot = u32::from(self.draw % entries < free % entries);
+        self.own().streams < self.own_then + free / entries + by_lot
+    }
+
     /// Adds a stream or reservation of this entry.
     pub fn add_stream(&mut self, now: Instant, work: ServerWork) {
         self.own.add(now, work);
@@ -238,6 +293,14 @@
         self.refusals = 0;
     }
 
+    /// Prompt tokens of others: as last reported, and grown since as this entry's own have.
+    fn others_tokens(&self, now: Instant) -> u32 {
+        let others = self.work(now).minus(self.own.now()).tokens;
+        let before = self.own.at(self.measured_at).tokens;
+        let grown = self.own.now().tokens.saturating_sub(before);
+        others.saturating_add(grown.saturating_mul(self.peers) / PEER_GROWTH_PART)
+    }
+
     fn own_prefill_wait(&self, now: Instant) -> Duration {
         if self.own.now().tokens == 0 {
             return Duration::ZERO;
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use gs_protocol::ids::EntryName;
 use thiserror::Error;
 
 /// How backend servers are chosen.
@@ -41,6 +42,8 @@
 /// Settings of the dispatch slice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
+    /// This entry.
+    pub entry: EntryName,
     /// How servers are chosen.
     pub policy: PlacementPolicy,
     /// Entries that share the fleet until [`super::DispatchEvent::EntriesSeen`] says otherwise.
@@ -85,9 +88,10 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
+            entry: EntryName::from("entry"),
             policy: PlacementPolicy::default(),
             entries: 1,
-            load_lag: Duration::from_millis(100),
+            load_lag: Duration::from_millis(200),
             report_stale: Duration::from_secs(2),
             full_hold: Duration::from_millis(20),
             suspect_hold: Duration::from_millis(500),
@@ -95,11 +99,11 @@
             retry_share: 0.1,
             retry_floor: 10,
             deadline_margin: 0.15,
-            between_margin: 0.9,
+            between_margin: 0.8,
             prefill_lookahead: 0.25,
             long_prefill: 0.5,
             long_share: 0.5,
-            urgent_headroom: 0.06,
+            urgent_headroom: 0.1,
             poll_interval: Duration::from_millis(5),
             retry_patience: 2.0,
             resume_within: Duration::from_secs(2),
--- a/crates/gs-control/src/ledger/settings.rs
+++ b/crates/gs-control/src/ledger/settings.rs
@@ -17,8 +17,8 @@
     pub lease: Duration,
     /// Time added to the lease before an owner is replaced.
     pub lease_margin: Duration,
-    /// Interval between reads of the head of a shard that this entry should own, or is next in line
-    /// for.
+    /// Interval between listings of the heads' versions, while this entry should own a shard that another
+    /// owns, or is next in line for one.
     pub observe_interval: Duration,
     /// Time for which another entry must be preferred before a shard is handed to it.
     pub rebalance_after: Duration,
@@ -67,8 +67,8 @@
             lease_margin: Duration::from_millis(500),
             observe_interval: Duration::from_millis(500),
             rebalance_after: Duration::from_secs(30),
-            writes_per_second: 100.0,
-            write_burst: 4.0,
+            writes_per_second: 90.0,
+            write_burst: 2.0,
             lazy_delay: Duration::from_millis(200),
             backoff: Duration::from_millis(50),
             backoff_limit: Duration::from_secs(2),
--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -73,7 +73,11 @@
     }
 
     fn dispatch(&mut self, event: DispatchEvent, context: &mut Context<Self>) {
-        self.requests.handle(Instant::now(), event, &self.directory);
+        let now = Instant::now();
+        self.requests.handle(now, event, &self.directory);
+        for report in self.requests.take_reports() {
+            self.peers.tell_suspicions(&report);
+        }
         self.arm_wakeup(context);
     }
 
@@ -115,6 +119,7 @@
         self.follow_members(&effects, context);
         self.dispatch(DispatchEvent::Tick, context);
         self.follow_document(DocumentEvent::Tick, context);
+        self.requests.record_suspects(now);
         if self.orphans.is_due(now) {
             self.repeat_leaving(context);
             self.look_for_orphans(context);
@@ -240,9 +245,6 @@
                 self.directory.set_drained(drained);
                 self.repeat_leaving(context);
             }
-            ControlMessage::LoadMissed(server) => {
-                self.dispatch(DispatchEvent::ServerLost(server), context);
-            }
             ControlMessage::Reclaim(call) => self.reclaim.add(Instant::now(), call),
             ControlMessage::PeerHeard { peer, state } => {
                 let source = DocumentSource::Peer(peer.identity.entry.clone());
--- a/crates/gs-standin/src/error.rs
+++ b/crates/gs-standin/src/error.rs
@@ -7,6 +7,7 @@
 use crate::load::LoadError;
 use crate::platform::PlatformStartError;
 use crate::slopes::SlopesError;
+use crate::soak::SoakError;
 
 /// Why a stand-in could not start or run.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +40,13 @@
         #[from]
         source: PlatformStartError,
     },
+    /// The soak could not be run, or found violations.
+    #[error("the soak failed")]
+    Soak {
+        /// Why.
+        #[from]
+        source: SoakError,
+    },
     /// The slopes could not be measured.
     #[error("the slopes could not be measured: {source}")]
     Slopes {
--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of engines, services and the platform, and a load tool. For development only.
+//! Stand-ins of engines, services and the platform, a load tool and a long randomised run. For development only.
 
 pub mod capacity;
 pub mod engine;
@@ -9,6 +9,7 @@
 pub mod rig;
 pub mod service;
 pub mod slopes;
+pub mod soak;
 
 pub use error::StandinError;
 
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -13,6 +13,7 @@
 use gs_standin::relay::{self, RelayOptions, relay_options};
 use gs_standin::service::{self, ServiceOptions, service_options};
 use gs_standin::slopes::{self, SlopesOptions, slopes_options};
+use gs_standin::soak::{self, SoakOptions, soak_options};
 use log::error;
 
 const ENGINE_EXAMPLES: &str = "Examples:
@@ -31,6 +32,9 @@
 const CAPACITY_EXAMPLES: &str = "Example:
  gs-standin capacity docs/capacity-measured.json";
 
+const SOAK_EXAMPLES: &str = "Example:
+ gs-standin soak --seed 7 --minutes 3";
+
 const SLOPES_EXAMPLES: &str = "Example:
  gs-standin slopes --sweep entries --sweep engines --json";
 
@@ -55,6 +59,9 @@
     /// A TCP relay that delays, cuts and silences connections
     #[bpaf(command("relay"), footer(RELAY_EXAMPLES))]
     Relay(#[bpaf(external(relay_options))] RelayOptions),
+    /// Runs a deployment under seeded faults and checks what must always hold
+    #[bpaf(command("soak"), footer(SOAK_EXAMPLES))]
+    Soak(#[bpaf(external(soak_options))] SoakOptions),
     /// Drives callers and prints the measures
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_command))] LoadCommand),
@@ -93,6 +100,9 @@
         StandinCommand::Capacity(options) => {
             capacity::run(&options).map_err(StandinError::from)?;
         }
+        StandinCommand::Soak(options) => system
+            .block_on(soak::run(&options))
+            .map_err(StandinError::from)?,
         StandinCommand::Slopes(options) => system
             .block_on(slopes::run(options))
             .map_err(StandinError::from)?,
