--- a/crates/gs-standin/src/lib.rs
+++ b/crates/gs-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of engines, services and the platform, a load tool and a long randomised run. For development only.
 
+pub mod capacity;
 pub mod engine;
 mod error;
 pub mod load;
