End the counted attempt of a request whose caller has left

A request that ends at its traffic thread while an attempt runs (its caller left, or an endpoint was gone) reported nothing of the attempt, and the dispatch slice left it to an end that never came: its slot and work stayed counted at the servers until the attempt's expiry, many minutes later. After some 60 callers had left, an entry refused every completion as too late, with idle engines. The desk now remembers the latest attempt of each request and ends it as withdrawn when the request is closed.

Ruled out: full engines and stale reports (the other entries were served by the same engines), and requests that go again and block the lane (none were left).

After: the test passes.

--- a/crates/gs-entry/src/control/actor.rs
+++ b/crates/gs-entry/src/control/actor.rs
@@ -227,9 +227,9 @@
                 self.dispatch(DispatchEvent::Arrived(demand), context);
             }
             ControlMessage::Finished(request) => {
-                if self.requests.close(request) {
-                    self.dispatch(DispatchEvent::Withdrawn(request), context);
-                }
+                self.requests
+                    .close(Instant::now(), request, &self.directory);
+                self.arm_wakeup(context);
             }
             ControlMessage::Dispatch(event) => self.dispatch(event, context),
             ControlMessage::Document(event) => self.follow_document(event, context),
--- a/crates/gs-entry/src/control/dispatch.rs
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -4,21 +4,28 @@
 use std::time::Instant;
 
 use gs_control::dispatch::{
-    DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
+    AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
     PlacementPolicy as DispatchPolicy,
 };
 use gs_document::settings::{EntrySettings, PlacementPolicy};
-use gs_protocol::ids::RequestId;
+use gs_protocol::ids::{AttemptId, RequestId};
 use gs_protocol::refusal::RefusalReason;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::messages::RequestDecision;
 use crate::servers::ServerDirectory;
 
+/// A request that waits or runs.
+struct OpenRequest {
+    decisions: UnboundedSender<RequestDecision>,
+    /// The latest attempt; it may have ended.
+    attempt: Option<AttemptId>,
+}
+
 /// The requests of this entry that wait or run, and the slice that decides for them.
 pub struct RequestDesk {
     state: DispatchState,
-    open: HashMap<RequestId, UnboundedSender<RequestDecision>>,
+    open: HashMap<RequestId, OpenRequest>,
     effects: Vec<DispatchEffect>,
 }
 
@@ -38,12 +45,22 @@
 
     /// Remembers where the decisions of a request go.
     pub fn open(&mut self, request: RequestId, decisions: UnboundedSender<RequestDecision>) {
-        self.open.insert(request, decisions);
+        let attempt = None;
+        self.open
+            .insert(request, OpenRequest { decisions, attempt });
     }
 
-    /// Forgets a request; returns whether it was still known.
-    pub fn close(&mut self, request: RequestId) -> bool {
-        self.open.remove(&request).is_some()
+    /// Forgets a request that has ended at its traffic thread, which reports nothing more of it: what
+    /// the slice still counts of it ends too.
+    pub fn close(&mut self, now: Instant, request: RequestId, directory: &ServerDirectory) {
+        let Some(open) = self.open.remove(&request) else {
+            return;
+        };
+        if let Some(attempt) = open.attempt {
+            let end = AttemptEnd::Withdrawn;
+            self.handle(now, DispatchEvent::Ended { attempt, end }, directory);
+        }
+        self.handle(now, DispatchEvent::Withdrawn(request), directory);
     }
 
     /// When the slice wants to be told the time.
@@ -63,7 +80,12 @@
 
     fn carry_out(&mut self, effect: DispatchEffect, directory: &ServerDirectory) {
         match effect {
-            DispatchEffect::Start { request, .. } => {
+            DispatchEffect::Start {
+                request, attempt, ..
+            } => {
+                if let Some(open) = self.open.get_mut(&request) {
+                    open.attempt = Some(attempt);
+                }
                 let decision = start_decision(effect, directory);
                 self.send(request, decision);
             }
@@ -85,11 +107,11 @@
     }
 
     fn send(&self, request: RequestId, decision: RequestDecision) {
-        let Some(decisions) = self.open.get(&request) else {
+        let Some(open) = self.open.get(&request) else {
             return;
         };
         // A failed send means that the request is ending; its `Finished` message follows.
-        let _ = decisions.send(decision);
+        let _ = open.decisions.send(decision);
     }
 }
 
--- a/crates/gs-entry/tests/reclaim.rs
+++ b/crates/gs-entry/tests/reclaim.rs
@@ -106,3 +106,31 @@
     rig.wait_for("freed engines", async || held(&rig).await.is_empty())
         .await
 }
+
+#[actix_rt::test]
+async fn callers_that_leave_take_no_room_from_others() -> TestResult {
+    let rig = support::start(1, &json!({})).await?;
+    let entry = rig.entries[0].process.address;
+    // More than the slots of the only decode engine.
+    for number in 0..30 {
+        let client = rig.client.clone();
+        let asked = actix_rt::spawn(async move {
+            let body = completion(&format!("label {number}"), 400, true);
+            client.ask(entry, "/v1/completions", CLERK, &body).await
+        });
+        rig.wait_for("the stream", async || {
+            has_reached(GoneAt::Stream, &held(&rig).await)
+        })
+        .await?;
+        asked.abort();
+        rig.wait_for("freed engines", async || held(&rig).await.is_empty())
+            .await?;
+    }
+    let body = completion("label", 20, true);
+    let answer = rig
+        .client
+        .ask(entry, "/v1/completions", CLERK, &body)
+        .await?;
+    assert!(answer.streamed().whole, "{:?}", answer.body);
+    Ok(())
+}
