--- a/crates/gs-protocol/src/peer.rs
+++ b/crates/gs-protocol/src/peer.rs
@@ -44,7 +44,7 @@
 }
 
 /// Why a peer is refused.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, thiserror::Error, PartialEq, Serialize)]
 pub enum PeerRefusal {
     /// The peer speaks another version.
     #[error("the peer speaks protocol version {found}; version {expected} is spoken here")]
@@ -145,7 +145,7 @@
         /// What is asked.
         call: PeerCall,
     },
-    /// Tells what the connecting side knows of requests that may crash servers.
+    /// Tells what the sender, of either side, knows of requests that may crash servers.
     Suspicions(SuspicionReport),
     /// Answers a call.
     Reply {
