--- a/crates/gs-control/src/dispatch/baseline.rs
+++ b/crates/gs-control/src/dispatch/baseline.rs
@@ -6,7 +6,7 @@
 use super::placement::{PlacementBlock, PlacementChoice, PlacementDemand};
 use super::role_index::RoleIndex;
 use super::server_record::ServerId;
-use super::settings::PlacementPolicy;
+use gs_document::settings::PlacementPolicy;
 
 /// Servers tried in one choice.
 const MAX_TRIES: usize = 8;
--- a/crates/gs-control/src/dispatch/fleet.rs
+++ b/crates/gs-control/src/dispatch/fleet.rs
@@ -14,7 +14,8 @@
 use super::prefix_index::{PrefixHolder, PrefixIndex, PrefixMatch};
 use super::role_index::{LoadKey, RoleIndex};
 use super::server_record::{ReportShare, ServerId, ServerRecord};
-use super::settings::{DispatchSettings, PlacementPolicy};
+use super::settings::DispatchSettings;
+use gs_document::settings::PlacementPolicy;
 
 /// Steps in which decode load is compared, per full batch.
 const DECODE_LOAD_STEPS: u64 = 64;
--- a/crates/gs-control/src/dispatch/mod.rs
+++ b/crates/gs-control/src/dispatch/mod.rs
@@ -24,5 +24,5 @@
 pub use messages::{
     AttemptEnd, DispatchEffect, DispatchEvent, RequestDemand, RequestStage, ServerSighting,
 };
-pub use settings::{DispatchSettings, PlacementPolicy, PolicyError};
+pub use settings::DispatchSettings;
 pub use state::DispatchState;
--- a/crates/gs-control/src/dispatch/placement.rs
+++ b/crates/gs-control/src/dispatch/placement.rs
@@ -11,7 +11,8 @@
 use super::fleet::{FleetTable, ModelPool};
 use super::prefix_index::PrefixMatch;
 use super::server_record::{ServerId, ServerRecord};
-use super::settings::{DispatchSettings, PlacementPolicy};
+use super::settings::DispatchSettings;
+use gs_document::settings::PlacementPolicy;
 
 /// Least loaded servers of each data centre that are weighed.
 const LEAST_PER_CENTRE: usize = 3;
--- a/crates/gs-control/src/dispatch/settings.rs
+++ b/crates/gs-control/src/dispatch/settings.rs
@@ -1,43 +1,9 @@
 //! Settings of the dispatch slice.
 
-use std::str::FromStr;
 use std::time::Duration;
 
+use gs_document::settings::PlacementPolicy;
 use gs_protocol::ids::EntryName;
-use thiserror::Error;
-
-/// How backend servers are chosen.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum PlacementPolicy {
-    /// The cheapest pair by predicted time to the first token, chosen at random among near-best ones.
-    #[default]
-    Cost,
-    /// The least loaded servers as last reported.
-    LeastLoad,
-    /// Every server in turn.
-    RoundRobin,
-    /// The less loaded of two random servers as last reported.
-    TwoChoices,
-}
-
-/// A policy's name that is not known.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("placement policy \"{0}\" is not cost, least-load, round-robin or two-choices")]
-pub struct PolicyError(String);
-
-impl FromStr for PlacementPolicy {
-    type Err = PolicyError;
-
-    fn from_str(name: &str) -> Result<Self, Self::Err> {
-        match name {
-            "cost" => Ok(Self::Cost),
-            "least-load" => Ok(Self::LeastLoad),
-            "round-robin" => Ok(Self::RoundRobin),
-            "two-choices" => Ok(Self::TwoChoices),
-            _ => Err(PolicyError(name.to_owned())),
-        }
-    }
-}
 
 /// Settings of the dispatch slice.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/gs-document/src/settings/entry.rs
+++ b/crates/gs-document/src/settings/entry.rs
@@ -23,14 +23,14 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlacementPolicy {
-    /// By the estimated time to the first token.
+    /// The cheapest pair by predicted time to the first token, chosen at random among near-best ones.
     #[default]
     Cost,
-    /// By the least known load.
+    /// The least loaded servers as last reported.
     LeastLoad,
-    /// In turn.
+    /// Every server in turn.
     RoundRobin,
-    /// By the lesser known load of two drawn at random.
+    /// The less loaded of two random servers as last reported.
     TwoChoices,
 }
 
--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -10,9 +10,7 @@
 use gs_protocol::suspicion::PromptFingerprint;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
-use super::attempt::{
-    AttemptOrder, AttemptRunner, OpenAttempt, attempt_end, count_waste, remaining,
-};
+use super::attempt::{AttemptRunner, OpenAttempt, attempt_end, count_waste, remaining};
 use super::plan::AnswerPlan;
 use crate::control::{ControlMessage, RequestDecision};
 use crate::telemetry;
@@ -121,22 +119,7 @@
             } => {
                 return Err(self.refusal(reason, retry_after));
             }
-            RequestDecision::Start {
-                attempt,
-                decode,
-                prefill,
-                priority,
-                prefill_after,
-                first_token_within,
-            } => AttemptOrder {
-                attempt,
-                decode,
-                prefill,
-                priority,
-                prefill_after,
-                first_token_within,
-                from_index: self.tokens,
-            },
+            RequestDecision::Start(order) => order,
         };
         if !self.started {
             self.started = true;
@@ -151,6 +134,7 @@
             control: &self.state.control,
             owner: &self.state.identity,
             reserve_timeout: self.state.settings.timeouts.reserve,
+            from_index: self.tokens,
         };
         match runner.open(&order).await {
             Ok(open) => {
--- a/crates/gs-entry/src/completion/attempt.rs
+++ b/crates/gs-entry/src/completion/attempt.rs
@@ -5,35 +5,16 @@
 
 use actix::Addr;
 use gs_control::dispatch::{AttemptEnd, DispatchEvent, RequestStage};
-use gs_protocol::engine::{EnginePriority, KvSource, PrefillOrder, ReserveOrder, StreamOrder};
+use gs_protocol::engine::{KvSource, PrefillOrder, ReserveOrder, StreamOrder};
 use gs_protocol::ids::{AttemptId, EntryIdentity};
 use tokio::time::sleep;
 
 use super::plan::AnswerPlan;
-use crate::control::{ControlActor, ControlMessage, ServerEndpoint};
+use crate::control::{AttemptOrder, ControlActor, ControlMessage};
 use crate::engine::{EngineClient, EngineFailure, EventReader};
 use crate::reclaim::ReclaimCall;
 use crate::telemetry;
 
-/// Where and how a try runs.
-#[derive(Clone, Debug)]
-pub struct AttemptOrder {
-    /// The try.
-    pub attempt: AttemptId,
-    /// The engine for the stream.
-    pub decode: ServerEndpoint,
-    /// The engine for the prefill.
-    pub prefill: ServerEndpoint,
-    /// The place in the engines' queues.
-    pub priority: EnginePriority,
-    /// How long to wait between the reservation and the prefill.
-    pub prefill_after: Duration,
-    /// The time within which the first token must come.
-    pub first_token_within: Duration,
-    /// The index of the first token that the caller still needs.
-    pub from_index: u32,
-}
-
 /// Has everything freed that a try holds, unless it is closed first.
 struct AttemptHold {
     attempt: AttemptId,
@@ -96,6 +77,8 @@
     pub owner: &'a EntryIdentity,
     /// How long a reservation may take.
     pub reserve_timeout: Duration,
+    /// The index of the first token that the caller still needs.
+    pub from_index: u32,
 }
 
 impl AttemptRunner<'_> {
@@ -114,7 +97,7 @@
             return Err(attempt_end(&failure, RequestStage::Reserve, 0));
         }
         let mut computed_tokens = 0;
-        if order.from_index == 0 {
+        if self.from_index == 0 {
             // The timer's ticks are coarse: even an empty wait would take up to a millisecond.
             if !order.prefill_after.is_zero() {
                 sleep(order.prefill_after).await;
@@ -129,7 +112,7 @@
             .open_stream(order.decode.address, &body, within);
         let reader = opened.await.map_err(|failure| {
             count_waste(computed_tokens);
-            attempt_end(&failure, RequestStage::Transfer, order.from_index)
+            attempt_end(&failure, RequestStage::Transfer, self.from_index)
         })?;
         let attempt = order.attempt;
         Ok(OpenAttempt {
@@ -180,7 +163,7 @@
     }
 
     fn stream(&self, order: &AttemptOrder) -> StreamOrder {
-        let source = if order.from_index == 0 {
+        let source = if self.from_index == 0 {
             KvSource::Engine {
                 address: order.prefill.address,
             }
@@ -195,7 +178,7 @@
             model: self.plan.model.clone(),
             source,
             max_tokens: self.plan.max_tokens,
-            from_index: order.from_index,
+            from_index: self.from_index,
             seed: self.plan.seed,
         }
     }
--- a/crates/gs-entry/src/control/dispatch.rs
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -5,16 +5,15 @@
 
 use gs_control::dispatch::{
     AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
-    PlacementPolicy as DispatchPolicy,
 };
 use gs_control::quarantine::QuarantineEffect;
-use gs_document::settings::{EntrySettings, PlacementPolicy};
+use gs_document::settings::EntrySettings;
 use gs_protocol::ids::{AttemptId, RequestId};
 use gs_protocol::refusal::RefusalReason;
 use gs_protocol::suspicion::SuspicionReport;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::messages::RequestDecision;
+use super::messages::{AttemptOrder, RequestDecision};
 use crate::servers::ServerDirectory;
 use crate::telemetry;
 
@@ -37,7 +36,7 @@
     pub fn new(settings: &EntrySettings, seed: u64) -> Self {
         let settings = DispatchSettings {
             entry: settings.name.clone(),
-            policy: dispatch_policy(settings.placement),
+            policy: settings.placement,
             ..DispatchSettings::default()
         };
         Self {
@@ -165,22 +164,12 @@
     let Some((decode, prefill)) = endpoints else {
         return refused;
     };
-    RequestDecision::Start {
+    RequestDecision::Start(AttemptOrder {
         attempt,
         decode,
         prefill,
         priority,
         prefill_after,
         first_token_within,
-    }
-}
-
-/// The policy that the settings name.
-fn dispatch_policy(policy: PlacementPolicy) -> DispatchPolicy {
-    match policy {
-        PlacementPolicy::Cost => DispatchPolicy::Cost,
-        PlacementPolicy::LeastLoad => DispatchPolicy::LeastLoad,
-        PlacementPolicy::RoundRobin => DispatchPolicy::RoundRobin,
-        PlacementPolicy::TwoChoices => DispatchPolicy::TwoChoices,
-    }
+    })
 }
--- a/crates/gs-entry/src/control/messages.rs
+++ b/crates/gs-entry/src/control/messages.rs
@@ -28,24 +28,28 @@
     pub address: SocketAddr,
 }
 
+/// Where and how a try of a request runs.
+#[derive(Clone, Debug)]
+pub struct AttemptOrder {
+    /// The identity of the try.
+    pub attempt: AttemptId,
+    /// The engine for the stream.
+    pub decode: ServerEndpoint,
+    /// The engine for the prefill.
+    pub prefill: ServerEndpoint,
+    /// The place in the engines' queues.
+    pub priority: EnginePriority,
+    /// How long to wait between the reservation and the prefill.
+    pub prefill_after: Duration,
+    /// The time after which a try without a first token is given up.
+    pub first_token_within: Duration,
+}
+
 /// What the control thread decided for a request.
 #[derive(Clone, Debug)]
 pub enum RequestDecision {
     /// Try the request at these engines.
-    Start {
-        /// The identity of the try.
-        attempt: AttemptId,
-        /// The engine for the stream.
-        decode: ServerEndpoint,
-        /// The engine for the prefill.
-        prefill: ServerEndpoint,
-        /// The place in the engines' queues.
-        priority: EnginePriority,
-        /// How long to wait between the reservation and the prefill.
-        prefill_after: Duration,
-        /// The time after which a try without a first token is given up.
-        first_token_within: Duration,
-    },
+    Start(AttemptOrder),
     /// Answer with a refusal.
     Refuse {
         /// Why.
--- a/crates/gs-entry/src/control/mod.rs
+++ b/crates/gs-entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 pub use actor::ControlActor;
 pub use messages::{
-    AnswerPeer, ControlMessage, CountClaims, ReadSnapshot, RequestDecision, ServerEndpoint,
+    AnswerPeer, AttemptOrder, ControlMessage, CountClaims, ReadSnapshot, RequestDecision,
+    ServerEndpoint,
 };
 pub use peers::PeerDesk;
