Give a late resume a whole target, and tell why an answer ended

Cause: the time for the first token of a resumed stream counted from the request's first deadline, so a stream older than twice its target got the least time only; finish_reason was always stop; refusals of the entry list and of unknown routes were not counted. Ruled out: a longer least time for all tries, which would keep hopeless first tries waiting.

--- a/crates/gs-control/src/dispatch/starts.rs
+++ b/crates/gs-control/src/dispatch/starts.rs
@@ -284,9 +284,14 @@
     EnginePriority::Normal
 }
 
-/// A try may take until one more target after the deadline.
+/// A try may take until one more target after the deadline. A resumed stream begins a new time, because
+/// its deadline may have passed long ago.
 fn first_token_within(now: Instant, record: &RequestRecord) -> Duration {
-    let until = record.deadline + record.first_token;
+    let deadline = match record.has_begun {
+        true => now + record.first_token,
+        false => record.deadline,
+    };
+    let until = deadline + record.first_token;
     until.saturating_duration_since(now).max(MIN_FIRST_TOKEN)
 }
 
--- a/crates/gs-control/tests/dispatch/fixture.rs
+++ b/crates/gs-control/tests/dispatch/fixture.rs
@@ -118,6 +118,7 @@
     pub attempt: AttemptId,
     pub decode: ServerName,
     pub prefill: ServerName,
+    pub first_token_within: Duration,
 }
 
 /// A dispatch state with a clock of its own.
@@ -184,6 +185,7 @@
                 attempt,
                 decode,
                 prefill,
+                first_token_within,
                 ..
             } => {
                 starts.push(Started {
@@ -191,6 +193,7 @@
                     attempt: *attempt,
                     decode: decode.clone(),
                     prefill: prefill.clone(),
+                    first_token_within: *first_token_within,
                 });
                 false
             }
--- a/crates/gs-control/tests/dispatch/lifecycle.rs
+++ b/crates/gs-control/tests/dispatch/lifecycle.rs
@@ -1,12 +1,17 @@
 //! One request at a time, from arrival to end.
 
+use std::time::Duration;
+
 use gs_control::dispatch::{AttemptEnd, DispatchEvent, DispatchSettings, RequestStage};
 use gs_document::document::CallerRank;
-use gs_protocol::engine::EngineReason;
+use gs_protocol::engine::{EngineReason, EngineRole};
 use gs_protocol::refusal::RefusalReason;
 use test_case::test_case;
 
-use crate::fixture::{Bench, MAX_STREAMS, Started, caller, request};
+use crate::fixture::{Bench, MAX_STREAMS, Started, caller, idle_report, request};
+
+/// The first-token target of the caller.
+const FIRST_TOKEN_TARGET: Duration = Duration::from_millis(500);
 
 const WHOLE: AttemptEnd = AttemptEnd::Whole { tokens: 20 };
 
@@ -75,6 +80,27 @@
     assert_ne!(first.decode, one_start(&mut bench).decode);
 }
 
+#[test]
+fn a_late_resume_has_a_whole_target_for_its_first_token() {
+    let mut bench = bench();
+    bench.arrive(1, "clerks", 500);
+    let first = one_start(&mut bench);
+    bench.send(DispatchEvent::FirstToken(first.attempt));
+    bench.pass(1_500);
+    bench.see(idle_report("d0", EngineRole::Decode));
+    bench.see(idle_report("d1", EngineRole::Decode));
+    bench.end(
+        first.attempt,
+        AttemptEnd::Lost {
+            stage: RequestStage::Stream,
+            tokens: 15,
+        },
+    );
+    let second = one_start(&mut bench);
+    // One target, and one more as for each try.
+    assert_eq!(second.first_token_within, FIRST_TOKEN_TARGET * 2);
+}
+
 #[test]
 fn retries_end_with_the_budget() {
     let callers = [("clerks", caller(CallerRank::Urgent, 0.5, 60_000))];
--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -84,6 +84,11 @@
         &self.plan
     }
 
+    /// Tokens that have come so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
     /// Waits for the next tokens and adds their texts.
     pub async fn next_tokens(
         &mut self,
--- a/crates/gs-entry/src/completion/format.rs
+++ b/crates/gs-entry/src/completion/format.rs
@@ -7,6 +7,12 @@
 use super::plan::{AnswerForm, AnswerPlan};
 use crate::traffic::RequestContext;
 
+/// The finish reason of an answer that has all tokens that the request allows.
+const LENGTH_REACHED: &str = "length";
+
+/// The finish reason of an answer that the model ended.
+const MODEL_STOPPED: &str = "stop";
+
 /// The last event of a whole stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -57,6 +63,7 @@
     model: String,
     form: AnswerForm,
     prompt_tokens: u32,
+    max_tokens: u32,
 }
 
 impl AnswerFormat {
@@ -67,6 +74,16 @@
             model: plan.model.as_str().to_owned(),
             form: plan.form,
             prompt_tokens: plan.prompt_tokens,
+            max_tokens: plan.max_tokens,
+        }
+    }
+
+    /// Why an answer of so many tokens ended.
+    fn finish_reason(&self, tokens: u32) -> &'static str {
+        if tokens >= self.max_tokens {
+            LENGTH_REACHED
+        } else {
+            MODEL_STOPPED
         }
     }
 
@@ -76,8 +93,9 @@
     }
 
     /// Adds the events that end a whole answer.
-    pub fn write_end(&self, out: &mut BytesMut) {
-        self.write_event(&self.chunk("", Some("stop")), out);
+    pub fn write_end(&self, tokens: u32, out: &mut BytesMut) {
+        let finish_reason = self.finish_reason(tokens);
+        self.write_event(&self.chunk("", Some(finish_reason)), out);
         out.extend_from_slice(DONE_EVENT);
     }
 
@@ -101,7 +119,7 @@
             AnswerForm::Chat => ("chat.completion", None, Some(message)),
             AnswerForm::Text => ("text_completion", Some(text), None),
         };
-        let finish_reason = Some("stop");
+        let finish_reason = Some(self.finish_reason(tokens));
         let choice = AnswerChoice {
             index: 0,
             text,
--- a/crates/gs-entry/src/completion/handler.rs
+++ b/crates/gs-entry/src/completion/handler.rs
@@ -136,7 +136,7 @@
         answer.format.write_token(&text, &mut out);
     }
     if answer.progress == AnswerProgress::Whole {
-        answer.format.write_end(&mut out);
+        answer.format.write_end(answer.run.tokens(), &mut out);
         answer.ended = true;
     }
     Some((Ok(out.freeze()), answer))
--- a/crates/gs-entry/src/completion/plan.rs
+++ b/crates/gs-entry/src/completion/plan.rs
@@ -3,9 +3,8 @@
 use gs_document::document::ModelEntry;
 use gs_protocol::caller::{ChatRequest, CompletionRequest, DEFAULT_MAX_TOKENS};
 use gs_protocol::ids::ModelName;
-use gs_protocol::prefix::count_tokens;
+use gs_protocol::prefix::{count_tokens, seed_prompt};
 use gs_protocol::refusal::RefusalReason;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::traffic::{CallerRefusal, RequestContext};
 
@@ -90,7 +89,7 @@
             model: ModelName::new(model),
             prompt_tokens: count_tokens(&prompt),
             max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-            seed: seed.unwrap_or_else(|| xxh3_64(prompt.as_bytes())),
+            seed: seed.unwrap_or_else(|| seed_prompt(&prompt)),
             prompt,
             stream,
         }
--- a/crates/gs-entry/src/traffic/entries.rs
+++ b/crates/gs-entry/src/traffic/entries.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use super::{RequestContext, TrafficState};
+use crate::telemetry;
 
 /// The weight of an entry in the caller's own data centre.
 const NEAR_WEIGHT: u32 = 100;
@@ -32,7 +33,10 @@
     let request = RequestId::generate();
     let context = match RequestContext::authenticate(&http, &state, request) {
         Ok(context) => context,
-        Err(refusal) => return refusal.response(request),
+        Err(refusal) => {
+            telemetry::count_refusal(None, refusal.reason);
+            return refusal.response(request);
+        }
     };
     let near = query
         .data_centre
--- a/crates/gs-entry/src/traffic/routes.rs
+++ b/crates/gs-entry/src/traffic/routes.rs
@@ -6,7 +6,7 @@
 use gs_protocol::refusal::RefusalReason;
 
 use super::{CallerRefusal, entries, health};
-use crate::{completion, services};
+use crate::{completion, services, telemetry};
 
 /// Registers all routes.
 pub fn configure_routes(config: &mut ServiceConfig) {
@@ -28,5 +28,7 @@
 
 async fn refuse_unknown(http: HttpRequest) -> HttpResponse {
     let detail = format!("there is no route {} {}", http.method(), http.path());
-    CallerRefusal::not_run(RefusalReason::UnknownRoute, detail).response(RequestId::generate())
+    let refusal = CallerRefusal::not_run(RefusalReason::UnknownRoute, detail);
+    telemetry::count_refusal(None, refusal.reason);
+    refusal.response(RequestId::generate())
 }
--- a/crates/gs-entry/tests/path.rs
+++ b/crates/gs-entry/tests/path.rs
@@ -66,6 +66,7 @@
         .json()?;
     assert_eq!(whole["choices"][0]["text"], streamed.tokens.concat());
     assert_eq!(whole["usage"]["completion_tokens"], 12);
+    assert_eq!(whole["choices"][0]["finish_reason"], "length");
     Ok(())
 }
 
