--- a/crates/gs-control/src/lib.rs
+++ b/crates/gs-control/src/lib.rs
@@ -10,4 +10,3 @@
 pub mod membership;
 pub mod quarantine;
 pub mod reclaim;
-pub mod roles;
--- a/crates/gs-control/src/roles/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Roles and models of engines, ordered by one lease holder.
--- a/crates/gs-entry/tests/documents.rs
+++ b/crates/gs-entry/tests/documents.rs
@@ -1,4 +1,4 @@
-//! An accepted document is in force everywhere and never reverts.
+//! Entries apply accepted documents in order of their sequence numbers, from the platform or from peers.
 
 mod support;
 
--- a/crates/gs-protocol/src/objects.rs
+++ b/crates/gs-protocol/src/objects.rs
@@ -67,11 +67,6 @@
     )
 }
 
-/// The key of a lease.
-pub fn lease_key(environment: &str, duty: &str) -> String {
-    format!("gs/{environment}/leases/{duty}")
-}
-
 /// Which document is in force in an environment, and how it came to be.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "camelCase")]
--- a/crates/gs-standin/src/main.rs
+++ b/crates/gs-standin/src/main.rs
@@ -59,7 +59,7 @@
     /// A TCP relay that delays, cuts and silences connections
     #[bpaf(command("relay"), footer(RELAY_EXAMPLES))]
     Relay(#[bpaf(external(relay_options))] RelayOptions),
-    /// Runs a deployment under seeded faults and checks what must always hold
+    /// Runs a deployment under seeded faults and checks the invariants
     #[bpaf(command("soak"), footer(SOAK_EXAMPLES))]
     Soak(#[bpaf(external(soak_options))] SoakOptions),
     /// Drives callers and prints the measures
--- a/crates/gs-standin/src/soak/error.rs
+++ b/crates/gs-standin/src/soak/error.rs
@@ -18,7 +18,7 @@
         /// Why.
         source: std::io::Error,
     },
-    /// Something that must always hold did not.
+    /// An invariant was violated.
     #[error("{count} violations were found")]
     Violations {
         /// How many.
--- a/crates/gs-standin/src/soak/journal.rs
+++ b/crates/gs-standin/src/soak/journal.rs
@@ -31,7 +31,7 @@
     Recovery,
 }
 
-/// Something that must always hold and did not.
+/// A violated invariant.
 #[derive(Clone, Debug)]
 pub struct Violation {
     /// Since the start.
@@ -121,7 +121,7 @@
         self.note(&format!("not checked: {check}"));
     }
 
-    /// Notes something that must always hold and did not.
+    /// Notes a violated invariant.
     pub fn violate(&mut self, point: CheckPoint, detail: String) {
         let after = self.began.elapsed();
         error!(target: "soak", after_ms = after.as_millis(), point:? = point; "Violation: {detail}");
--- a/crates/gs-standin/src/soak/mod.rs
+++ b/crates/gs-standin/src/soak/mod.rs
@@ -1,4 +1,4 @@
-//! A long randomised run over separate processes: seeded faults, and checks of what must always hold.
+//! A long randomised run over separate processes: seeded faults, and checks of the invariants.
 
 mod board;
 mod callers;
--- a/crates/gs-standin/src/soak/shared.rs
+++ b/crates/gs-standin/src/soak/shared.rs
@@ -23,7 +23,7 @@
 }
 
 impl SoakShared {
-    /// Notes something that must always hold and did not.
+    /// Notes a violated invariant.
     pub fn violate(&self, point: CheckPoint, detail: String) {
         self.journal.borrow_mut().violate(point, detail);
     }
