Let a request go again whose server has just left the directory

Cause: when a start named a server that the newest VM list no longer has, the request was refused with no-server although other servers could take it. Read from the code; no run has shown it, and no test brings it about.

--- a/crates/gs-entry/src/control/dispatch.rs
+++ b/crates/gs-entry/src/control/dispatch.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use gs_control::dispatch::{
-    AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState,
+    AttemptEnd, DispatchEffect, DispatchEvent, DispatchSettings, DispatchState, RequestStage,
 };
 use gs_control::quarantine::QuarantineEffect;
 use gs_document::settings::EntrySettings;
+use gs_protocol::engine::EngineReason;
 use gs_protocol::ids::{AttemptId, RequestId};
-use gs_protocol::refusal::RefusalReason;
 use gs_protocol::suspicion::SuspicionReport;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -76,7 +76,7 @@
         let mut effects = std::mem::take(&mut self.effects);
         self.state.handle(now, event, &mut effects);
         for effect in effects.drain(..) {
-            self.carry_out(effect, directory);
+            self.carry_out(now, effect, directory);
         }
         self.effects = effects;
     }
@@ -103,7 +103,7 @@
         metrics::gauge!(telemetry::SUSPECTS).set(suspects as f64);
     }
 
-    fn carry_out(&mut self, effect: DispatchEffect, directory: &ServerDirectory) {
+    fn carry_out(&mut self, now: Instant, effect: DispatchEffect, directory: &ServerDirectory) {
         match effect {
             DispatchEffect::Start {
                 request, attempt, ..
@@ -111,8 +111,10 @@
                 if let Some(open) = self.open.get_mut(&request) {
                     open.attempt = Some(attempt);
                 }
-                let decision = start_decision(effect, directory);
-                self.send(request, decision);
+                match attempt_order(effect, directory) {
+                    Ok(order) => self.send(request, RequestDecision::Start(order)),
+                    Err(stage) => self.end_unreachable(now, attempt, stage, directory),
+                }
             }
             DispatchEffect::Refuse {
                 request,
@@ -131,6 +133,19 @@
         }
     }
 
+    /// Lets a request go again whose server has just left the directory.
+    fn end_unreachable(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        stage: RequestStage,
+        directory: &ServerDirectory,
+    ) {
+        let reason = EngineReason::Leaving;
+        let end = AttemptEnd::Refused { stage, reason };
+        self.handle(now, DispatchEvent::Ended { attempt, end }, directory);
+    }
+
     fn send(&self, request: RequestId, decision: RequestDecision) {
         let Some(open) = self.open.get(&request) else {
             return;
@@ -140,12 +155,11 @@
     }
 }
 
-/// Adds the addresses of the chosen engines.
-fn start_decision(effect: DispatchEffect, directory: &ServerDirectory) -> RequestDecision {
-    let refused = RequestDecision::Refuse {
-        reason: RefusalReason::NoServer,
-        retry_after: None,
-    };
+/// Adds the addresses of the chosen engines, or tells the stage whose engine has left the directory.
+fn attempt_order(
+    effect: DispatchEffect,
+    directory: &ServerDirectory,
+) -> Result<AttemptOrder, RequestStage> {
     let DispatchEffect::Start {
         attempt,
         decode,
@@ -156,18 +170,12 @@
         ..
     } = effect
     else {
-        return refused;
+        return Err(RequestStage::Reserve);
     };
-    let endpoints = directory
-        .endpoint(&decode)
-        .zip(directory.endpoint(&prefill));
-    let Some((decode, prefill)) = endpoints else {
-        return refused;
-    };
-    RequestDecision::Start(AttemptOrder {
+    Ok(AttemptOrder {
         attempt,
-        decode,
-        prefill,
+        decode: directory.endpoint(&decode).ok_or(RequestStage::Reserve)?,
+        prefill: directory.endpoint(&prefill).ok_or(RequestStage::Prefill)?,
         priority,
         prefill_after,
         first_token_within,
--- a/crates/gs-entry/tests/answers.rs
+++ b/crates/gs-entry/tests/answers.rs
@@ -103,7 +103,7 @@
     let rig = support::start_with(2, 1, &json!({ "timeouts": { "engineSilentMs": 500 } })).await?;
     let prompt = "word ".repeat(2800);
     for name in ["notes-decode-0", "notes-decode-1"] {
-        support::set_faults(&rig, name, &json!({ "slowFactor": 10.0 })).await?;
+        support::set_faults(&rig, name, &json!({ "slowFactor": 30.0 })).await?;
     }
     let (answer, killed) = futures_util::future::join(ask(&rig, &prompt), async {
         rig.wait_for("a stream", async || busy_decoder(&rig).await.is_some())
--- a/crates/gs-protocol/src/refusal.rs
+++ b/crates/gs-protocol/src/refusal.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RequestOutcome {
-    /// No byte of the request reached a backend server, or the server said that it did not run.
+    /// Nothing that a backend server could run was sent to one, or the server said that it did not run. A
+    /// reservation of a slot alone runs nothing.
     NotRun,
     /// The request may or may not have run.
     Unknown,
