Drop the failure events of other attempts

Cause: a failure event was taken for the open attempt's own, whichever attempt it named, so a late failure of an earlier attempt ended a stream that was whole. The check of the attempt now comes first for every kind of event. Ruled out: trusting the connection, as engines answer by attempt.

--- a/crates/gs-control/tests/dispatch/random_events.rs
+++ b/crates/gs-control/tests/dispatch/random_events.rs
@@ -1,4 +1,4 @@
-//! Random events in any order, lost, late and repeated, against what must hold for every request.
+//! Random events in any order, lost, late and repeated, against the invariants of every request.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/gs-control/tests/membership.rs
+++ b/crates/gs-control/tests/membership.rs
@@ -1,4 +1,4 @@
-//! Random events against what must hold of the list of entries.
+//! Random events against the invariants of the list of entries.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -187,36 +187,24 @@
         stage: RequestStage,
         texts: &mut Vec<String>,
     ) -> Result<AnswerProgress, AttemptEnd> {
-        let expected = self.open.as_ref().map(|open| open.attempt);
+        let attempt = event.attempt();
+        if self.open.as_ref().map(|open| open.attempt) != Some(attempt) {
+            return Ok(drop_late());
+        }
         let lost = AttemptEnd::Lost {
             stage,
             tokens: self.tokens,
         };
         match event {
-            StreamEvent::Token {
-                attempt,
-                index,
-                text,
-            } => {
-                if Some(attempt) != expected || index < self.tokens {
-                    metrics::counter!(telemetry::LATE_EVENTS_TOTAL).increment(1);
-                    return Ok(AnswerProgress::More);
-                }
-                if index > self.tokens {
-                    return Err(lost);
-                }
+            StreamEvent::Token { index, .. } if index < self.tokens => Ok(drop_late()),
+            StreamEvent::Token { index, .. } if index > self.tokens => Err(lost),
+            StreamEvent::Token { text, .. } => {
                 self.note_token(attempt);
                 texts.push(text);
                 Ok(AnswerProgress::More)
             }
-            StreamEvent::End { attempt, tokens } => {
-                if Some(attempt) != expected {
-                    metrics::counter!(telemetry::LATE_EVENTS_TOTAL).increment(1);
-                    return Ok(AnswerProgress::More);
-                }
-                if tokens != self.tokens {
-                    return Err(lost);
-                }
+            StreamEvent::End { tokens, .. } if tokens != self.tokens => Err(lost),
+            StreamEvent::End { .. } => {
                 self.finish();
                 Ok(AnswerProgress::Whole)
             }
@@ -318,6 +306,12 @@
     }
 }
 
+/// Counts an event that came late: of another attempt, or of a token that the caller has.
+fn drop_late() -> AnswerProgress {
+    metrics::counter!(telemetry::LATE_EVENTS_TOTAL).increment(1);
+    AnswerProgress::More
+}
+
 /// Whether a failed try can have run a part of the request.
 fn may_have_run(end: AttemptEnd) -> bool {
     match end {
--- a/crates/gs-protocol/src/engine.rs
+++ b/crates/gs-protocol/src/engine.rs
@@ -176,6 +176,16 @@
     },
 }
 
+impl StreamEvent {
+    /// The attempt that the event belongs to.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Self::Token { attempt, .. } | Self::End { attempt, .. } => *attempt,
+            Self::Failed { attempt, .. } => *attempt,
+        }
+    }
+}
+
 /// Why an engine refused or gave up.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
