Admit requests in one place

Cause: completions, services and the entry list each drew an identity, authenticated, counted the refusal and answered it; the count was added at the third place only when it was found missing. Change: RequestContext::admit does it for all three. Behaviour is the same. Ruled out: a middleware, which would hand the context over through the request's untyped extensions.

--- a/crates/gs-entry/src/completion/handler.rs
+++ b/crates/gs-entry/src/completion/handler.rs
@@ -6,7 +6,6 @@
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use gs_protocol::ids::RequestId;
 use gs_protocol::refusal::RefusalReason;
 
 use super::answer::{AnswerProgress, AnswerRun};
@@ -39,19 +38,15 @@
     payload: Payload,
     state: Data<TrafficState>,
 ) -> HttpResponse {
-    let request = RequestId::generate();
-    let context = match RequestContext::authenticate(http, &state, request) {
+    let context = match RequestContext::admit(http, &state) {
         Ok(context) => context,
-        Err(refusal) => {
-            telemetry::count_refusal(None, refusal.reason);
-            return refusal.response(request);
-        }
+        Err(response) => return *response,
     };
     match answer(form, context.clone(), payload, state).await {
         Ok(response) => response,
         Err(refusal) => {
             context.note_refusal(&refusal);
-            refusal.response(request)
+            refusal.response(context.request)
         }
     }
 }
--- a/crates/gs-entry/src/services/handler.rs
+++ b/crates/gs-entry/src/services/handler.rs
@@ -6,7 +6,7 @@
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
-use gs_protocol::ids::{IdempotencyKey, RequestId, ServiceName};
+use gs_protocol::ids::{IdempotencyKey, ServiceName};
 use gs_protocol::refusal::RefusalReason;
 use gs_protocol::service::KEY_HEADER;
 use uuid::Uuid;
@@ -15,7 +15,6 @@
 use super::claimed::forward_claimed;
 use super::forward::forward_idempotent;
 use super::routes::find_route;
-use crate::telemetry;
 use crate::traffic::{CallerRefusal, RequestContext, TrafficState, read_body};
 
 /// What comes before the service's name in a path.
@@ -30,20 +29,16 @@
     payload: Payload,
     state: Data<TrafficState>,
 ) -> HttpResponse {
-    let request = RequestId::generate();
-    let context = match RequestContext::authenticate(&http, &state, request) {
+    let context = match RequestContext::admit(&http, &state) {
         Ok(context) => context,
-        Err(refusal) => {
-            telemetry::count_refusal(None, refusal.reason);
-            return refusal.response(request);
-        }
+        Err(response) => return *response,
     };
     let target = CallTarget::read(http.uri().path());
     match answer(&http, &target, &context, payload, &state).await {
         Ok(answer) => respond(&context, answer),
         Err(refusal) => {
             context.note_refusal(&refusal);
-            refusal.response(request)
+            refusal.response(context.request)
         }
     }
 }
--- a/crates/gs-entry/src/traffic/context.rs
+++ b/crates/gs-entry/src/traffic/context.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use actix_web::http::header::AUTHORIZATION;
-use actix_web::{HttpRequest, HttpResponseBuilder};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 use gs_document::document::CallerEntry;
 use gs_protocol::caller::{DIGEST_HEADER, REQUEST_HEADER, SEQUENCE_HEADER};
 use gs_protocol::ids::{CallerName, RequestId};
@@ -33,8 +33,17 @@
 }
 
 impl RequestContext {
+    /// Takes in a new request; one whose caller is not known gets its counted refusal.
+    pub fn admit(http: &HttpRequest, state: &TrafficState) -> Result<Self, Box<HttpResponse>> {
+        let request = RequestId::generate();
+        Self::authenticate(http, state, request).map_err(|refusal| {
+            telemetry::count_refusal(None, refusal.reason);
+            Box::new(refusal.response(request))
+        })
+    }
+
     /// Finds the caller by the bearer token.
-    pub fn authenticate(
+    fn authenticate(
         http: &HttpRequest,
         state: &TrafficState,
         request: RequestId,
--- a/crates/gs-entry/src/traffic/entries.rs
+++ b/crates/gs-entry/src/traffic/entries.rs
@@ -4,11 +4,10 @@
 use actix_web::{HttpRequest, HttpResponse};
 use gs_control::membership::MemberCandidate;
 use gs_protocol::caller::{EntryList, EntryRecord};
-use gs_protocol::ids::{DataCentreName, RequestId};
+use gs_protocol::ids::DataCentreName;
 use serde::Deserialize;
 
 use super::{RequestContext, TrafficState};
-use crate::telemetry;
 
 /// The weight of an entry in the caller's own data centre.
 const NEAR_WEIGHT: u32 = 100;
@@ -30,13 +29,9 @@
     query: Query<EntryQuery>,
     state: Data<TrafficState>,
 ) -> HttpResponse {
-    let request = RequestId::generate();
-    let context = match RequestContext::authenticate(&http, &state, request) {
+    let context = match RequestContext::admit(&http, &state) {
         Ok(context) => context,
-        Err(refusal) => {
-            telemetry::count_refusal(None, refusal.reason);
-            return refusal.response(request);
-        }
+        Err(response) => return *response,
     };
     let near = query
         .data_centre
