Run on the users' platform: the whole path

Cause: the product spoke only its own protocols and had never met the users' platform.

Change: gs-control gets the slice `forwarding` (routes, servers of a registry, load of this entry and its peers, placement, repeats and their budget, admission of streams, phases of a shutdown). gs-gateway forwards HTTP with it: one connection for each exchange with a server, so that late, double or over-long answers belong to nobody; the end of a client's connection drops all that its request has going on. platform/ translates settings, headers, objects and the directory, and deploy/system.toml runs it.

Ruled out: awc and actix-web on this path: they do not say whether a request was written, and keep connections that must not be used again; hyper, their nearest kin, does.

--- /dev/null
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -0,0 +1,233 @@
+//! Which generations wait for memory of a decode engine, which start, and which are refused.
+//!
+//! The load it answers: bursts that need up to twice the engines' memory for some seconds. A stream that
+//! starts late is worth little to its caller and takes the memory of one that would be on time, so streams
+//! that can still be on time go first, by the time at which their first event is due; those that come back
+//! after a refusal go next. What would have to wait beyond its start time is refused at its arrival.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use gs_protocol::ids::ServiceName;
+
+/// A waiting stream.
+pub type TicketId = u64;
+
+/// Times of admission.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Time from the start of a prefill to the first event on a busy day.
+    pub start_lead: Duration,
+    /// How long a stream that cannot be on time any more may wait.
+    pub late_wait: Duration,
+    /// Starts are counted over this time.
+    pub rate_window: Duration,
+    /// The shortest and the longest advice when to come back.
+    pub retry_after: (Duration, Duration),
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            start_lead: Duration::from_millis(330),
+            late_wait: Duration::from_millis(1_500),
+            rate_window: Duration::from_secs(2),
+            retry_after: (Duration::from_millis(1_200), Duration::from_millis(4_500)),
+        }
+    }
+}
+
+/// What a stream asks of the engines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamDemand {
+    /// The service.
+    pub service: ServiceName,
+    /// Tokens of memory that it is expected to need.
+    pub memory_tokens: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// 0 is the most urgent.
+    pub rank: u8,
+}
+
+/// A stream that asks for its start.
+#[derive(Clone, Debug)]
+pub struct WaitingStream {
+    /// What it needs.
+    pub demand: StreamDemand,
+    /// When its client began to ask, in an earlier try perhaps.
+    pub asked: Instant,
+    /// Time to the first event that counts as on time.
+    pub latency_target: Duration,
+}
+
+/// What became of an offer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdmissionVerdict {
+    /// It waits under the ticket.
+    Waits(TicketId),
+    /// It would wait too long.
+    Refused {
+        /// When room is expected.
+        retry_after: Duration,
+    },
+}
+
+/// What is to be done with a waiting stream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdmissionEffect<P> {
+    /// Start it at the place.
+    Start {
+        /// The stream.
+        ticket: TicketId,
+        /// Where.
+        place: P,
+    },
+    /// Its time has passed.
+    Refuse {
+        /// The stream.
+        ticket: TicketId,
+        /// When room is expected.
+        retry_after: Duration,
+    },
+}
+
+/// Whether a stream can be on time; the order is that of the queue.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum StartClass {
+    OnTime,
+    Late,
+}
+
+/// The place in the queue.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct QueuePlace {
+    class: StartClass,
+    start_by: Instant,
+    ticket: TicketId,
+}
+
+/// The streams that wait at this entry.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    settings: AdmissionSettings,
+    waiting: BTreeMap<QueuePlace, WaitingStream>,
+    places: BTreeMap<TicketId, QueuePlace>,
+    starts: VecDeque<Instant>,
+    next_ticket: TicketId,
+}
+
+impl AdmissionQueue {
+    /// An empty queue.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            waiting: BTreeMap::new(),
+            places: BTreeMap::new(),
+            starts: VecDeque::new(),
+            next_ticket: 0,
+        }
+    }
+
+    /// Streams that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no stream waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes a stream into the queue, unless its turn is expected to come too late. `draw`, from 0 to 1,
+    /// spreads the returns of refused clients.
+    pub fn offer(&mut self, now: Instant, stream: WaitingStream, draw: f64) -> AdmissionVerdict {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let on_time = stream.asked
+            + stream
+                .latency_target
+                .saturating_sub(self.settings.start_lead);
+        let (class, start_by) = match on_time > now {
+            true => (StartClass::OnTime, on_time),
+            false => (StartClass::Late, now + self.settings.late_wait),
+        };
+        let place = QueuePlace {
+            class,
+            start_by,
+            ticket,
+        };
+        if self.expected_wait(now, &place) > start_by.saturating_duration_since(now) {
+            let retry_after = self.retry_after(now, draw);
+            return AdmissionVerdict::Refused { retry_after };
+        }
+        self.waiting.insert(place, stream);
+        self.places.insert(ticket, place);
+        AdmissionVerdict::Waits(ticket)
+    }
+
+    /// The client of a stream is gone.
+    pub fn withdraw(&mut self, ticket: TicketId) {
+        if let Some(place) = self.places.remove(&ticket) {
+            self.waiting.remove(&place);
+        }
+    }
+
+    /// Starts what `place_for` finds room for, in order, and refuses what has waited too long.
+    pub fn advance<P>(
+        &mut self,
+        now: Instant,
+        mut draw: impl FnMut() -> f64,
+        mut place_for: impl FnMut(&StreamDemand) -> Option<P>,
+    ) -> Vec<AdmissionEffect<P>> {
+        let mut effects = Vec::new();
+        let expired: Vec<QueuePlace> = self
+            .waiting
+            .keys()
+            .filter(|place| place.start_by <= now)
+            .copied()
+            .collect();
+        for place in expired {
+            self.withdraw(place.ticket);
+            effects.push(AdmissionEffect::Refuse {
+                ticket: place.ticket,
+                retry_after: self.retry_after(now, draw()),
+            });
+        }
+        while let Some((place, stream)) = self.waiting.first_key_value() {
+            let Some(target) = place_for(&stream.demand) else {
+                break;
+            };
+            let ticket = place.ticket;
+            self.withdraw(ticket);
+            self.starts.push_back(now);
+            effects.push(AdmissionEffect::Start {
+                ticket,
+                place: target,
+            });
+        }
+        effects
+    }
+
+    /// How long the streams before a place are expected to take, at the rate of the last starts.
+    fn expected_wait(&mut self, now: Instant, place: &QueuePlace) -> Duration {
+        let window = self.settings.rate_window;
+        while let Some(first) = self.starts.front()
+            && now.saturating_duration_since(*first) > window
+        {
+            self.starts.pop_front();
+        }
+        let ahead = self.waiting.range(..place).count();
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let starts = self.starts.len().max(1);
+        window.mul_f64(ahead as f64 / starts as f64)
+    }
+
+    /// When room is expected, spread over time so that refused clients do not return together.
+    fn retry_after(&self, _now: Instant, draw: f64) -> Duration {
+        let (shortest, longest) = self.settings.retry_after;
+        shortest + (longest - shortest).mul_f64(draw.clamp(0.0, 1.0))
+    }
+}
--- /dev/null
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -0,0 +1,209 @@
+//! The backend servers that the registry names, kept through outages of the registry.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
+
+/// What a model engine does.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ServerStage {
+    /// It generates tokens.
+    Decode,
+    /// It reads prompts.
+    Prefill,
+}
+
+/// One server as the registry names it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEntry {
+    /// The server.
+    pub name: ServerName,
+    /// The time of the server's start in Unix milliseconds, where it says so. Another time under the same
+    /// name is another process that knows nothing of before.
+    pub born: Option<u64>,
+    /// What it serves.
+    pub service: ServiceName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// What it does, if it is a model engine.
+    pub stage: Option<ServerStage>,
+}
+
+/// Times of the directory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DirectorySettings {
+    /// How long after an outage of the registry a missing server may still be registered again.
+    pub return_grace: Duration,
+    /// How long a server that another one answered for stays unused, unless its entry changes.
+    pub misdirected_hold: Duration,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        Self {
+            return_grace: Duration::from_secs(2),
+            misdirected_hold: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A server and what this entry has learned of it.
+#[derive(Clone, Debug)]
+struct KnownServer {
+    entry: ServerEntry,
+    /// Set while the registry does not name the server although it may come back.
+    missing_until: Option<Instant>,
+    /// Set while another server answers at its address.
+    misdirected_until: Option<Instant>,
+}
+
+/// The servers that may get work.
+#[derive(Debug)]
+pub struct ServerDirectory {
+    settings: DirectorySettings,
+    servers: BTreeMap<ServerName, KnownServer>,
+    is_registry_lost: bool,
+    returned_at: Option<Instant>,
+}
+
+impl ServerDirectory {
+    /// A directory that knows no server.
+    pub fn new(settings: DirectorySettings) -> Self {
+        Self {
+            settings,
+            servers: BTreeMap::new(),
+            is_registry_lost: false,
+            returned_at: None,
+        }
+    }
+
+    /// Takes in a whole list.
+    pub fn replace_all(&mut self, now: Instant, entries: Vec<ServerEntry>) {
+        let listed: BTreeMap<ServerName, ServerEntry> = entries
+            .into_iter()
+            .map(|entry| (entry.name.clone(), entry))
+            .collect();
+        let missing: Vec<ServerName> = self
+            .servers
+            .keys()
+            .filter(|name| !listed.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in missing {
+            self.remove(now, &name);
+        }
+        for entry in listed.into_values() {
+            self.put(entry);
+        }
+    }
+
+    /// Takes in one entry.
+    pub fn put(&mut self, entry: ServerEntry) {
+        let misdirected_until = self
+            .servers
+            .get(&entry.name)
+            .filter(|known| known.entry.born == entry.born && known.entry.address == entry.address)
+            .and_then(|known| known.misdirected_until);
+        let known = KnownServer {
+            missing_until: None,
+            misdirected_until,
+            entry,
+        };
+        self.servers.insert(known.entry.name.clone(), known);
+    }
+
+    /// The registry names a server no longer. Right after an outage it may only not be back yet.
+    pub fn remove(&mut self, now: Instant, name: &ServerName) {
+        let grace_end = match (self.is_registry_lost, self.returned_at) {
+            (true, _) => Some(now + self.settings.return_grace),
+            (false, returned) => returned
+                .map(|returned| returned + self.settings.return_grace)
+                .filter(|end| *end > now),
+        };
+        let Some(end) = grace_end else {
+            self.servers.remove(name);
+            return;
+        };
+        if let Some(known) = self.servers.get_mut(name) {
+            known.missing_until.get_or_insert(end);
+        }
+    }
+
+    /// Another server answers at the address of the named one.
+    pub fn note_misdirected(&mut self, now: Instant, name: &ServerName) {
+        if let Some(known) = self.servers.get_mut(name) {
+            known.misdirected_until = Some(now + self.settings.misdirected_hold);
+        }
+    }
+
+    /// The registry does not answer.
+    pub fn registry_lost(&mut self) {
+        self.is_registry_lost = true;
+    }
+
+    /// The registry has answered; returns whether it had been lost.
+    pub fn registry_answered(&mut self, now: Instant) -> bool {
+        let was_lost = std::mem::take(&mut self.is_registry_lost);
+        if was_lost {
+            self.returned_at = Some(now);
+        }
+        was_lost
+    }
+
+    /// Drops the servers that have not come back; returns their names.
+    pub fn drop_missing(&mut self, now: Instant) -> Vec<ServerName> {
+        let gone: Vec<ServerName> = self
+            .servers
+            .values()
+            .filter(|known| known.missing_until.is_some_and(|end| end <= now))
+            .map(|known| known.entry.name.clone())
+            .collect();
+        for name in &gone {
+            self.servers.remove(name);
+        }
+        gone
+    }
+
+    /// The servers of a service that may get new work.
+    pub fn usable<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a ServiceName,
+        stage: Option<ServerStage>,
+    ) -> impl Iterator<Item = &'a ServerEntry> {
+        self.servers
+            .values()
+            .filter(move |known| {
+                let entry = &known.entry;
+                entry.service == *service
+                    && entry.stage == stage
+                    && !entry.is_leaving
+                    && known.misdirected_until.is_none_or(|until| until <= now)
+                    && known.missing_until.is_none_or(|until| until > now)
+            })
+            .map(|known| &known.entry)
+    }
+
+    /// A server that the directory names.
+    pub fn get(&self, name: &ServerName) -> Option<&ServerEntry> {
+        self.servers.get(name).map(|known| &known.entry)
+    }
+
+    /// Servers that are named.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is named.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -0,0 +1,25 @@
+//! Decides where a forwarded HTTP request goes, what may be sent again, and which generation waits.
+//!
+//! The slice knows routes, the servers that a registry names, and the load that this entry and its peers
+//! have put on them. It learns of sockets and clocks only through arguments.
+
+mod admission;
+mod directory;
+mod loads;
+mod placement;
+mod repeats;
+mod routes;
+mod shutdown;
+
+pub use admission::{
+    AdmissionEffect, AdmissionQueue, AdmissionSettings, AdmissionVerdict, StreamDemand, TicketId,
+    WaitingStream,
+};
+pub use directory::{DirectorySettings, ServerDirectory, ServerEntry, ServerStage};
+pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad};
+pub use placement::{DecodeDemand, PlacementView, choose_decode, choose_prefill, choose_server};
+pub use repeats::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RepeatBudget, next_step};
+pub use routes::{
+    ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceFacts,
+};
+pub use shutdown::{ShutdownPhase, ShutdownPlan};
--- a/crates/gs-control/src/lib.rs
+++ b/crates/gs-control/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod dispatch;
 pub mod documents;
+pub mod forwarding;
 pub mod ledger;
 pub mod membership;
 pub mod quarantine;
--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -1,6 +1,6 @@
 //! What is believed of the other entries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -65,6 +65,14 @@
         self.members.values().map(|member| &member.record)
     }
 
+    /// Where the other entries take messages: those that a list names and those that were heard.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let listed = self.candidates.values().map(|entry| entry.peer_address);
+        let heard = self.members().map(|record| record.peer.peer_address);
+        let addresses: BTreeSet<SocketAddr> = listed.chain(heard).collect();
+        addresses.into_iter().collect()
+    }
+
     /// What is known of an entry.
     pub fn member(&self, name: &EntryName) -> Option<&MemberRecord> {
         self.members.get(name).map(|member| &member.record)
--- /dev/null
+++ b/crates/gs-gateway/src/answer.rs
@@ -0,0 +1,74 @@
+//! Answers to clients and their bodies.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+/// A server's answer ended before it was whole.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("the answer ended before it was whole")]
+pub struct BrokenAnswer;
+
+/// An answer to a client.
+pub type ClientAnswer = Response<AnswerBody>;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Known from the beginning.
+    Whole(Option<Bytes>),
+    /// Comes piece by piece; an error ends the connection, so that the answer does not look whole.
+    Pieces(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+}
+
+impl AnswerBody {
+    /// A body that is known from the beginning.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        match &mut *self {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Pieces(receiver) => receiver
+                .poll_recv(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Pieces(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer of the gateway itself.
+pub fn own_answer(status: StatusCode, text: &'static str) -> ClientAnswer {
+    let mut answer = Response::new(AnswerBody::whole(text));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/gs-gateway/src/error.rs
@@ -0,0 +1,22 @@
+//! Errors of the gateway.
+
+use std::net::SocketAddr;
+
+/// Why the gateway cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// A socket cannot be opened.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The signal handlers cannot be installed.
+    #[error("cannot install the signal handlers: {0}")]
+    Signals(std::io::Error),
+    /// A digest for the peers cannot be encoded.
+    #[error("cannot encode a digest: {0}")]
+    EncodeDigest(#[from] ciborium::ser::Error<std::io::Error>),
+}
--- /dev/null
+++ b/crates/gs-gateway/src/event_stream.rs
@@ -0,0 +1,85 @@
+//! Splits a stream of server-sent events into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+use crate::wire::ResumePoint;
+
+/// The longest event that is kept, in bytes.
+const MAX_EVENT_BYTES: usize = 1_048_576;
+
+/// One whole event with its closing blank line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamEvent {
+    /// The event's bytes, unchanged.
+    pub bytes: Bytes,
+    /// The event's identity.
+    pub id: Option<ResumePoint>,
+}
+
+/// An event is longer than any that is taken.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct OversizedEvent;
+
+/// Cuts bytes into events; what is not yet a whole event is kept back.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    kept: BytesMut,
+    scanned: usize,
+}
+
+impl EventSplitter {
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), OversizedEvent> {
+        if self.kept.len() + bytes.len() > MAX_EVENT_BYTES {
+            return Err(OversizedEvent);
+        }
+        self.kept.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = self.event_end()?;
+        let bytes = self.kept.split_to(end).freeze();
+        self.scanned = 0;
+        let id = event_id(&bytes);
+        Some(StreamEvent { bytes, id })
+    }
+
+    /// Whether no part of an event is kept back.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    /// What is kept back, for streams that are no events.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.kept.split().freeze()
+    }
+
+    fn event_end(&mut self) -> Option<usize> {
+        let mut at = self.scanned;
+        while at < self.kept.len() {
+            let rest = &self.kept[at..];
+            if rest.starts_with(b"\n\n") {
+                return Some(at + 2);
+            }
+            if rest.starts_with(b"\n\r\n") {
+                return Some(at + 3);
+            }
+            at += 1;
+        }
+        // A separator may begin in the last two bytes.
+        self.scanned = self.kept.len().saturating_sub(2);
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<ResumePoint> {
+    let line = event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))?;
+    let text = std::str::from_utf8(line).ok()?;
+    Some(ResumePoint(text.trim().to_owned()))
+}
--- /dev/null
+++ b/crates/gs-gateway/src/generation.rs
@@ -0,0 +1,470 @@
+//! Forwards generations: the prompt is read at a prefill engine, the stream comes from a decode engine.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gs_control::forwarding::{
+    AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, ServerLoad, StreamDemand,
+    TicketId, WaitingStream, choose_decode, choose_prefill,
+};
+use gs_protocol::ids::ServerName;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::oneshot;
+
+use crate::answer::{AnswerBody, ClientAnswer, own_answer};
+use crate::call::{CallError, ServerCall, fetch};
+use crate::gateway::{Gateway, StartOrder};
+use crate::lifecycle::stream_load;
+use crate::plain::{CONNECT_LIMIT, ForwardJob, RETURN_AFTER};
+use crate::pump::{RunningStream, start_pump};
+use crate::reservation::Reservation;
+use crate::wire::{AnswerVerdict, KvSource, ResumePoint, SendStage, ServerOrder};
+
+/// Part of the expected output that counts as needed memory: streams grow, and end at different times.
+const GROWTH_SHARE: f64 = 0.6;
+
+/// Engines that a prefill is tried at.
+const MAX_PREFILLS: usize = 3;
+
+/// Engines that a stream is tried at before its first event.
+const MAX_DECODES: usize = 4;
+
+/// Part of a prefill result's life after which it is not relied on.
+const RESULT_PART: f64 = 0.7;
+
+/// The longest answer to a prefill, in bytes.
+const MAX_PREFILL_ANSWER: usize = 65_536;
+
+/// How long a prefill may take, in latency targets of its route.
+const PREFILL_TARGETS: f64 = 1.0;
+
+/// How long a call that frees a result may take.
+const FREE_LIMIT: Duration = Duration::from_secs(1);
+
+/// The last place in an engine's queue.
+const LAST_PRIORITY: u8 = 9;
+
+/// A generation that is on its way.
+pub(crate) struct GenerationJob {
+    pub job: ForwardJob,
+    pub demand: StreamDemand,
+    pub facts: Option<EngineFacts>,
+}
+
+impl GenerationJob {
+    /// The place in the engines' queues.
+    pub fn priority(&self) -> u8 {
+        self.job.rule.rank.min(LAST_PRIORITY)
+    }
+
+    /// What the stream needs of a decode engine.
+    pub fn decode_demand(&self) -> DecodeDemand {
+        DecodeDemand {
+            memory_tokens: self.demand.memory_tokens,
+            is_urgent: self.demand.rank == 0,
+        }
+    }
+}
+
+/// A prefill's result that nobody has taken; dropping it frees it at its engine.
+struct KeptResult {
+    gateway: Rc<Gateway>,
+    source: Option<KvSource>,
+    made: Instant,
+}
+
+impl KeptResult {
+    /// The result was taken by a decode engine.
+    fn taken(mut self) {
+        self.source = None;
+    }
+
+    fn is_fresh(&self, facts: Option<&EngineFacts>) -> bool {
+        let life = facts.map_or(Duration::MAX, |facts| {
+            facts.result_lifetime.mul_f64(RESULT_PART)
+        });
+        self.made.elapsed() < life
+    }
+}
+
+impl Drop for KeptResult {
+    fn drop(&mut self) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let (method, path) = self.gateway.wire.free_call(&source.handle);
+        actix_rt::spawn(async move {
+            let request = Request::builder()
+                .method(method)
+                .uri(path)
+                .header("host", source.address.to_string())
+                .body(Full::new(Bytes::new()));
+            let Ok(request) = request else {
+                return;
+            };
+            if let Err(error) = fetch(source.address, request, FREE_LIMIT, MAX_PREFILL_ANSWER).await
+            {
+                log::info!(target: "generation", engine:% = source.address, error:%; "prefill result not freed");
+            }
+        });
+    }
+}
+
+/// Takes a waiting stream out of the queue when its request is dropped.
+struct TicketGuard {
+    gateway: Rc<Gateway>,
+    ticket: TicketId,
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state.borrow_mut();
+        state.queue.withdraw(self.ticket);
+        state.waiters.remove(&self.ticket);
+    }
+}
+
+/// Forwards a generation and answers it.
+pub(crate) async fn forward_generation(gateway: &Rc<Gateway>, job: ForwardJob) -> ClientAnswer {
+    gateway.credit_budget(&job.service);
+    let table = gateway.table();
+    let facts = table
+        .as_ref()
+        .and_then(|table| table.service(&job.service))
+        .and_then(|service| service.engine.clone());
+    let demand = stream_demand(&job);
+    let generation = GenerationJob { job, demand, facts };
+    let reserved = match wait_for_room(gateway, &generation).await {
+        Ok(reserved) => reserved,
+        Err(retry_after) => {
+            log::info!(target: "generation", id:% = generation.job.facts.request, retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no room");
+            return generation.job.refusal(gateway, retry_after);
+        }
+    };
+    run(gateway, generation, reserved).await
+}
+
+fn stream_demand(job: &ForwardJob) -> StreamDemand {
+    let (prompt_tokens, output) = match job.facts.generation {
+        Some(facts) => {
+            let expected = facts.length_hint.unwrap_or(facts.max_output_tokens);
+            (facts.prompt_tokens, expected.min(facts.max_output_tokens))
+        }
+        None => (job.body.len() as u64, 0),
+    };
+    StreamDemand {
+        service: job.service.clone(),
+        memory_tokens: prompt_tokens + (output as f64 * GROWTH_SHARE) as u64,
+        prompt_tokens,
+        rank: job.rule.rank,
+    }
+}
+
+/// Waits until a decode engine has room; an error says when to come back.
+async fn wait_for_room(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+) -> Result<Reservation, Duration> {
+    let job = &generation.job;
+    let passed = job.facts.deadline.map_or(Duration::ZERO, |deadline| {
+        job.rule.timeout.saturating_sub(deadline)
+    });
+    let waiting = WaitingStream {
+        demand: generation.demand.clone(),
+        asked: job.arrived.checked_sub(passed).unwrap_or(job.arrived),
+        latency_target: job.rule.latency_target,
+    };
+    let draw = gateway.draw();
+    let (sender, receiver) = oneshot::channel();
+    let ticket = {
+        let mut state = gateway.state.borrow_mut();
+        match state.queue.offer(Instant::now(), waiting, draw) {
+            AdmissionVerdict::Refused { retry_after } => return Err(retry_after),
+            AdmissionVerdict::Waits(ticket) => {
+                state.waiters.insert(ticket, sender);
+                ticket
+            }
+        }
+    };
+    let _guard = TicketGuard {
+        gateway: Rc::clone(gateway),
+        ticket,
+    };
+    gateway.room_changed.notify_one();
+    match receiver.await {
+        Ok(StartOrder::Start(reserved)) => {
+            log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), memory = generation.demand.memory_tokens, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
+            Ok(reserved)
+        }
+        Ok(StartOrder::Refuse(retry_after)) => Err(retry_after),
+        Err(_) => Err(RETURN_AFTER),
+    }
+}
+
+/// What a decode engine did with a stream.
+enum DecodeOutcome {
+    Streams(Response<Incoming>, ServerCall),
+    Failed(AttemptFailure, Option<ClientAnswer>),
+}
+
+async fn run(gateway: &Rc<Gateway>, generation: GenerationJob, first: Reservation) -> ClientAnswer {
+    let mut reserved = first;
+    let mut kept: Option<KeptResult> = None;
+    let mut passed: Vec<ServerName> = Vec::new();
+    let job = &generation.job;
+    for number in 0..MAX_DECODES {
+        if !kept
+            .as_ref()
+            .is_some_and(|kept| kept.is_fresh(generation.facts.as_ref()))
+        {
+            drop(kept.take());
+            kept = match prefill(gateway, &generation, reserved.server(), number > 0).await {
+                Ok(kept) => Some(kept),
+                Err(PrefillFailure::NoEngine) => None,
+                Err(PrefillFailure::Failed) => return job.refusal(gateway, RETURN_AFTER),
+            };
+        }
+        if number > 0 && !gateway.spend_budget(&job.service) {
+            return job.refusal(gateway, RETURN_AFTER);
+        }
+        let source = kept.as_ref().and_then(|kept| kept.source.as_ref());
+        let resume = job.facts.resume.as_ref();
+        let outcome = decode(gateway, &generation, reserved.server(), source, resume).await;
+        match outcome {
+            DecodeOutcome::Streams(answer, call) => {
+                if let Some(kept) = kept.take() {
+                    kept.taken();
+                }
+                let stream = RunningStream {
+                    answer,
+                    call,
+                    reserved,
+                };
+                return start_pump(gateway, generation, stream);
+            }
+            DecodeOutcome::Failed(failure, answer) if failure.is_not_run() => {
+                log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?, own = answer.is_some(); "stream not started");
+                passed.push(reserved.server().clone());
+                match reserve_again(gateway, &generation, &passed) {
+                    Some(other) => reserved = other,
+                    None => break,
+                }
+            }
+            DecodeOutcome::Failed(failure, answer) => {
+                // The engine may have taken the result; it goes by itself if not.
+                if let Some(kept) = kept.take() {
+                    kept.taken();
+                }
+                log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?; "stream failed before its first event");
+                return answer.unwrap_or_else(|| unknown_answer(job));
+            }
+        }
+    }
+    job.refusal(gateway, RETURN_AFTER)
+}
+
+fn unknown_answer(job: &ForwardJob) -> ClientAnswer {
+    let status = match Instant::now() >= job.answer_by() {
+        true => StatusCode::GATEWAY_TIMEOUT,
+        false => StatusCode::BAD_GATEWAY,
+    };
+    own_answer(status, "the request may have run\n")
+}
+
+/// Another decode engine with room.
+pub(crate) fn reserve_again(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    passed: &[ServerName],
+) -> Option<Reservation> {
+    let facts = generation.facts.as_ref()?;
+    let demand = generation.decode_demand();
+    let service = &generation.demand.service;
+    let server = gateway.with_view(|view| choose_decode(view, service, facts, demand, passed))?;
+    let load = stream_load(&generation.demand);
+    Some(Reservation::take(gateway, &server, load))
+}
+
+/// Why there is no prefill result.
+enum PrefillFailure {
+    /// No prefill engine is known; a decode engine can read the prompt itself.
+    NoEngine,
+    /// It was tried and failed.
+    Failed,
+}
+
+async fn prefill(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    decode: &ServerName,
+    mut is_counted: bool,
+) -> Result<KeptResult, PrefillFailure> {
+    let service = &generation.demand.service;
+    let mut passed: Vec<ServerName> = Vec::new();
+    for _ in 0..MAX_PREFILLS {
+        let chosen = gateway.with_view(|view| choose_prefill(view, service, decode, &passed));
+        let Some(server) = chosen else {
+            let is_none = passed.is_empty();
+            return Err(if is_none {
+                PrefillFailure::NoEngine
+            } else {
+                PrefillFailure::Failed
+            });
+        };
+        if is_counted && !gateway.spend_budget(service) {
+            return Err(PrefillFailure::Failed);
+        }
+        let load = ServerLoad {
+            requests: 1,
+            memory_tokens: 0,
+            prompt_tokens: generation.demand.prompt_tokens,
+        };
+        let _reserved = Reservation::take(gateway, &server, load);
+        match try_prefill(gateway, generation, &server).await {
+            Ok(kept) => {
+                gateway.note_answer(&server, false);
+                return Ok(kept);
+            }
+            Err(error) => {
+                log::info!(target: "generation", id:% = generation.job.facts.request, prefill:% = server, error:%; "prefill failed");
+                match error.is_not_sent() {
+                    true => gateway.note_unreachable(&server),
+                    false => gateway.note_answer(&server, true),
+                }
+                is_counted |= !error.is_not_sent();
+                passed.push(server);
+            }
+        }
+    }
+    Err(PrefillFailure::Failed)
+}
+
+async fn try_prefill(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    server: &ServerName,
+) -> Result<KeptResult, CallError> {
+    let job = &generation.job;
+    let address = gateway.server_address(server);
+    let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
+    let left = job.answer_by().saturating_duration_since(Instant::now());
+    let limit = left.min(job.rule.latency_target.mul_f64(PREFILL_TARGETS));
+    let order = ServerOrder {
+        server,
+        stage: SendStage::Prefill,
+        deadline: left,
+        priority: Some(generation.priority()),
+        resume: None,
+    };
+    let request = job.server_request(gateway, &order);
+    let exchange = async {
+        let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
+        let (head, body) = call.send(request).await?.into_parts();
+        let body = ServerCall::read_whole(body, MAX_PREFILL_ANSWER).await?;
+        Ok((head, body))
+    };
+    let answered = tokio::time::timeout(limit, exchange).await;
+    let (head, body) = answered.map_err(|_| CallError::AnswerTimeout(limit))??;
+    let verdict = gateway.wire.judge_prefill(&head);
+    if verdict == AnswerVerdict::Misdirected {
+        gateway.note_misdirected(server);
+    }
+    let result = match verdict {
+        AnswerVerdict::Success => gateway.wire.read_prefill(&body),
+        _ => None,
+    };
+    let result = result.ok_or(CallError::Refused(head.status.as_u16()))?;
+    Ok(KeptResult {
+        gateway: Rc::clone(gateway),
+        source: Some(KvSource {
+            address,
+            handle: result.handle,
+        }),
+        made: Instant::now(),
+    })
+}
+
+async fn decode(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    server: &ServerName,
+    source: Option<&KvSource>,
+    resume: Option<&ResumePoint>,
+) -> DecodeOutcome {
+    let job = &generation.job;
+    let left = job.answer_by().saturating_duration_since(Instant::now());
+    let sent = send_decode(gateway, generation, server, source, resume);
+    let (answer, call) = match tokio::time::timeout(left, sent).await {
+        Ok(Ok(sent)) => sent,
+        Ok(Err(error)) if error.is_not_sent() => {
+            gateway.note_unreachable(server);
+            return DecodeOutcome::Failed(AttemptFailure::NotSent, None);
+        }
+        Ok(Err(error)) => {
+            log::info!(target: "generation", id:% = job.facts.request, decode:% = server, error:%; "stream broke before its head");
+            gateway.note_answer(server, true);
+            return DecodeOutcome::Failed(AttemptFailure::Unknown, None);
+        }
+        Err(_) => return DecodeOutcome::Failed(AttemptFailure::Unknown, None),
+    };
+    let (head, body) = answer.into_parts();
+    match gateway.wire.judge_answer(&head, &job.facts.request) {
+        AnswerVerdict::Success => {
+            gateway.note_answer(server, false);
+            DecodeOutcome::Streams(Response::from_parts(head, body), call)
+        }
+        AnswerVerdict::NotExecuted => {
+            gateway.note_answer(server, true);
+            DecodeOutcome::Failed(AttemptFailure::NotExecuted, None)
+        }
+        AnswerVerdict::Misdirected => {
+            gateway.note_misdirected(server);
+            DecodeOutcome::Failed(AttemptFailure::NotExecuted, None)
+        }
+        AnswerVerdict::Foreign => {
+            gateway.note_answer(server, true);
+            DecodeOutcome::Failed(AttemptFailure::Unknown, None)
+        }
+        AnswerVerdict::ServerFailure => {
+            gateway.note_answer(server, true);
+            let is_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
+            let limit = job.answer_by().saturating_duration_since(Instant::now());
+            let reading = ServerCall::read_whole(body, MAX_PREFILL_ANSWER);
+            let whole = match tokio::time::timeout(limit, reading).await {
+                Ok(Ok(whole)) if !is_promise => whole,
+                _ => return DecodeOutcome::Failed(AttemptFailure::ServerError, None),
+            };
+            let mut answer = Response::new(AnswerBody::whole(whole));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = gateway.wire.client_headers(&head.headers);
+            DecodeOutcome::Failed(AttemptFailure::ServerError, Some(answer))
+        }
+    }
+}
+
+/// Sends a stream to a decode engine and waits for the head of its answer.
+pub(crate) async fn send_decode(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    server: &ServerName,
+    source: Option<&KvSource>,
+    resume: Option<&ResumePoint>,
+) -> Result<(Response<Incoming>, ServerCall), CallError> {
+    let job = &generation.job;
+    let address = gateway.server_address(server);
+    let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
+    let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
+    let order = ServerOrder {
+        server,
+        stage: SendStage::Decode(source),
+        deadline: job.answer_by().saturating_duration_since(Instant::now()),
+        priority: Some(generation.priority()),
+        resume,
+    };
+    let request = job.server_request(gateway, &order);
+    let answer = call.send(request).await?;
+    Ok((answer, call))
+}
--- /dev/null
+++ b/crates/gs-gateway/src/lib.rs
@@ -0,0 +1,33 @@
+//! Forwards HTTP requests of clients to backend servers and keeps its peers informed of its load.
+//!
+//! The decisions are those of `gs_control::forwarding`; how requests and answers are spelled is behind
+//! [`ServerWire`]. All of it runs on one thread: an entry VM has a part of one core.
+
+pub mod logs;
+
+mod answer;
+mod call;
+mod error;
+mod event_stream;
+mod gateway;
+mod generation;
+mod ingress;
+mod lifecycle;
+mod peers;
+mod plain;
+mod pump;
+mod reservation;
+mod wire;
+
+pub use answer::{AnswerBody, ClientAnswer};
+pub use call::{CallError, ServerCall, fetch};
+pub use error::GatewayError;
+pub use event_stream::{EventSplitter, StreamEvent};
+pub use gateway::{EntryCard, Gateway, GatewaySettings};
+pub use ingress::{serve_clients, serve_simple};
+pub use lifecycle::{run_admission, run_shutdown};
+pub use peers::{PeerLink, run_peers};
+pub use wire::{
+    AnswerVerdict, ClientFacts, GenerationFacts, KvSource, PrefillResult, RequestError,
+    ResumePoint, SendStage, ServerOrder, ServerWire,
+};
--- /dev/null
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -0,0 +1,154 @@
+//! Starts waiting streams, and ends the process.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gs_control::forwarding::{
+    AdmissionEffect, DecodeDemand, PlacementView, ServerLoad, ShutdownPhase, StreamDemand,
+    choose_decode,
+};
+use gs_protocol::ids::ServerName;
+use rand::Rng;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::GatewayError;
+use crate::gateway::{Gateway, GatewayState, StartOrder};
+use crate::reservation::Reservation;
+
+/// How often waiting streams are looked at when nothing has happened.
+const ADMISSION_TICK: Duration = Duration::from_millis(20);
+
+/// How often what has gone silent is dropped.
+const SILENCE_TICK: Duration = Duration::from_millis(250);
+
+/// How often the shutdown is looked at.
+const SHUTDOWN_TICK: Duration = Duration::from_millis(50);
+
+/// The load that a stream puts on its decode engine.
+pub(crate) fn stream_load(demand: &StreamDemand) -> ServerLoad {
+    ServerLoad {
+        requests: 1,
+        memory_tokens: demand.memory_tokens,
+        prompt_tokens: 0,
+    }
+}
+
+/// Starts and refuses waiting streams until the process ends.
+pub async fn run_admission(gateway: Rc<Gateway>) {
+    let mut looked = Instant::now();
+    loop {
+        tokio::select! {
+            () = gateway.room_changed.notified() => {}
+            () = tokio::time::sleep(ADMISSION_TICK) => {}
+        }
+        if looked.elapsed() >= SILENCE_TICK {
+            looked = Instant::now();
+            drop_silent(&gateway);
+        }
+        advance(&gateway);
+    }
+}
+
+fn drop_silent(gateway: &Gateway) {
+    let now = Instant::now();
+    let mut state = gateway.state.borrow_mut();
+    state.loads.drop_silent(now);
+    for server in state.directory.drop_missing(now) {
+        log::info!(target: "servers", server:%; "server did not come back");
+    }
+}
+
+fn advance(gateway: &Rc<Gateway>) {
+    let now = Instant::now();
+    let mut guard = gateway.state.borrow_mut();
+    let GatewayState {
+        table,
+        directory,
+        loads,
+        queue,
+        waiters,
+        rng,
+        ..
+    } = &mut *guard;
+    if queue.is_empty() {
+        return;
+    }
+    let Some(table) = table.as_ref() else {
+        return;
+    };
+    let data_centre = &gateway.settings.own.data_centre;
+    let effects = queue.advance(
+        now,
+        || rng.gen_range(0.0..1.0),
+        |demand| {
+            let facts = table.service(&demand.service)?.engine.as_ref()?;
+            let view = PlacementView {
+                now,
+                data_centre,
+                directory,
+                loads,
+            };
+            let needs = DecodeDemand {
+                memory_tokens: demand.memory_tokens,
+                is_urgent: demand.rank == 0,
+            };
+            let server = choose_decode(&view, &demand.service, facts, needs, &[])?;
+            let load = stream_load(demand);
+            loads.add(&server, load);
+            Some((server, load))
+        },
+    );
+    let mut orders = Vec::with_capacity(effects.len());
+    for effect in effects {
+        let (ticket, order) = match effect {
+            AdmissionEffect::Start { ticket, place } => (ticket, Ok(place)),
+            AdmissionEffect::Refuse {
+                ticket,
+                retry_after,
+            } => (ticket, Err(retry_after)),
+        };
+        orders.push((waiters.remove(&ticket), order));
+    }
+    drop(guard);
+    for (waiter, order) in orders {
+        let order = match order {
+            Ok((server, load)) => start_order(gateway, &server, load),
+            Err(retry_after) => StartOrder::Refuse(retry_after),
+        };
+        if let Some(waiter) = waiter
+            && waiter.send(order).is_err()
+        {
+            log::debug!(target: "request", "The client of a stream that would start is gone.");
+        }
+    }
+}
+
+fn start_order(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> StartOrder {
+    StartOrder::Start(Reservation::counted(gateway, server, load))
+}
+
+/// Waits for the order to stop, and returns when the process should end.
+pub async fn run_shutdown(gateway: Rc<Gateway>) -> Result<(), GatewayError> {
+    let mut stop = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(GatewayError::Signals)?;
+    // Without a handler the signal would end the process.
+    let mut reload = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!(target: "entry", "reload asked for"),
+        }
+    }
+    log::info!(target: "entry", active = gateway.active.get(); "stopping");
+    gateway.order_stop();
+    loop {
+        tokio::time::sleep(SHUTDOWN_TICK).await;
+        let phase = gateway.shutdown_phase();
+        let is_idle = phase == Some(ShutdownPhase::Finish) && gateway.active.get() == 0;
+        if is_idle || phase == Some(ShutdownPhase::Exit) {
+            log::info!(target: "entry", active = gateway.active.get(); "stopped");
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gs-gateway/src/logs.rs
@@ -0,0 +1,152 @@
+//! Structured logs on standard output that never hold up the traffic.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use env_logger::{Builder, Env, Target};
+use log::kv::{Error, Key, Value, VisitSource};
+
+/// Lines that wait for a slow reader of the logs.
+const WAITING_LINES: usize = 512;
+
+/// Lines of one part that are written in a second.
+const LINES_PER_SECOND: u32 = 200;
+
+/// The time over which lines are counted.
+const BUDGET_WINDOW: Duration = Duration::from_secs(1);
+
+/// Writes lines from a thread of its own; lines that find the queue full are counted and left out.
+struct QueuedWriter {
+    sender: SyncSender<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl QueuedWriter {
+    fn start(mut output: impl Write + Send + 'static) -> Self {
+        let (sender, receiver) = sync_channel::<Vec<u8>>(WAITING_LINES);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&left_out);
+        std::thread::spawn(move || {
+            for line in receiver {
+                let left = counted.swap(0, Ordering::Relaxed);
+                if left > 0 {
+                    // Nobody is left to tell if standard output is closed.
+                    let _ = writeln!(
+                        output,
+                        "level=WARN target=logs left_out={left} msg=\"lines left out\""
+                    );
+                }
+                if output
+                    .write_all(&line)
+                    .and_then(|()| output.flush())
+                    .is_err()
+                {
+                    return;
+                }
+            }
+        });
+        Self { sender, left_out }
+    }
+}
+
+impl Write for QueuedWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.sender.try_send(bytes.to_vec()) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.left_out.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// How many lines of one part were written in the present second.
+#[derive(Debug)]
+struct LineBudget {
+    began: Instant,
+    written: u32,
+    left_out: u32,
+}
+
+/// Bounds the lines of each part.
+#[derive(Debug, Default)]
+struct LineBudgets(Mutex<std::collections::BTreeMap<String, LineBudget>>);
+
+impl LineBudgets {
+    /// Whether a line may be written, and how many were left out before it.
+    fn take(&self, target: &str) -> Option<u32> {
+        let mut budgets = self.0.lock().unwrap_or_else(|broken| broken.into_inner());
+        let now = Instant::now();
+        if !budgets.contains_key(target) {
+            let budget = LineBudget {
+                began: now,
+                written: 0,
+                left_out: 0,
+            };
+            budgets.insert(target.to_owned(), budget);
+        }
+        let budget = budgets.get_mut(target)?;
+        if now.saturating_duration_since(budget.began) >= BUDGET_WINDOW {
+            budget.began = now;
+            budget.written = 0;
+        }
+        if budget.written >= LINES_PER_SECOND {
+            budget.left_out += 1;
+            return None;
+        }
+        budget.written += 1;
+        Some(std::mem::take(&mut budget.left_out))
+    }
+}
+
+/// Writes the key-value fields of a line.
+struct FieldWriter<'a>(&'a mut dyn Write);
+
+impl<'kvs> VisitSource<'kvs> for FieldWriter<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_string();
+        match text.contains([' ', '"', '=']) {
+            true => write!(self.0, " {key}={text:?}")?,
+            false => write!(self.0, " {key}={text}")?,
+        }
+        Ok(())
+    }
+}
+
+/// Installs the logger of this process: logfmt on `output`, at the level of `RUST_LOG` or `info`.
+pub fn install(output: impl Write + Send + 'static) {
+    let budgets = LineBudgets::default();
+    let started = Instant::now();
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(QueuedWriter::start(output))))
+        .format(move |buffer, record| {
+            let Some(left_out) = budgets.take(record.target()) else {
+                return Ok(());
+            };
+            let since = started.elapsed().as_millis();
+            write!(
+                buffer,
+                "up_ms={since} level={} target={} msg={:?}",
+                record.level(),
+                record.target(),
+                record.args().to_string()
+            )?;
+            if left_out > 0 {
+                write!(buffer, " left_out={left_out}")?;
+            }
+            let visited = record.key_values().visit(&mut FieldWriter(buffer));
+            if visited.is_err() {
+                write!(buffer, " fields=unreadable")?;
+            }
+            writeln!(buffer)
+        })
+        .init();
+}
--- /dev/null
+++ b/crates/gs-gateway/src/reservation.rs
@@ -0,0 +1,103 @@
+//! Work that is counted at a server for as long as it lasts.
+
+use std::rc::Rc;
+
+use gs_control::forwarding::ServerLoad;
+use gs_protocol::ids::ServerName;
+
+use crate::gateway::Gateway;
+
+/// Counts work at a server; dropping it takes the work off again.
+pub(crate) struct Reservation {
+    gateway: Rc<Gateway>,
+    server: ServerName,
+    load: ServerLoad,
+}
+
+impl std::fmt::Debug for Reservation {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Reservation")
+            .field("server", &self.server)
+            .field("load", &self.load)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Reservation {
+    /// Counts work at a server.
+    pub fn take(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> Self {
+        gateway.state.borrow_mut().loads.add(server, load);
+        Self::counted(gateway, server, load)
+    }
+
+    /// Holds work that has been counted already.
+    pub fn counted(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> Self {
+        gateway.load_changed.notify_one();
+        Self {
+            gateway: Rc::clone(gateway),
+            server: server.clone(),
+            load,
+        }
+    }
+
+    /// Where the work is.
+    pub fn server(&self) -> &ServerName {
+        &self.server
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state.borrow_mut();
+        state.loads.remove(&self.server, self.load);
+        drop(state);
+        self.gateway.load_changed.notify_one();
+        self.gateway.room_changed.notify_one();
+    }
+}
+
+/// Counts bytes of request bodies that are kept.
+pub(crate) struct KeptBytes {
+    gateway: Rc<Gateway>,
+    bytes: usize,
+}
+
+impl KeptBytes {
+    /// Counts bytes, if the limit allows it.
+    pub fn take(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
+        let kept = gateway.kept_bytes.get() + bytes;
+        if kept > gateway.settings.max_kept_bytes {
+            return None;
+        }
+        gateway.kept_bytes.set(kept);
+        Some(Self {
+            gateway: Rc::clone(gateway),
+            bytes,
+        })
+    }
+}
+
+impl Drop for KeptBytes {
+    fn drop(&mut self) {
+        let kept = self.gateway.kept_bytes.get();
+        self.gateway.kept_bytes.set(kept.saturating_sub(self.bytes));
+    }
+}
+
+/// Counts a request that is being answered.
+pub(crate) struct ActiveRequest(Rc<Gateway>);
+
+impl ActiveRequest {
+    /// Counts one more.
+    pub fn begin(gateway: &Rc<Gateway>) -> Self {
+        gateway.active.set(gateway.active.get() + 1);
+        Self(Rc::clone(gateway))
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get().saturating_sub(1));
+    }
+}
