Project the memory of streams from their expected lengths

Change: entries tell each other each stream's held and remaining tokens; an engine takes a stream if the projected peak fits. Lengths blend the client's hint with the route's mean. Streams that cannot be on time leave 20% free.

Ruled out: late or lost digests (entries hear each other within 20 ms; 7 machines, no cut in these seconds).

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -10,6 +10,8 @@
 
 use gs_protocol::ids::ServiceName;
 
+use super::memory::StreamShape;
+
 /// A waiting stream.
 pub type TicketId = u64;
 
@@ -20,6 +22,10 @@
     pub start_lead: Duration,
     /// How long a stream that cannot be on time any more may wait.
     pub late_wait: Duration,
+    /// Part of an engine's memory that streams which can be on time may be expected to need.
+    pub memory_part: f64,
+    /// The same for streams that come late anyhow, so that room is left for those that do not.
+    pub late_memory_part: f64,
     /// Starts are counted over this time.
     pub rate_window: Duration,
     /// The shortest and the longest advice when to come back.
@@ -31,6 +37,8 @@
         Self {
             start_lead: Duration::from_millis(330),
             late_wait: Duration::from_millis(1_500),
+            memory_part: 0.95,
+            late_memory_part: 0.8,
             rate_window: Duration::from_secs(2),
             retry_after: (Duration::from_millis(1_200), Duration::from_millis(4_500)),
         }
@@ -42,12 +50,8 @@
 pub struct StreamDemand {
     /// The service.
     pub service: ServiceName,
-    /// Tokens of memory that it is expected to need.
-    pub memory_tokens: u64,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// 0 is the most urgent.
-    pub rank: u8,
+    /// Its memory at a decode engine.
+    pub shape: StreamShape,
 }
 
 /// A stream that asks for its start.
@@ -178,7 +182,7 @@
         &mut self,
         now: Instant,
         mut draw: impl FnMut() -> f64,
-        mut place_for: impl FnMut(&StreamDemand) -> Option<P>,
+        mut place_for: impl FnMut(&StreamDemand, f64) -> Option<P>,
     ) -> Vec<AdmissionEffect<P>> {
         let mut effects = Vec::new();
         let expired: Vec<QueuePlace> = self
@@ -195,7 +199,11 @@
             });
         }
         while let Some((place, stream)) = self.waiting.first_key_value() {
-            let Some(target) = place_for(&stream.demand) else {
+            let memory_part = match place.class {
+                StartClass::OnTime => self.settings.memory_part,
+                StartClass::Late => self.settings.late_memory_part,
+            };
+            let Some(target) = place_for(&stream.demand, memory_part) else {
                 break;
             };
             let ticket = place.ticket;
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -6,13 +6,13 @@
 use gs_protocol::ids::{EntryName, ServerName};
 use serde::{Deserialize, Serialize};
 
-/// Work at one server.
+use super::memory::StreamShape;
+
+/// Work at one server, besides streams.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerLoad {
-    /// Requests or streams.
+    /// Requests.
     pub requests: u32,
-    /// Tokens of engine memory that they are expected to need.
-    pub memory_tokens: u64,
     /// Prompt tokens that are still to be read.
     pub prompt_tokens: u64,
 }
@@ -21,19 +21,16 @@
     /// One plain request.
     pub const REQUEST: Self = Self {
         requests: 1,
-        memory_tokens: 0,
         prompt_tokens: 0,
     };
 
     fn add(&mut self, other: Self) {
         self.requests += other.requests;
-        self.memory_tokens += other.memory_tokens;
         self.prompt_tokens += other.prompt_tokens;
     }
 
     fn remove(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
-        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
         self.prompt_tokens = self.prompt_tokens.saturating_sub(other.prompt_tokens);
     }
 
@@ -42,8 +39,20 @@
     }
 }
 
+/// The work of one entry at one server.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerWork {
+    /// Work besides streams.
+    pub load: ServerLoad,
+    /// Running streams.
+    pub streams: Vec<StreamShape>,
+}
+
 /// The work of one entry, by server.
-pub type LoadDigest = Vec<(ServerName, ServerLoad)>;
+pub type LoadDigest = Vec<(ServerName, ServerWork)>;
+
+/// A stream that this entry has running.
+pub type StreamKey = u64;
 
 /// Times and weights of the load book.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -58,6 +67,8 @@
     pub failure_weight: f64,
     /// Time in which the share of failures of an unused server halves.
     pub failure_half_life: Duration,
+    /// Tokens that an engine adds to a stream in a second.
+    pub tokens_per_second: f64,
 }
 
 impl Default for LoadSettings {
@@ -68,6 +79,7 @@
             unreachable_hold_limit: Duration::from_secs(3),
             failure_weight: 0.1,
             failure_half_life: Duration::from_secs(4),
+            tokens_per_second: 1_000.0,
         }
     }
 }
@@ -85,17 +97,32 @@
 #[derive(Debug)]
 struct PeerDigest {
     heard: Instant,
-    loads: LoadDigest,
+    servers: Vec<ServerName>,
+}
+
+/// What a peer has running at one server.
+#[derive(Debug)]
+struct PeerWork {
+    heard: Instant,
+    work: ServerWork,
+}
+
+/// Own work at one server.
+#[derive(Debug, Default)]
+struct OwnWork {
+    load: ServerLoad,
+    streams: BTreeMap<StreamKey, StreamShape>,
 }
 
 /// Work at servers, own and peers', and the servers' health.
 #[derive(Debug)]
 pub struct LoadBook {
     settings: LoadSettings,
-    own: BTreeMap<ServerName, ServerLoad>,
+    own: BTreeMap<ServerName, OwnWork>,
     peers: BTreeMap<EntryName, PeerDigest>,
-    peer_total: BTreeMap<ServerName, ServerLoad>,
+    peer_work: BTreeMap<ServerName, BTreeMap<EntryName, PeerWork>>,
     health: BTreeMap<ServerName, ServerHealth>,
+    next_stream: StreamKey,
 }
 
 impl LoadBook {
@@ -105,23 +132,53 @@
             settings,
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
-            peer_total: BTreeMap::new(),
+            peer_work: BTreeMap::new(),
             health: BTreeMap::new(),
+            next_stream: 0,
         }
     }
 
     /// Counts own work.
     pub fn add(&mut self, server: &ServerName, load: ServerLoad) {
-        self.own.entry(server.clone()).or_default().add(load);
+        self.own.entry(server.clone()).or_default().load.add(load);
     }
 
     /// Takes own work off.
     pub fn remove(&mut self, server: &ServerName, load: ServerLoad) {
-        let Some(own) = self.own.get_mut(server) else {
-            return;
-        };
-        own.remove(load);
-        if own.is_idle() {
+        if let Some(own) = self.own.get_mut(server) {
+            own.load.remove(load);
+        }
+        self.drop_idle(server);
+    }
+
+    /// Counts an own stream.
+    pub fn add_stream(&mut self, server: &ServerName, shape: StreamShape) -> StreamKey {
+        let key = self.next_stream;
+        self.next_stream += 1;
+        let own = self.own.entry(server.clone()).or_default();
+        own.streams.insert(key, shape);
+        key
+    }
+
+    /// An own stream has grown by some tokens.
+    pub fn grow_stream(&mut self, server: &ServerName, key: StreamKey, tokens: u32) {
+        let own = self.own.get_mut(server);
+        if let Some(shape) = own.and_then(|own| own.streams.get_mut(&key)) {
+            *shape = shape.grown(tokens);
+        }
+    }
+
+    /// An own stream has ended.
+    pub fn remove_stream(&mut self, server: &ServerName, key: StreamKey) {
+        if let Some(own) = self.own.get_mut(server) {
+            own.streams.remove(&key);
+        }
+        self.drop_idle(server);
+    }
+
+    fn drop_idle(&mut self, server: &ServerName) {
+        let is_idle = |own: &OwnWork| own.load.is_idle() && own.streams.is_empty();
+        if self.own.get(server).is_some_and(is_idle) {
             self.own.remove(server);
         }
     }
@@ -130,20 +187,29 @@
     pub fn own_digest(&self) -> LoadDigest {
         self.own
             .iter()
-            .map(|(server, load)| (server.clone(), *load))
+            .map(|(server, own)| {
+                let work = ServerWork {
+                    load: own.load,
+                    streams: own.streams.values().copied().collect(),
+                };
+                (server.clone(), work)
+            })
             .collect()
     }
 
     /// Takes in what a peer has running.
-    pub fn hear_peer(&mut self, now: Instant, peer: &EntryName, loads: LoadDigest) {
+    pub fn hear_peer(&mut self, now: Instant, peer: &EntryName, digest: LoadDigest) {
         self.forget_peer(peer);
-        for (server, load) in &loads {
-            self.peer_total
-                .entry(server.clone())
-                .or_default()
-                .add(*load);
+        let mut servers = Vec::with_capacity(digest.len());
+        for (server, work) in digest {
+            let at_server = self.peer_work.entry(server.clone()).or_default();
+            at_server.insert(peer.clone(), PeerWork { heard: now, work });
+            servers.push(server);
         }
-        let digest = PeerDigest { heard: now, loads };
+        let digest = PeerDigest {
+            heard: now,
+            servers,
+        };
         self.peers.insert(peer.clone(), digest);
     }
 
@@ -165,23 +231,49 @@
         let Some(digest) = self.peers.remove(peer) else {
             return;
         };
-        for (server, load) in digest.loads {
-            if let Some(total) = self.peer_total.get_mut(&server) {
-                total.remove(load);
-                if total.is_idle() {
-                    self.peer_total.remove(&server);
+        for server in digest.servers {
+            if let Some(at_server) = self.peer_work.get_mut(&server) {
+                at_server.remove(peer);
+                if at_server.is_empty() {
+                    self.peer_work.remove(&server);
                 }
             }
         }
     }
 
-    /// All known work at a server.
+    /// All known work at a server, besides streams.
     pub fn load(&self, server: &ServerName) -> ServerLoad {
-        let mut load = self.own.get(server).copied().unwrap_or_default();
-        load.add(self.peer_total.get(server).copied().unwrap_or_default());
+        let own = self.own.get(server).map(|own| own.load);
+        let mut load = own.unwrap_or_default();
+        for peer in self
+            .peer_work
+            .get(server)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+        {
+            load.add(peer.work.load);
+        }
         load
     }
 
+    /// All known streams at an engine; those of peers as they should have grown since they were told.
+    pub fn streams(&self, now: Instant, server: &ServerName) -> Vec<StreamShape> {
+        let own = self.own.get(server).into_iter();
+        let mut shapes: Vec<StreamShape> =
+            own.flat_map(|own| own.streams.values().copied()).collect();
+        for peer in self
+            .peer_work
+            .get(server)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+        {
+            let age = now.saturating_duration_since(peer.heard).as_secs_f64();
+            let grown = (age * self.settings.tokens_per_second) as u32;
+            shapes.extend(peer.work.streams.iter().map(|shape| shape.grown(grown)));
+        }
+        shapes
+    }
+
     /// A server has answered well or badly.
     pub fn note_answer(&mut self, now: Instant, server: &ServerName, is_failure: bool) {
         let weight = self.settings.failure_weight;
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -5,7 +5,9 @@
 
 mod admission;
 mod directory;
+mod lengths;
 mod loads;
+mod memory;
 mod placement;
 mod repeats;
 mod routes;
@@ -16,7 +18,9 @@
     WaitingStream,
 };
 pub use directory::{DirectorySettings, ServerDirectory, ServerEntry, ServerStage};
-pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad};
+pub use lengths::LengthEstimate;
+pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad, ServerWork, StreamKey};
+pub use memory::{StreamShape, projected_peak};
 pub use placement::{DecodeDemand, PlacementView, choose_decode, choose_prefill, choose_server};
 pub use repeats::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RepeatBudget, next_step};
 pub use routes::{
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -6,6 +6,7 @@
 
 use super::directory::{ServerDirectory, ServerEntry, ServerStage};
 use super::loads::LoadBook;
+use super::memory::{StreamShape, projected_peak};
 use super::routes::EngineFacts;
 
 /// How much a server's share of failures weighs against its share of busy slots.
@@ -23,9 +24,6 @@
 /// Prompt tokens that a failed prefill is as bad as.
 const PREFILL_FAILURE_TOKENS: f64 = 40_000.0;
 
-/// Part of an engine's memory that streams may be expected to need.
-const MEMORY_SHARE: f64 = 0.97;
-
 /// What is known when servers are chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementView<'a> {
@@ -95,12 +93,12 @@
 }
 
 /// What a stream needs of a decode engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DecodeDemand {
-    /// Tokens of memory that the stream is expected to need.
-    pub memory_tokens: u64,
-    /// Whether the most urgent streams may use all slots; others leave one free.
-    pub is_urgent: bool,
+    /// The stream's memory.
+    pub shape: StreamShape,
+    /// Part of an engine's memory that may be needed once the stream runs.
+    pub memory_part: f64,
 }
 
 /// The decode engine with the most free memory that has room for a stream.
@@ -113,16 +111,18 @@
 ) -> Option<ServerName> {
     let candidates = view.candidates(service, Some(ServerStage::Decode), passed);
     let memory = facts.memory_tokens.max(1) as f64;
-    let slots = facts.slots - u32::from(!demand.is_urgent && facts.slots > 1);
     least(candidates.into_iter().filter_map(|entry| {
-        let load = view.loads.load(&entry.name);
-        let needed = (load.memory_tokens + demand.memory_tokens) as f64;
-        let is_alone = load.requests == 0;
-        let has_room = needed <= memory * MEMORY_SHARE || is_alone;
-        if load.requests >= slots || !has_room {
+        let mut shapes = view.loads.streams(view.now, &entry.name);
+        let is_alone = shapes.is_empty();
+        if shapes.len() >= facts.slots as usize {
+            return None;
+        }
+        shapes.push(demand.shape);
+        let part = projected_peak(&mut shapes) as f64 / memory;
+        if part > demand.memory_part && !is_alone {
             return None;
         }
-        let cost = load.memory_tokens as f64 / memory
+        let cost = part
             + view.failure_cost(entry)
             + view.distance(entry, view.data_centre, DECODE_DISTANCE_COST);
         Some((cost, entry.name.clone()))
--- a/crates/gs-control/src/forwarding/routes.rs
+++ b/crates/gs-control/src/forwarding/routes.rs
@@ -90,6 +90,8 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds.
     pub memory_tokens: u64,
+    /// Tokens of one event of a stream.
+    pub event_tokens: u32,
     /// How long an engine keeps the result of a prefill that is not taken.
     pub result_lifetime: Duration,
 }
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionQueue, AdmissionSettings, DirectorySettings, LoadBook, LoadSettings, PlacementView,
-    RepeatBudget, RouteTable, ServerDirectory, ServerEntry, ShutdownPhase, ShutdownPlan, TicketId,
+    AdmissionQueue, AdmissionSettings, DirectorySettings, LengthEstimate, LoadBook, LoadSettings,
+    PlacementView, RepeatBudget, RouteTable, ServerDirectory, ServerEntry, ShutdownPhase,
+    ShutdownPlan, TicketId,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
@@ -17,7 +18,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, oneshot};
 
-use crate::reservation::Reservation;
+use crate::reservation::StreamReservation;
 use crate::wire::ServerWire;
 
 /// Entries that a client is told of at least, if there are as many.
@@ -62,7 +63,7 @@
 #[derive(Debug)]
 pub(crate) enum StartOrder {
     /// It starts at the engine, whose memory is counted.
-    Start(Reservation),
+    Start(StreamReservation),
     /// It is refused.
     Refuse(Duration),
 }
@@ -76,6 +77,7 @@
     pub queue: AdmissionQueue,
     pub waiters: BTreeMap<TicketId, oneshot::Sender<StartOrder>>,
     pub budgets: BTreeMap<ServiceName, RepeatBudget>,
+    pub lengths: BTreeMap<String, LengthEstimate>,
     pub membership: MembershipState,
     pub rng: Pcg64Mcg,
 }
@@ -110,6 +112,7 @@
             queue: AdmissionQueue::new(AdmissionSettings::default()),
             waiters: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            lengths: BTreeMap::new(),
             membership: MembershipState::new(own, settings.membership),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
@@ -278,6 +281,25 @@
         act(budget)
     }
 
+    /// Tokens that an answer of a route is expected to have.
+    pub(crate) fn expected_tokens(&self, route: &str, hint: Option<u64>, most: u64) -> u64 {
+        let state = self.state.borrow();
+        let estimate = state.lengths.get(route).copied().unwrap_or_default();
+        estimate.expect(hint, most)
+    }
+
+    /// Takes in the length of a route's whole answer.
+    pub(crate) fn learn_length(&self, route: &str, tokens: u64) {
+        let mut state = self.state.borrow_mut();
+        if let Some(estimate) = state.lengths.get_mut(route) {
+            estimate.learn(tokens);
+            return;
+        }
+        let mut estimate = LengthEstimate::default();
+        estimate.learn(tokens);
+        state.lengths.insert(route.to_owned(), estimate);
+    }
+
     /// A random number from 0 to 1.
     pub(crate) fn draw(&self) -> f64 {
         self.state.borrow_mut().rng.gen_range(0.0..1.0)
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gs_control::forwarding::{
     AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, ServerLoad, StreamDemand,
-    TicketId, WaitingStream, choose_decode, choose_prefill,
+    StreamShape, TicketId, WaitingStream, choose_decode, choose_prefill,
 };
 use gs_protocol::ids::ServerName;
 use http_body_util::Full;
@@ -17,14 +17,13 @@
 use crate::answer::{AnswerBody, ClientAnswer, own_answer};
 use crate::call::{CallError, ServerCall, fetch};
 use crate::gateway::{Gateway, StartOrder};
-use crate::lifecycle::stream_load;
 use crate::plain::{CONNECT_LIMIT, ForwardJob, RETURN_AFTER};
 use crate::pump::{RunningStream, start_pump};
-use crate::reservation::Reservation;
+use crate::reservation::{Reservation, StreamReservation};
 use crate::wire::{AnswerVerdict, KvSource, ResumePoint, SendStage, ServerOrder};
 
-/// Part of the expected output that counts as needed memory: streams grow, and end at different times.
-const GROWTH_SHARE: f64 = 0.6;
+/// Part of an engine's memory that may be needed where a stream goes that another engine did not take.
+const SECOND_MEMORY_PART: f64 = 0.9;
 
 /// Engines that a prefill is tried at.
 const MAX_PREFILLS: usize = 3;
@@ -63,8 +62,8 @@
     /// What the stream needs of a decode engine.
     pub fn decode_demand(&self) -> DecodeDemand {
         DecodeDemand {
-            memory_tokens: self.demand.memory_tokens,
-            is_urgent: self.demand.rank == 0,
+            shape: self.demand.shape,
+            memory_part: SECOND_MEMORY_PART,
         }
     }
 }
@@ -135,7 +134,7 @@
         .as_ref()
         .and_then(|table| table.service(&job.service))
         .and_then(|service| service.engine.clone());
-    let demand = stream_demand(&job);
+    let demand = stream_demand(gateway, &job);
     let generation = GenerationJob { job, demand, facts };
     let reserved = match wait_for_room(gateway, &generation).await {
         Ok(reserved) => reserved,
@@ -147,27 +146,36 @@
     run(gateway, generation, reserved).await
 }
 
-fn stream_demand(job: &ForwardJob) -> StreamDemand {
-    let (prompt_tokens, output) = match job.facts.generation {
+fn stream_demand(gateway: &Gateway, job: &ForwardJob) -> StreamDemand {
+    let shape = match job.facts.generation {
         Some(facts) => {
-            let expected = facts.length_hint.unwrap_or(facts.max_output_tokens);
-            (facts.prompt_tokens, expected.min(facts.max_output_tokens))
+            let most = facts.max_output_tokens;
+            let left = gateway.expected_tokens(&job.rule.name, facts.length_hint, most);
+            StreamShape {
+                held: saturated(facts.prompt_tokens),
+                left: saturated(left),
+            }
         }
-        None => (job.body.len() as u64, 0),
+        None => StreamShape {
+            held: saturated(job.body.len() as u64),
+            left: 0,
+        },
     };
     StreamDemand {
         service: job.service.clone(),
-        memory_tokens: prompt_tokens + (output as f64 * GROWTH_SHARE) as u64,
-        prompt_tokens,
-        rank: job.rule.rank,
+        shape,
     }
 }
 
+fn saturated(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 /// Waits until a decode engine has room; an error says when to come back.
 async fn wait_for_room(
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
-) -> Result<Reservation, Duration> {
+) -> Result<StreamReservation, Duration> {
     let job = &generation.job;
     let passed = job.facts.deadline.map_or(Duration::ZERO, |deadline| {
         job.rule.timeout.saturating_sub(deadline)
@@ -196,7 +204,7 @@
     gateway.room_changed.notify_one();
     match receiver.await {
         Ok(StartOrder::Start(reserved)) => {
-            log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), memory = generation.demand.memory_tokens, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
+            log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), prompt = generation.demand.shape.held, expected = generation.demand.shape.left, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
             Ok(reserved)
         }
         Ok(StartOrder::Refuse(retry_after)) => Err(retry_after),
@@ -210,7 +218,11 @@
     Failed(AttemptFailure, Option<ClientAnswer>),
 }
 
-async fn run(gateway: &Rc<Gateway>, generation: GenerationJob, first: Reservation) -> ClientAnswer {
+async fn run(
+    gateway: &Rc<Gateway>,
+    generation: GenerationJob,
+    first: StreamReservation,
+) -> ClientAnswer {
     let mut reserved = first;
     let mut kept: Option<KeptResult> = None;
     let mut passed: Vec<ServerName> = Vec::new();
@@ -279,13 +291,13 @@
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
     passed: &[ServerName],
-) -> Option<Reservation> {
+) -> Option<StreamReservation> {
     let facts = generation.facts.as_ref()?;
     let demand = generation.decode_demand();
     let service = &generation.demand.service;
     let server = gateway.with_view(|view| choose_decode(view, service, facts, demand, passed))?;
-    let load = stream_load(&generation.demand);
-    Some(Reservation::take(gateway, &server, load))
+    let shape = generation.demand.shape;
+    Some(StreamReservation::take(gateway, &server, shape))
 }
 
 /// Why there is no prefill result.
@@ -319,8 +331,7 @@
         }
         let load = ServerLoad {
             requests: 1,
-            memory_tokens: 0,
-            prompt_tokens: generation.demand.prompt_tokens,
+            prompt_tokens: u64::from(generation.demand.shape.held),
         };
         let _reserved = Reservation::take(gateway, &server, load);
         match try_prefill(gateway, generation, &server).await {
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -4,16 +4,14 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionEffect, DecodeDemand, PlacementView, ServerLoad, ShutdownPhase, StreamDemand,
-    choose_decode,
+    AdmissionEffect, DecodeDemand, PlacementView, ShutdownPhase, choose_decode,
 };
-use gs_protocol::ids::ServerName;
 use rand::Rng;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState, StartOrder};
-use crate::reservation::Reservation;
+use crate::reservation::StreamReservation;
 
 /// How often waiting streams are looked at when nothing has happened.
 const ADMISSION_TICK: Duration = Duration::from_millis(20);
@@ -24,15 +22,6 @@
 /// How often the shutdown is looked at.
 const SHUTDOWN_TICK: Duration = Duration::from_millis(50);
 
-/// The load that a stream puts on its decode engine.
-pub(crate) fn stream_load(demand: &StreamDemand) -> ServerLoad {
-    ServerLoad {
-        requests: 1,
-        memory_tokens: demand.memory_tokens,
-        prompt_tokens: 0,
-    }
-}
-
 /// Starts and refuses waiting streams until the process ends.
 pub async fn run_admission(gateway: Rc<Gateway>) {
     let mut looked = Instant::now();
@@ -80,7 +69,7 @@
     let effects = queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
-        |demand| {
+        |demand, memory_part| {
             let facts = table.service(&demand.service)?.engine.as_ref()?;
             let view = PlacementView {
                 now,
@@ -89,13 +78,12 @@
                 loads,
             };
             let needs = DecodeDemand {
-                memory_tokens: demand.memory_tokens,
-                is_urgent: demand.rank == 0,
+                shape: demand.shape,
+                memory_part,
             };
             let server = choose_decode(&view, &demand.service, facts, needs, &[])?;
-            let load = stream_load(demand);
-            loads.add(&server, load);
-            Some((server, load))
+            let key = loads.add_stream(&server, demand.shape);
+            Some((server, key))
         },
     );
     let mut orders = Vec::with_capacity(effects.len());
@@ -112,7 +100,9 @@
     drop(guard);
     for (waiter, order) in orders {
         let order = match order {
-            Ok((server, load)) => start_order(gateway, &server, load),
+            Ok((server, key)) => {
+                StartOrder::Start(StreamReservation::counted(gateway, &server, key))
+            }
             Err(retry_after) => StartOrder::Refuse(retry_after),
         };
         if let Some(waiter) = waiter
@@ -123,10 +113,6 @@
     }
 }
 
-fn start_order(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> StartOrder {
-    StartOrder::Start(Reservation::counted(gateway, server, load))
-}
-
 /// Waits for the order to stop, and returns when the process should end.
 pub async fn run_shutdown(gateway: Rc<Gateway>) -> Result<(), GatewayError> {
     let mut stop = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
--- a/crates/gs-gateway/src/pump.rs
+++ b/crates/gs-gateway/src/pump.rs
@@ -1,7 +1,7 @@
 //! Passes the events of a stream on to the client, and resumes a broken stream where its route allows it.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gs_control::forwarding::RouteKind;
@@ -16,7 +16,7 @@
 use crate::event_stream::EventSplitter;
 use crate::gateway::Gateway;
 use crate::generation::{GenerationJob, reserve_again, send_decode};
-use crate::reservation::{ActiveRequest, Reservation};
+use crate::reservation::{ActiveRequest, StreamReservation};
 use crate::wire::{AnswerVerdict, ResumePoint};
 
 /// Pieces that wait for a slow client before its engine is made to wait.
@@ -26,7 +26,7 @@
 pub(crate) struct RunningStream {
     pub answer: Response<Incoming>,
     pub call: ServerCall,
-    pub reserved: Reservation,
+    pub reserved: StreamReservation,
 }
 
 /// How the events of one engine ended.
@@ -44,6 +44,22 @@
 struct StreamProgress {
     events: u64,
     last: Option<ResumePoint>,
+    last_at: Option<Instant>,
+    longest_gap: Duration,
+}
+
+impl StreamProgress {
+    /// Takes in an event that was passed on.
+    fn note_event(&mut self, now: Instant, id: Option<ResumePoint>) {
+        if let Some(before) = self.last_at.replace(now) {
+            let gap = now.saturating_duration_since(before);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.events += 1;
+        if id.is_some() {
+            self.last = id;
+        }
+    }
 }
 
 /// Answers with a stream's head and passes its events on in the background.
@@ -87,7 +103,11 @@
             match end {
                 StreamEnd::Whole | StreamEnd::ClientGone => {
                     let is_whole = matches!(end, StreamEnd::Whole);
-                    log::info!(target: "generation", id:% = job.facts.request, decode:% = server, events = self.progress.events, whole = is_whole, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
+                    if is_whole {
+                        let tokens = self.progress.events * u64::from(self.event_tokens());
+                        self.gateway.learn_length(&job.rule.name, tokens);
+                    }
+                    log::info!(target: "generation", id:% = job.facts.request, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_whole, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
                     break;
                 }
                 StreamEnd::Broken => {}
@@ -112,6 +132,12 @@
         drop(self.active);
     }
 
+    /// Tokens of one event.
+    fn event_tokens(&self) -> u32 {
+        let facts = self.generation.facts.as_ref();
+        facts.map_or(1, |facts| facts.event_tokens)
+    }
+
     /// Goes on at another engine after the last event that was passed on.
     async fn resume(&self, passed: &[ServerName]) -> Option<RunningStream> {
         let job = &self.generation.job;
@@ -172,7 +198,7 @@
             if splitter.push(&data).is_err() {
                 break StreamEnd::Broken;
             }
-            if !self.send_events(&mut splitter).await {
+            if !self.send_events(&mut splitter, &reserved).await {
                 break StreamEnd::ClientGone;
             }
         };
@@ -182,16 +208,19 @@
     }
 
     /// Sends the whole events that have come; `false` if the client is gone.
-    async fn send_events(&mut self, splitter: &mut EventSplitter) -> bool {
+    async fn send_events(
+        &mut self,
+        splitter: &mut EventSplitter,
+        reserved: &StreamReservation,
+    ) -> bool {
+        let event_tokens = self.event_tokens();
         while let Some(event) = splitter.next_event() {
             if self.progress.events == 0 {
                 let job = &self.generation.job;
                 log::info!(target: "generation", id:% = job.facts.request, first_ms = job.arrived.elapsed().as_millis() as u64; "first event");
             }
-            if event.id.is_some() {
-                self.progress.last = event.id;
-            }
-            self.progress.events += 1;
+            self.progress.note_event(Instant::now(), event.id);
+            reserved.grow(event_tokens);
             if self.sender.send(Ok(event.bytes)).await.is_err() {
                 return false;
             }
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use gs_control::forwarding::ServerLoad;
+use gs_control::forwarding::{ServerLoad, StreamKey, StreamShape};
 use gs_protocol::ids::ServerName;
 
 use crate::gateway::Gateway;
@@ -40,17 +40,68 @@
             load,
         }
     }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state.borrow_mut();
+        state.loads.remove(&self.server, self.load);
+        drop(state);
+        self.gateway.load_changed.notify_one();
+        self.gateway.room_changed.notify_one();
+    }
+}
+
+/// Counts a stream at a decode engine; dropping it takes the stream off again.
+pub(crate) struct StreamReservation {
+    gateway: Rc<Gateway>,
+    server: ServerName,
+    key: StreamKey,
+}
+
+impl std::fmt::Debug for StreamReservation {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("StreamReservation")
+            .field("server", &self.server)
+            .field("key", &self.key)
+            .finish_non_exhaustive()
+    }
+}
+
+impl StreamReservation {
+    /// Counts a stream at an engine.
+    pub fn take(gateway: &Rc<Gateway>, server: &ServerName, shape: StreamShape) -> Self {
+        let key = gateway.state.borrow_mut().loads.add_stream(server, shape);
+        Self::counted(gateway, server, key)
+    }
+
+    /// Holds a stream that has been counted already.
+    pub fn counted(gateway: &Rc<Gateway>, server: &ServerName, key: StreamKey) -> Self {
+        gateway.load_changed.notify_one();
+        Self {
+            gateway: Rc::clone(gateway),
+            server: server.clone(),
+            key,
+        }
+    }
 
-    /// Where the work is.
+    /// Where the stream is.
     pub fn server(&self) -> &ServerName {
         &self.server
     }
+
+    /// The stream has grown by some tokens.
+    pub fn grow(&self, tokens: u32) {
+        let mut state = self.gateway.state.borrow_mut();
+        state.loads.grow_stream(&self.server, self.key, tokens);
+    }
 }
 
-impl Drop for Reservation {
+impl Drop for StreamReservation {
     fn drop(&mut self) {
         let mut state = self.gateway.state.borrow_mut();
-        state.loads.remove(&self.server, self.load);
+        state.loads.remove_stream(&self.server, self.key);
         drop(state);
         self.gateway.load_changed.notify_one();
         self.gateway.room_changed.notify_one();
