--- a/crates/gs-gateway/src/call.rs
+++ b/crates/gs-gateway/src/call.rs
@@ -12,9 +12,16 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// Between two keep-alive probes of an idle connection.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is given up.
+const PROBE_RETRIES: u32 = 2;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -72,8 +79,8 @@
             .await
             .map_err(|_| CallError::ConnectTimeout(limit))?
             .map_err(CallError::Connect)?;
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!(target: "call", "Nagle's algorithm stays on: {error}.");
+        if let Err(error) = set_options(&stream) {
+            log::debug!(target: "call", "A socket keeps its options: {error}.");
         }
         let (sender, connection) = Builder::new()
             .handshake(TokioIo::new(stream))
@@ -112,6 +119,16 @@
     }
 }
 
+/// Turns keep-alive probes on, since a connection may go silent for good, and Nagle's algorithm off.
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_RETRIES);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 /// One whole exchange within a time limit, for small calls.
 pub async fn fetch(
     address: SocketAddr,
