--- /dev/null
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -0,0 +1,175 @@
+//! Load and health of servers.
+
+use std::time::Duration;
+
+use gs_control::forwarding::{
+    DecodeDemand, DirectorySettings, EngineFacts, LoadBook, LoadSettings, PlacementView,
+    ServerDirectory, ServerLoad, ServerStage, ServerWork, StreamShape, choose_decode,
+    choose_prefill, choose_server,
+};
+use gs_protocol::ids::ServerName;
+use test_case::test_case;
+
+use super::support::{milliseconds, server, start};
+
+const FACTS: EngineFacts = EngineFacts {
+    slots: 3,
+    memory_tokens: 10_000,
+    event_tokens: 10,
+    result_lifetime: Duration::from_millis(500),
+};
+
+const STREAM: StreamShape = StreamShape {
+    held: 2_000,
+    left: 1_000,
+};
+
+fn name(number: u16) -> ServerName {
+    server(number, None).name
+}
+
+fn directory(stage: Option<ServerStage>, count: u16) -> ServerDirectory {
+    let mut directory = ServerDirectory::new(DirectorySettings::default());
+    let entries = (1..=count).map(|number| server(number, stage));
+    directory.replace_all(start(), entries.collect());
+    directory
+}
+
+fn choose(book: &LoadBook, directory: &ServerDirectory) -> Option<ServerName> {
+    let data_centre = "north".into();
+    let view = PlacementView {
+        now: start(),
+        data_centre: &data_centre,
+        directory,
+        loads: book,
+    };
+    choose_server(&view, &"notes".into(), &[])
+}
+
+fn choose_engine(book: &LoadBook, directory: &ServerDirectory, part: f64) -> Option<ServerName> {
+    let data_centre = "north".into();
+    let view = PlacementView {
+        now: start(),
+        data_centre: &data_centre,
+        directory,
+        loads: book,
+    };
+    let demand = DecodeDemand {
+        shape: STREAM,
+        memory_part: part,
+    };
+    choose_decode(&view, &"notes".into(), &FACTS, demand, &[])
+}
+
+#[test]
+fn the_least_busy_server_is_chosen_with_peers_counted() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(None, 2);
+    book.add(&name(2), ServerLoad::REQUEST);
+    assert_eq!(choose(&book, &directory), Some(name(1)));
+    let work = ServerWork {
+        load: ServerLoad {
+            requests: 2,
+            prompt_tokens: 0,
+        },
+        streams: Vec::new(),
+    };
+    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)]);
+    assert_eq!(choose(&book, &directory), Some(name(2)));
+    book.drop_silent(start() + Duration::from_secs(4));
+    assert_eq!(choose(&book, &directory), Some(name(1)));
+}
+
+#[test]
+fn a_server_that_fails_part_of_its_requests_gets_fewer() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(None, 2);
+    for number in 0..10 {
+        book.note_answer(start(), &name(1), number % 2 == 0);
+        book.note_answer(start(), &name(2), false);
+    }
+    assert_eq!(choose(&book, &directory), Some(name(2)));
+}
+
+#[test_case(0, true; "at once")]
+#[test_case(200, true; "within the hold")]
+#[test_case(300, false; "after the hold")]
+fn an_unreachable_server_is_left_alone_for_a_while(after: u64, is_avoided: bool) {
+    let mut book = LoadBook::new(LoadSettings::default());
+    book.note_unreachable(start(), &name(1));
+    let now = start();
+    assert_eq!(
+        book.is_avoided(now + milliseconds(after), &name(1)),
+        is_avoided
+    );
+}
+
+#[test]
+fn an_unreachable_server_is_better_than_none() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    book.note_unreachable(start(), &name(1));
+    assert_eq!(choose(&book, &directory(None, 1)), Some(name(1)));
+}
+
+#[test_case(0, 0.95, Some(1); "an idle engine")]
+#[test_case(1, 0.95, Some(1); "room for two")]
+#[test_case(2, 0.95, Some(1); "the third fits into nine thousand tokens")]
+#[test_case(2, 0.8, None; "no room in the part for late streams")]
+#[test_case(3, 2.0, None; "all slots are taken")]
+fn an_engine_takes_what_fits(running: u16, part: f64, expected: Option<u16>) {
+    let mut book = LoadBook::new(LoadSettings::default());
+    for _ in 0..running {
+        book.add_stream(&name(1), STREAM);
+    }
+    let directory = directory(Some(ServerStage::Decode), 1);
+    assert_eq!(choose_engine(&book, &directory, part), expected.map(name));
+}
+
+#[test]
+fn peers_streams_take_room_and_grow_meanwhile() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(Some(ServerStage::Decode), 1);
+    let work = ServerWork {
+        load: ServerLoad::default(),
+        streams: vec![STREAM, STREAM],
+    };
+    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)]);
+    assert_eq!(choose_engine(&book, &directory, 0.95), Some(name(1)));
+    assert_eq!(choose_engine(&book, &directory, 0.85), None);
+    let later = book.streams(start() + milliseconds(500), &name(1));
+    assert!(
+        later
+            .iter()
+            .all(|shape| shape.held > STREAM.held && shape.left < STREAM.left)
+    );
+}
+
+#[test]
+fn an_ended_stream_gives_its_room_back() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let key = book.add_stream(&name(1), STREAM);
+    book.grow_stream(&name(1), key, 100);
+    assert_eq!(book.streams(start(), &name(1))[0].held, 2_100);
+    book.remove_stream(&name(1), key);
+    assert!(book.own_digest().is_empty());
+}
+
+#[test]
+fn prompts_are_read_where_the_queue_is_shortest() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(Some(ServerStage::Prefill), 2);
+    let load = ServerLoad {
+        requests: 1,
+        prompt_tokens: 5_000,
+    };
+    book.add(&name(1), load);
+    let data_centre = "north".into();
+    let view = PlacementView {
+        now: start(),
+        data_centre: &data_centre,
+        directory: &directory,
+        loads: &book,
+    };
+    let chosen = choose_prefill(&view, &"notes".into(), &name(1), &[]);
+    assert_eq!(chosen, Some(name(2)));
+}
--- /dev/null
+++ b/crates/gs-control/tests/forwarding/repeats.rs
@@ -0,0 +1,115 @@
+//! What may be sent again, and how often.
+
+use std::time::Duration;
+
+use gs_control::forwarding::{
+    AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RepeatBudget, RouteKind, next_step,
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+use super::support::{milliseconds, start};
+
+const RESUMABLE: RouteKind = RouteKind::Streaming {
+    is_resumable: true,
+    gap_target: None,
+};
+
+const SINGLE_STREAM: RouteKind = RouteKind::Streaming {
+    is_resumable: false,
+    gap_target: None,
+};
+
+const AGAIN: NextStep = NextStep::SendAgain { is_counted: true };
+
+fn history(runs: u32, sends: u32) -> AttemptHistory {
+    AttemptHistory { runs, sends }
+}
+
+#[test_case(RouteKind::Unsafe, AttemptFailure::Unknown, history(1, 1), NextStep::GiveUp(FinalAnswer::Unknown); "a charge that may have run")]
+#[test_case(RouteKind::Unsafe, AttemptFailure::ServerError, history(1, 1), NextStep::GiveUp(FinalAnswer::ServersOwn); "a charge that failed")]
+#[test_case(RouteKind::Unsafe, AttemptFailure::NotExecuted, history(0, 1), AGAIN; "a charge that was turned away")]
+#[test_case(RouteKind::Unsafe, AttemptFailure::NotSent, history(0, 0), NextStep::SendAgain { is_counted: false }; "a charge that did not leave")]
+#[test_case(RouteKind::Safe, AttemptFailure::Unknown, history(1, 1), AGAIN; "a lookup")]
+#[test_case(RouteKind::Safe, AttemptFailure::ServerError, history(2, 2), NextStep::GiveUp(FinalAnswer::ServersOwn); "a lookup after all attempts")]
+#[test_case(RouteKind::Safe, AttemptFailure::NotExecuted, history(2, 3), NextStep::GiveUp(FinalAnswer::Unknown); "a lookup that was turned away after all attempts")]
+#[test_case(SINGLE_STREAM, AttemptFailure::Unknown, history(1, 1), NextStep::GiveUp(FinalAnswer::Unknown); "a stream that may not be resumed")]
+#[test_case(RESUMABLE, AttemptFailure::Unknown, history(1, 1), AGAIN; "a stream that may be resumed")]
+fn the_kind_of_route_decides(
+    kind: RouteKind,
+    failure: AttemptFailure,
+    history: AttemptHistory,
+    expected: NextStep,
+) {
+    assert_eq!(next_step(kind, 2, history, failure), expected);
+}
+
+fn kind() -> impl Strategy<Value = RouteKind> {
+    prop_oneof![
+        Just(RouteKind::Safe),
+        Just(RouteKind::Unsafe),
+        Just(SINGLE_STREAM),
+        Just(RESUMABLE),
+    ]
+}
+
+fn failure() -> impl Strategy<Value = AttemptFailure> {
+    prop_oneof![
+        Just(AttemptFailure::NotSent),
+        Just(AttemptFailure::NotExecuted),
+        Just(AttemptFailure::ServerError),
+        Just(AttemptFailure::Unknown),
+    ]
+}
+
+proptest! {
+    /// Non-idempotent requests run once at most, others as often as their route allows, and "not run" is
+    /// said only where nothing ran.
+    #[test]
+    fn runs_stay_within_the_route(
+        kind in kind(),
+        most in 1..4u32,
+        failures in prop::collection::vec(failure(), 1..12),
+    ) {
+        let mut history = AttemptHistory::default();
+        for failure in failures {
+            history.sends += u32::from(failure != AttemptFailure::NotSent);
+            history.runs += u32::from(!failure.is_not_run());
+            let allowed = if kind.is_idempotent() { most } else { 1 };
+            prop_assert!(history.runs <= allowed);
+            match next_step(kind, most, history, failure) {
+                NextStep::SendAgain { .. } => {}
+                NextStep::GiveUp(answer) => {
+                    prop_assert_eq!(answer == FinalAnswer::NotRun, history.runs == 0);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// No sliding window sees more repeats than the part of the budget.
+    #[test]
+    fn repeats_stay_within_the_window(
+        events in prop::collection::vec((any::<bool>(), 0..700u64), 1..200),
+    ) {
+        let window = Duration::from_secs(10);
+        let mut budget = RepeatBudget::new(0.2, 12.0, window);
+        let mut now = start();
+        let mut spent = Vec::new();
+        let mut requests = Vec::new();
+        for (is_request, pause) in events {
+            now += milliseconds(pause);
+            if is_request {
+                budget.credit(now);
+                requests.push(now);
+            } else if budget.spend(now, 3) {
+                spent.push(now);
+                // The budget keeps whole buckets, so that it looks back a little further than the window.
+                let since = now - window - Duration::from_secs(1);
+                let repeats = spent.iter().filter(|at| **at > now - window).count();
+                let credited = requests.iter().filter(|at| **at >= since).count();
+                prop_assert!(repeats as f64 <= 0.2 * credited as f64 + 4.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gs-control/tests/forwarding/support.rs
@@ -0,0 +1,28 @@
+//! Servers and times of the tests.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use gs_control::forwarding::{ServerEntry, ServerStage};
+
+pub fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn server(number: u16, stage: Option<ServerStage>) -> ServerEntry {
+    ServerEntry {
+        name: format!("server-{number}").as_str().into(),
+        born: Some(u64::from(number)),
+        service: "notes".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 4_000 + number)),
+        data_centre: "north".into(),
+        slots: 4,
+        is_leaving: false,
+        stage,
+    }
+}
+
+pub fn start() -> Instant {
+    // Far enough from the clock's zero for times before it.
+    Instant::now() + Duration::from_secs(3_600)
+}
