Deal room out among the entries that wait, and tell of streams at once

Change: a heartbeat goes out at each start and end of a stream; entries with waiting streams fill only the engines that their turn gives them, by their part of what waits in the fleet; costs have a random part; an engine that turned a stream away gets nothing for 100 ms.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -61,6 +61,8 @@
     pub demand: StreamDemand,
     /// When its client began to ask, in an earlier try perhaps.
     pub asked: Instant,
+    /// When this try came.
+    pub arrived: Instant,
     /// Time to the first event that counts as on time.
     pub latency_target: Duration,
 }
@@ -154,7 +156,7 @@
                 .saturating_sub(self.settings.start_lead);
         let (class, start_by) = match on_time > now {
             true => (StartClass::OnTime, on_time),
-            false => (StartClass::Late, now + self.settings.late_wait),
+            false => (StartClass::Late, stream.arrived + self.settings.late_wait),
         };
         let place = QueuePlace {
             class,
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -59,6 +59,8 @@
 pub struct LoadSettings {
     /// Age from which a peer's digest no longer counts.
     pub digest_lifetime: Duration,
+    /// How long an engine that had no room gets no further stream.
+    pub full_hold: Duration,
     /// How long a server that cannot be reached gets nothing new; doubles with each failure in a row.
     pub unreachable_hold: Duration,
     /// The longest such time.
@@ -75,6 +77,7 @@
     fn default() -> Self {
         Self {
             digest_lifetime: Duration::from_secs(3),
+            full_hold: Duration::from_millis(100),
             unreachable_hold: Duration::from_millis(250),
             unreachable_hold_limit: Duration::from_secs(3),
             failure_weight: 0.1,
@@ -91,6 +94,7 @@
     updated: Instant,
     failures_in_row: u32,
     avoided_until: Option<Instant>,
+    full_until: Option<Instant>,
 }
 
 /// What a peer has running.
@@ -98,6 +102,7 @@
 struct PeerDigest {
     heard: Instant,
     servers: Vec<ServerName>,
+    waiting: u32,
 }
 
 /// What a peer has running at one server.
@@ -197,8 +202,8 @@
             .collect()
     }
 
-    /// Takes in what a peer has running.
-    pub fn hear_peer(&mut self, now: Instant, peer: &EntryName, digest: LoadDigest) {
+    /// Takes in what a peer has running, and how many streams wait there.
+    pub fn hear_peer(&mut self, now: Instant, peer: &EntryName, digest: LoadDigest, waiting: u32) {
         self.forget_peer(peer);
         let mut servers = Vec::with_capacity(digest.len());
         for (server, work) in digest {
@@ -209,10 +214,16 @@
         let digest = PeerDigest {
             heard: now,
             servers,
+            waiting,
         };
         self.peers.insert(peer.clone(), digest);
     }
 
+    /// Streams that wait for room at the peers.
+    pub fn peers_waiting(&self) -> u32 {
+        self.peers.values().map(|digest| digest.waiting).sum()
+    }
+
     /// Forgets peers that have been silent for long.
     pub fn drop_silent(&mut self, now: Instant) {
         let lifetime = self.settings.digest_lifetime;
@@ -304,6 +315,20 @@
         hold
     }
 
+    /// An engine had no room for a stream.
+    pub fn note_full(&mut self, now: Instant, server: &ServerName) {
+        let until = now + self.settings.full_hold;
+        self.health_mut(now, server).full_until = Some(until);
+    }
+
+    /// Whether an engine had no room a moment ago.
+    pub fn is_full(&self, now: Instant, server: &ServerName) -> bool {
+        self.health
+            .get(server)
+            .and_then(|health| health.full_until)
+            .is_some_and(|until| until > now)
+    }
+
     fn health_mut(&mut self, now: Instant, server: &ServerName) -> &mut ServerHealth {
         self.health
             .entry(server.clone())
@@ -312,6 +337,7 @@
                 updated: now,
                 failures_in_row: 0,
                 avoided_until: None,
+                full_until: None,
             })
     }
 
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -21,7 +21,9 @@
 pub use lengths::LengthEstimate;
 pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
-pub use placement::{DecodeDemand, PlacementView, choose_decode, choose_prefill, choose_server};
+pub use placement::{
+    DecodeDemand, EngineTurn, PlacementView, choose_decode, choose_prefill, choose_server,
+};
 pub use repeats::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RepeatBudget, next_step};
 pub use routes::{
     ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceFacts,
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::directory::{ServerDirectory, ServerEntry, ServerStage};
 use super::loads::LoadBook;
@@ -21,6 +22,12 @@
 /// What a prefill engine in another data centre costs, in prompt tokens that are read in the same time.
 const PREFILL_DISTANCE_TOKENS: f64 = 1_500.0;
 
+/// The random part of the cost of an engine or a server, as a share of its memory or slots.
+const SPREAD: f64 = 0.08;
+
+/// The random part of the cost of a prefill engine, in prompt tokens.
+const PREFILL_SPREAD_TOKENS: f64 = 1_000.0;
+
 /// Prompt tokens that a failed prefill is as bad as.
 const PREFILL_FAILURE_TOKENS: f64 = 40_000.0;
 
@@ -29,6 +36,8 @@
 pub struct PlacementView<'a> {
     /// The time.
     pub now: Instant,
+    /// A random number of this decision, so that entries do not all choose the same server.
+    pub salt: u64,
     /// Where this entry stands.
     pub data_centre: &'a DataCentreName,
     /// The servers.
@@ -65,6 +74,11 @@
         }
     }
 
+    /// A random part of a server's cost in this decision.
+    fn spread(&self, entry: &ServerEntry, most: f64) -> f64 {
+        most * drawn(&entry.name, self.salt)
+    }
+
     fn failure_cost(&self, entry: &ServerEntry) -> f64 {
         FAILURE_WEIGHT * self.loads.failure_share(self.now, &entry.name)
     }
@@ -99,6 +113,41 @@
     pub shape: StreamShape,
     /// Part of an engine's memory that may be needed once the stream runs.
     pub memory_part: f64,
+    /// Which engines are this entry's to fill for the moment.
+    pub turn: EngineTurn,
+}
+
+/// Deals the engines out to the entries at which streams wait, so that room that has come is not taken by
+/// all of them at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineTurn {
+    /// A random number of this entry, another one each turn.
+    pub salt: u64,
+    /// This entry's part of the waiting streams; 1 if none waits elsewhere.
+    pub part: f64,
+}
+
+impl EngineTurn {
+    /// All engines are this entry's.
+    pub const ALL: Self = Self { salt: 0, part: 1.0 };
+
+    /// The turn of an entry.
+    pub fn new(salt: u64, own_waiting: usize, peers_waiting: u32) -> Self {
+        let own = own_waiting.max(1) as f64;
+        Self {
+            salt,
+            part: own / (own + f64::from(peers_waiting)),
+        }
+    }
+
+    fn has(&self, server: &ServerName) -> bool {
+        self.part >= 1.0 || drawn(server, self.salt) < self.part
+    }
+}
+
+/// A number from 0 to 1 that belongs to a server and a salt.
+fn drawn(server: &ServerName, salt: u64) -> f64 {
+    xxh3_64_with_seed(server.as_str().as_bytes(), salt) as f64 / u64::MAX as f64
 }
 
 /// The decode engine with the most free memory that has room for a stream.
@@ -112,6 +161,9 @@
     let candidates = view.candidates(service, Some(ServerStage::Decode), passed);
     let memory = facts.memory_tokens.max(1) as f64;
     least(candidates.into_iter().filter_map(|entry| {
+        if view.loads.is_full(view.now, &entry.name) || !demand.turn.has(&entry.name) {
+            return None;
+        }
         let mut shapes = view.loads.streams(view.now, &entry.name);
         let is_alone = shapes.is_empty();
         if shapes.len() >= facts.slots as usize {
@@ -124,7 +176,8 @@
         }
         let cost = part
             + view.failure_cost(entry)
-            + view.distance(entry, view.data_centre, DECODE_DISTANCE_COST);
+            + view.distance(entry, view.data_centre, DECODE_DISTANCE_COST)
+            + view.spread(entry, SPREAD);
         Some((cost, entry.name.clone()))
     }))
 }
@@ -143,7 +196,8 @@
         let load = view.loads.load(&entry.name);
         let cost = load.prompt_tokens as f64
             + view.loads.failure_share(view.now, &entry.name) * PREFILL_FAILURE_TOKENS
-            + view.distance(entry, near, PREFILL_DISTANCE_TOKENS);
+            + view.distance(entry, near, PREFILL_DISTANCE_TOKENS)
+            + view.spread(entry, PREFILL_SPREAD_TOKENS);
         (cost, entry.name.clone())
     }))
 }
--- a/crates/gs-control/tests/forwarding/admission.rs
+++ b/crates/gs-control/tests/forwarding/admission.rs
@@ -14,7 +14,12 @@
 const TARGET: Duration = Duration::from_millis(800);
 
 fn stream(asked: Instant, target: Duration) -> WaitingStream {
+    arrived_later(asked, asked, target)
+}
+
+fn arrived_later(asked: Instant, arrived: Instant, target: Duration) -> WaitingStream {
     WaitingStream {
+        arrived,
         demand: StreamDemand {
             service: "notes".into(),
             shape: StreamShape {
@@ -28,10 +33,10 @@
 }
 
 fn waits(verdict: AdmissionVerdict) -> TicketId {
-    match verdict {
-        AdmissionVerdict::Waits(ticket) => ticket,
-        AdmissionVerdict::Refused { .. } => panic!("refused"),
-    }
+    let AdmissionVerdict::Waits(ticket) = verdict else {
+        panic!("{verdict:?}");
+    };
+    ticket
 }
 
 /// Starts at most `room` streams.
@@ -79,7 +84,7 @@
 fn a_stream_that_comes_back_late_goes_after_those_on_time_and_leaves_room() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
     let asked = start() - Duration::from_secs(3);
-    let late = waits(queue.offer(start(), stream(asked, TARGET), 0.5));
+    let late = waits(queue.offer(start(), arrived_later(asked, start(), TARGET), 0.5));
     let fresh = waits(queue.offer(start(), stream(start(), TARGET), 0.5));
     let mut parts = Vec::new();
     let effects = queue.advance(
@@ -179,7 +184,7 @@
             now += milliseconds(pause);
             for _ in 0..offers {
                 let asked = now - milliseconds(age);
-                if let AdmissionVerdict::Waits(ticket) = queue.offer(now, stream(asked, TARGET), 0.5) {
+                if let AdmissionVerdict::Waits(ticket) = queue.offer(now, arrived_later(asked, now, TARGET), 0.5) {
                     prop_assert!(open.insert(ticket, now).is_none());
                 }
             }
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    DecodeDemand, DirectorySettings, EngineFacts, LoadBook, LoadSettings, PlacementView,
-    ServerDirectory, ServerLoad, ServerStage, ServerWork, StreamShape, choose_decode,
-    choose_prefill, choose_server,
+    DecodeDemand, DirectorySettings, EngineFacts, EngineTurn, LoadBook, LoadSettings,
+    PlacementView, ServerDirectory, ServerLoad, ServerStage, ServerWork, StreamShape,
+    choose_decode, choose_prefill, choose_server,
 };
 use gs_protocol::ids::ServerName;
 use test_case::test_case;
@@ -39,6 +39,7 @@
     let data_centre = "north".into();
     let view = PlacementView {
         now: start(),
+        salt: 1,
         data_centre: &data_centre,
         directory,
         loads: book,
@@ -50,6 +51,7 @@
     let data_centre = "north".into();
     let view = PlacementView {
         now: start(),
+        salt: 1,
         data_centre: &data_centre,
         directory,
         loads: book,
@@ -57,6 +59,7 @@
     let demand = DecodeDemand {
         shape: STREAM,
         memory_part: part,
+        turn: EngineTurn::ALL,
     };
     choose_decode(&view, &"notes".into(), &FACTS, demand, &[])
 }
@@ -74,7 +77,7 @@
         },
         streams: Vec::new(),
     };
-    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)]);
+    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)], 0);
     assert_eq!(choose(&book, &directory), Some(name(2)));
     book.drop_silent(start() + Duration::from_secs(4));
     assert_eq!(choose(&book, &directory), Some(name(1)));
@@ -125,6 +128,73 @@
     assert_eq!(choose_engine(&book, &directory, part), expected.map(name));
 }
 
+#[test]
+fn an_engine_that_was_full_gets_nothing_for_a_moment() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(Some(ServerStage::Decode), 1);
+    book.note_full(start(), &name(1));
+    assert_eq!(choose_engine(&book, &directory, 0.95), None);
+    assert!(!book.is_full(start() + milliseconds(150), &name(1)));
+}
+
+#[test]
+fn entries_with_the_same_view_choose_different_engines() {
+    let book = LoadBook::new(LoadSettings::default());
+    let directory = directory(Some(ServerStage::Decode), 8);
+    let data_centre = "north".into();
+    let demand = DecodeDemand {
+        shape: STREAM,
+        memory_part: 0.95,
+        turn: EngineTurn::ALL,
+    };
+    let chosen: std::collections::BTreeSet<ServerName> = (0..40)
+        .filter_map(|salt| {
+            let view = PlacementView {
+                now: start(),
+                salt,
+                data_centre: &data_centre,
+                directory: &directory,
+                loads: &book,
+            };
+            choose_decode(&view, &"notes".into(), &FACTS, demand, &[])
+        })
+        .collect();
+    assert!(chosen.len() >= 6, "{chosen:?}");
+}
+
+/// Ten entries with a stream each see room at eight engines come at once: few engines are filled twice.
+#[test]
+fn room_is_dealt_out_among_the_entries_that_wait() {
+    let book = LoadBook::new(LoadSettings::default());
+    let directory = directory(Some(ServerStage::Decode), 8);
+    let data_centre = "north".into();
+    let mut taken: std::collections::BTreeMap<ServerName, u32> = Default::default();
+    let turns = 200;
+    for salt in 0..turns * 10 {
+        let view = PlacementView {
+            now: start(),
+            salt,
+            data_centre: &data_centre,
+            directory: &directory,
+            loads: &book,
+        };
+        let demand = DecodeDemand {
+            shape: STREAM,
+            memory_part: 0.95,
+            turn: EngineTurn::new(salt, 1, 9),
+        };
+        if let Some(server) = choose_decode(&view, &"notes".into(), &FACTS, demand, &[]) {
+            *taken.entry(server).or_default() += 1;
+        }
+    }
+    let starts: u32 = taken.values().sum();
+    // Each turn ten entries take eight engines' room at the most, and much of it is used.
+    assert!(
+        (turns * 4..=turns * 8).contains(&u64::from(starts)),
+        "{starts}"
+    );
+}
+
 #[test]
 fn peers_streams_take_room_and_grow_meanwhile() {
     let mut book = LoadBook::new(LoadSettings::default());
@@ -133,7 +203,7 @@
         load: ServerLoad::default(),
         streams: vec![STREAM, STREAM],
     };
-    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)]);
+    book.hear_peer(start(), &"entry-2".into(), vec![(name(1), work)], 0);
     assert_eq!(choose_engine(&book, &directory, 0.95), Some(name(1)));
     assert_eq!(choose_engine(&book, &directory, 0.85), None);
     let later = book.streams(start() + milliseconds(500), &name(1));
@@ -166,6 +236,7 @@
     let data_centre = "north".into();
     let view = PlacementView {
         now: start(),
+        salt: 1,
         data_centre: &data_centre,
         directory: &directory,
         loads: &book,
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -88,12 +88,10 @@
     pub settings: GatewaySettings,
     pub(crate) wire: Box<dyn ServerWire>,
     pub(crate) state: RefCell<GatewayState>,
-    /// Told when own load has changed.
-    pub(crate) load_changed: Notify,
+    /// Told when own streams or their queue have changed, or this entry begins to stop.
+    pub(crate) streams_changed: Notify,
     /// Told when room may have come or a stream has begun to wait.
     pub(crate) room_changed: Notify,
-    /// Told when this entry's readiness has changed.
-    pub(crate) state_changed: Notify,
     stop_ordered: Cell<Option<Instant>>,
     plan: ShutdownPlan,
     pub(crate) active: Cell<usize>,
@@ -121,9 +119,8 @@
             settings,
             wire,
             state: RefCell::new(state),
-            load_changed: Notify::new(),
+            streams_changed: Notify::new(),
             room_changed: Notify::new(),
-            state_changed: Notify::new(),
             stop_ordered: Cell::new(None),
             active: Cell::new(0),
             kept_bytes: Cell::new(0),
@@ -141,8 +138,6 @@
         }
         log::info!(target: "config", version, before:? = present; "configuration applied");
         state.table = Some(Arc::new(table));
-        drop(state);
-        self.state_changed.notify_waiters();
     }
 
     /// The configuration in force.
@@ -164,7 +159,6 @@
             .retain_servers(|server| directory.get(server).is_some());
         drop(guard);
         self.room_changed.notify_one();
-        self.state_changed.notify_waiters();
     }
 
     /// Takes in one server.
@@ -215,12 +209,21 @@
         Some(self.plan.phase(since))
     }
 
+    /// Whether no request is being answered and no work is counted at any server.
+    pub fn is_idle(&self) -> bool {
+        self.active.get() == 0 && self.state.borrow().loads.own_digest().is_empty()
+    }
+
+    /// Whether streams wait for room here.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.state.borrow().queue.is_empty()
+    }
+
     /// Begins the shutdown.
     pub(crate) fn order_stop(&self) {
         if self.stop_ordered.get().is_none() {
             self.stop_ordered.set(Some(Instant::now()));
-            self.state_changed.notify_waiters();
-            self.load_changed.notify_one();
+            self.streams_changed.notify_one();
         }
     }
 
@@ -307,9 +310,11 @@
 
     /// What is known when servers are chosen.
     pub(crate) fn with_view<T>(&self, choose: impl FnOnce(&PlacementView<'_>) -> T) -> T {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        let salt = state.rng.r#gen();
         choose(&PlacementView {
             now: Instant::now(),
+            salt,
             data_centre: &self.settings.own.data_centre,
             directory: &state.directory,
             loads: &state.loads,
@@ -335,6 +340,12 @@
         log::info!(target: "servers", server:%, hold_ms = hold.as_millis() as u64; "server unreachable");
     }
 
+    /// An engine has no room.
+    pub(crate) fn note_full(&self, server: &ServerName) {
+        let mut state = self.state.borrow_mut();
+        state.loads.note_full(Instant::now(), server);
+    }
+
     /// Another server answers at a server's address.
     pub(crate) fn note_misdirected(&self, server: &ServerName) {
         log::info!(target: "servers", server:%; "another server answers at the address");
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -3,20 +3,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use gs_control::forwarding::{
-    AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, ServerLoad, StreamDemand,
-    StreamShape, TicketId, WaitingStream, choose_decode, choose_prefill,
+    AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, EngineTurn, ServerLoad,
+    StreamDemand, StreamShape, TicketId, WaitingStream, choose_decode, choose_prefill,
 };
 use gs_protocol::ids::ServerName;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use tokio::sync::oneshot;
 
 use crate::answer::{AnswerBody, ClientAnswer, own_answer};
-use crate::call::{CallError, ServerCall, fetch};
+use crate::call::{CallError, ServerCall};
 use crate::gateway::{Gateway, StartOrder};
+use crate::give_back::give_back;
 use crate::plain::{CONNECT_LIMIT, ForwardJob, RETURN_AFTER};
 use crate::pump::{RunningStream, start_pump};
 use crate::reservation::{Reservation, StreamReservation};
@@ -40,9 +39,6 @@
 /// How long a prefill may take, in latency targets of its route.
 const PREFILL_TARGETS: f64 = 1.0;
 
-/// How long a call that frees a result may take.
-const FREE_LIMIT: Duration = Duration::from_secs(1);
-
 /// The last place in an engine's queue.
 const LAST_PRIORITY: u8 = 9;
 
@@ -64,6 +60,7 @@
         DecodeDemand {
             shape: self.demand.shape,
             memory_part: SECOND_MEMORY_PART,
+            turn: EngineTurn::ALL,
         }
     }
 }
@@ -94,21 +91,8 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let (method, path) = self.gateway.wire.free_call(&source.handle);
-        actix_rt::spawn(async move {
-            let request = Request::builder()
-                .method(method)
-                .uri(path)
-                .header("host", source.address.to_string())
-                .body(Full::new(Bytes::new()));
-            let Ok(request) = request else {
-                return;
-            };
-            if let Err(error) = fetch(source.address, request, FREE_LIMIT, MAX_PREFILL_ANSWER).await
-            {
-                log::info!(target: "generation", engine:% = source.address, error:%; "prefill result not freed");
-            }
-        });
+        let call = self.gateway.wire.free_call(&source.handle);
+        give_back(source.address, call);
     }
 }
 
@@ -136,14 +120,13 @@
         .and_then(|service| service.engine.clone());
     let demand = stream_demand(gateway, &job);
     let generation = GenerationJob { job, demand, facts };
-    let reserved = match wait_for_room(gateway, &generation).await {
-        Ok(reserved) => reserved,
+    match wait_for_room(gateway, &generation).await {
+        Ok(reserved) => run(gateway, generation, reserved).await,
         Err(retry_after) => {
             log::info!(target: "generation", id:% = generation.job.facts.request, retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no room");
-            return generation.job.refusal(gateway, retry_after);
+            generation.job.refusal(gateway, retry_after)
         }
-    };
-    run(gateway, generation, reserved).await
+    }
 }
 
 fn stream_demand(gateway: &Gateway, job: &ForwardJob) -> StreamDemand {
@@ -183,6 +166,7 @@
     let waiting = WaitingStream {
         demand: generation.demand.clone(),
         asked: job.arrived.checked_sub(passed).unwrap_or(job.arrived),
+        arrived: job.arrived,
         latency_target: job.rule.latency_target,
     };
     let draw = gateway.draw();
@@ -244,7 +228,8 @@
         }
         let source = kept.as_ref().and_then(|kept| kept.source.as_ref());
         let resume = job.facts.resume.as_ref();
-        let outcome = decode(gateway, &generation, reserved.server(), source, resume).await;
+        let stage = SendStage::Decode(source);
+        let outcome = decode(gateway, &generation, reserved.server(), stage, resume).await;
         match outcome {
             DecodeOutcome::Streams(answer, call) => {
                 if let Some(kept) = kept.take() {
@@ -260,13 +245,14 @@
             DecodeOutcome::Failed(failure, answer) if failure.is_not_run() => {
                 log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?, own = answer.is_some(); "stream not started");
                 passed.push(reserved.server().clone());
+                gateway.note_full(reserved.server());
                 match reserve_again(gateway, &generation, &passed) {
                     Some(other) => reserved = other,
                     None => break,
                 }
             }
             DecodeOutcome::Failed(failure, answer) => {
-                // The engine may have taken the result; it goes by itself if not.
+                // The engine may have taken the result; it lapses if not.
                 if let Some(kept) = kept.take() {
                     kept.taken();
                 }
@@ -402,12 +388,12 @@
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
     server: &ServerName,
-    source: Option<&KvSource>,
+    stage: SendStage<'_>,
     resume: Option<&ResumePoint>,
 ) -> DecodeOutcome {
     let job = &generation.job;
     let left = job.answer_by().saturating_duration_since(Instant::now());
-    let sent = send_decode(gateway, generation, server, source, resume);
+    let sent = send_decode(gateway, generation, server, stage, resume);
     let (answer, call) = match tokio::time::timeout(left, sent).await {
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) if error.is_not_sent() => {
@@ -461,7 +447,7 @@
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
     server: &ServerName,
-    source: Option<&KvSource>,
+    stage: SendStage<'_>,
     resume: Option<&ResumePoint>,
 ) -> Result<(Response<Incoming>, ServerCall), CallError> {
     let job = &generation.job;
@@ -470,7 +456,7 @@
     let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
     let order = ServerOrder {
         server,
-        stage: SendStage::Decode(source),
+        stage,
         deadline: job.answer_by().saturating_duration_since(Instant::now()),
         priority: Some(generation.priority()),
         resume,
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod event_stream;
 mod gateway;
 mod generation;
+mod give_back;
 mod ingress;
 mod lifecycle;
 mod peers;
@@ -29,5 +30,5 @@
 pub use peers::{PeerLink, run_peers};
 pub use wire::{
     AnswerVerdict, ClientFacts, GenerationFacts, KvSource, PrefillResult, RequestError,
-    ResumePoint, SendStage, ServerOrder, ServerWire,
+    ResumePoint, SendStage, ServerOrder, ServerWire, SmallCall,
 };
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -4,9 +4,12 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionEffect, DecodeDemand, PlacementView, ShutdownPhase, choose_decode,
+    AdmissionEffect, DecodeDemand, EngineTurn, PlacementView, ShutdownPhase, StreamKey,
+    choose_decode,
 };
-use rand::Rng;
+use gs_protocol::ids::ServerName;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::GatewayError;
@@ -25,6 +28,9 @@
 /// Starts and refuses waiting streams until the process ends.
 pub async fn run_admission(gateway: Rc<Gateway>) {
     let mut looked = Instant::now();
+    let mut turn_began = Instant::now();
+    let mut salt = 0;
+    let mut is_waiting = false;
     loop {
         tokio::select! {
             () = gateway.room_changed.notified() => {}
@@ -34,7 +40,15 @@
             looked = Instant::now();
             drop_silent(&gateway);
         }
-        advance(&gateway);
+        if turn_began.elapsed() >= ADMISSION_TICK {
+            turn_began = Instant::now();
+            salt = gateway.state.borrow_mut().rng.r#gen();
+        }
+        advance(&gateway, salt);
+        let was_waiting = std::mem::replace(&mut is_waiting, gateway.has_waiting());
+        if was_waiting != is_waiting {
+            gateway.streams_changed.notify_one();
+        }
     }
 }
 
@@ -47,7 +61,31 @@
     }
 }
 
-fn advance(gateway: &Rc<Gateway>) {
+fn advance(gateway: &Rc<Gateway>, turn_salt: u64) {
+    let effects = decide(gateway, turn_salt);
+    for effect in effects {
+        let (ticket, order) = match effect {
+            AdmissionEffect::Start { ticket, place } => {
+                let (server, key) = place;
+                let reserved = StreamReservation::counted(gateway, &server, key);
+                (ticket, StartOrder::Start(reserved))
+            }
+            AdmissionEffect::Refuse {
+                ticket,
+                retry_after,
+            } => (ticket, StartOrder::Refuse(retry_after)),
+        };
+        let waiter = gateway.state.borrow_mut().waiters.remove(&ticket);
+        if let Some(waiter) = waiter
+            && waiter.send(order).is_err()
+        {
+            log::debug!(target: "request", "The client of a stream that would start is gone.");
+        }
+    }
+}
+
+/// Lets the queue decide, with each stream that starts counted at once.
+fn decide(gateway: &Gateway, turn_salt: u64) -> Vec<AdmissionEffect<(ServerName, StreamKey)>> {
     let now = Instant::now();
     let mut guard = gateway.state.borrow_mut();
     let GatewayState {
@@ -55,24 +93,23 @@
         directory,
         loads,
         queue,
-        waiters,
         rng,
         ..
     } = &mut *guard;
-    if queue.is_empty() {
-        return;
-    }
-    let Some(table) = table.as_ref() else {
-        return;
+    let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
+        return Vec::new();
     };
     let data_centre = &gateway.settings.own.data_centre;
-    let effects = queue.advance(
+    let turn = EngineTurn::new(turn_salt, queue.len(), loads.peers_waiting());
+    let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
+    queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
         |demand, memory_part| {
             let facts = table.service(&demand.service)?.engine.as_ref()?;
             let view = PlacementView {
                 now,
+                salt: salts.r#gen(),
                 data_centre,
                 directory,
                 loads,
@@ -80,37 +117,13 @@
             let needs = DecodeDemand {
                 shape: demand.shape,
                 memory_part,
+                turn,
             };
             let server = choose_decode(&view, &demand.service, facts, needs, &[])?;
             let key = loads.add_stream(&server, demand.shape);
             Some((server, key))
         },
-    );
-    let mut orders = Vec::with_capacity(effects.len());
-    for effect in effects {
-        let (ticket, order) = match effect {
-            AdmissionEffect::Start { ticket, place } => (ticket, Ok(place)),
-            AdmissionEffect::Refuse {
-                ticket,
-                retry_after,
-            } => (ticket, Err(retry_after)),
-        };
-        orders.push((waiters.remove(&ticket), order));
-    }
-    drop(guard);
-    for (waiter, order) in orders {
-        let order = match order {
-            Ok((server, key)) => {
-                StartOrder::Start(StreamReservation::counted(gateway, &server, key))
-            }
-            Err(retry_after) => StartOrder::Refuse(retry_after),
-        };
-        if let Some(waiter) = waiter
-            && waiter.send(order).is_err()
-        {
-            log::debug!(target: "request", "The client of a stream that would start is gone.");
-        }
-    }
+    )
 }
 
 /// Waits for the order to stop, and returns when the process should end.
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -19,11 +19,14 @@
 use crate::error::GatewayError;
 use crate::gateway::Gateway;
 
-/// Between two heartbeats when the load does not change.
+/// Between two heartbeats when no stream begins or ends.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
-/// Between two heartbeats with changed load, for each entry of the fleet.
-const CHANGE_GAP_PER_ENTRY: Duration = Duration::from_millis(3);
+/// Between two heartbeats that tell of streams, at the least.
+const CHANGE_GAP: Duration = Duration::from_millis(4);
+
+/// The same for each entry of the fleet.
+const CHANGE_GAP_PER_ENTRY: Duration = Duration::from_micros(150);
 
 /// The longest heartbeat, in bytes.
 const MAX_DATAGRAM: usize = 8_192;
@@ -37,6 +40,8 @@
     is_ready: bool,
     state: PeerState,
     loads: LoadDigest,
+    /// Streams that wait for room there.
+    waiting: u32,
 }
 
 /// The socket between entries.
@@ -89,10 +94,10 @@
         number += 1;
         send_heartbeat(&gateway, &link, &own, number).await;
         gateway.handle_membership(MembershipEvent::Tick);
-        let gap = CHANGE_GAP_PER_ENTRY * gateway.entry_count();
+        let gap = CHANGE_GAP + CHANGE_GAP_PER_ENTRY * gateway.entry_count();
         tokio::time::sleep(gap).await;
         tokio::select! {
-            () = gateway.load_changed.notified() => {}
+            () = gateway.streams_changed.notified() => {}
             () = tokio::time::sleep(HEARTBEAT.saturating_sub(gap)) => {}
         }
     }
@@ -108,6 +113,7 @@
             sequence: SequenceNumber(gateway.table().map_or(0, |table| table.version)),
         },
         loads: gateway.state.borrow().loads.own_digest(),
+        waiting: gateway.state.borrow().queue.len() as u32,
     };
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(&heartbeat, &mut bytes) {
@@ -128,7 +134,7 @@
             Ok((length, _)) => length,
             Err(error) => {
                 log::debug!(target: "peers", "A datagram was not received: {error}.");
-                tokio::time::sleep(CHANGE_GAP_PER_ENTRY).await;
+                tokio::time::sleep(CHANGE_GAP).await;
                 continue;
             }
         };
@@ -163,7 +169,9 @@
     });
     let now = Instant::now();
     let mut gateway_state = gateway.state.borrow_mut();
-    gateway_state.loads.hear_peer(now, &name, heartbeat.loads);
+    gateway_state
+        .loads
+        .hear_peer(now, &name, heartbeat.loads, heartbeat.waiting);
     drop(gateway_state);
     gateway.room_changed.notify_one();
 }
--- a/crates/gs-gateway/src/pump.rs
+++ b/crates/gs-gateway/src/pump.rs
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::generation::{GenerationJob, reserve_again, send_decode};
 use crate::reservation::{ActiveRequest, StreamReservation};
-use crate::wire::{AnswerVerdict, ResumePoint};
+use crate::wire::{AnswerVerdict, ResumePoint, SendStage};
 
 /// Pieces that wait for a slow client before its engine is made to wait.
 const WAITING_PIECES: usize = 16;
@@ -157,7 +157,8 @@
         }
         let server = reserved.server().clone();
         let left = job.answer_by().saturating_duration_since(Instant::now());
-        let sent = send_decode(&self.gateway, &self.generation, &server, None, last);
+        let stage = SendStage::Decode(None);
+        let sent = send_decode(&self.gateway, &self.generation, &server, stage, last);
         let sent = tokio::time::timeout(left, sent).await.ok()?;
         let (answer, call) = match sent {
             Ok(sent) => sent,
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -33,7 +33,6 @@
 
     /// Holds work that has been counted already.
     pub fn counted(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> Self {
-        gateway.load_changed.notify_one();
         Self {
             gateway: Rc::clone(gateway),
             server: server.clone(),
@@ -46,9 +45,6 @@
     fn drop(&mut self) {
         let mut state = self.gateway.state.borrow_mut();
         state.loads.remove(&self.server, self.load);
-        drop(state);
-        self.gateway.load_changed.notify_one();
-        self.gateway.room_changed.notify_one();
     }
 }
 
@@ -78,7 +74,7 @@
 
     /// Holds a stream that has been counted already.
     pub fn counted(gateway: &Rc<Gateway>, server: &ServerName, key: StreamKey) -> Self {
-        gateway.load_changed.notify_one();
+        gateway.streams_changed.notify_one();
         Self {
             gateway: Rc::clone(gateway),
             server: server.clone(),
@@ -103,7 +99,7 @@
         let mut state = self.gateway.state.borrow_mut();
         state.loads.remove_stream(&self.server, self.key);
         drop(state);
-        self.gateway.load_changed.notify_one();
+        self.gateway.streams_changed.notify_one();
         self.gateway.room_changed.notify_one();
     }
 }
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, http};
 
 /// A request that is no proper request.
-#[derive(Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Debug, Eq, thiserror::Error, PartialEq)]
 pub enum RequestError {
     /// It has no identity.
     #[error("the request has no identity")]
@@ -96,6 +96,15 @@
     pub handle: String,
 }
 
+/// A call without a body to an engine, which belongs to no request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SmallCall {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+}
+
 /// What an answer's head says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerVerdict {
@@ -129,7 +138,7 @@
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
 
     /// The call that frees a prefill's result.
-    fn free_call(&self, handle: &str) -> (Method, String);
+    fn free_call(&self, handle: &str) -> SmallCall;
 
     /// The header that says when to come back, and its value.
     fn retry_after(&self, after: Duration) -> (hyper::header::HeaderName, HeaderValue);
--- /dev/null
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -0,0 +1,5 @@
+//! The gateway on loopback, before servers that fail.
+
+mod generation;
+mod plain;
+mod support;
--- /dev/null
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -0,0 +1,186 @@
+//! A gateway before servers of a test.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gs_control::forwarding::{
+    ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServerEntry,
+    ServerStage, ServiceFacts,
+};
+use gs_control::membership::MembershipSettings;
+use gs_gateway::{Gateway, GatewaySettings, run_admission, serve_clients};
+use gs_protocol::ids::{EntryIdentity, Incarnation};
+use gs_protocol::peer::PeerIdentity;
+use tokio::net::TcpListener;
+
+use super::client::{RawAnswer, RawClient};
+use super::wire::TestWire;
+
+/// The routes of the tests, by kind.
+#[derive(Clone, Copy, Debug)]
+pub enum Route {
+    Safe,
+    Unsafe,
+    Stream,
+    Resumable,
+}
+
+impl Route {
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Safe => "/safe/",
+            Self::Unsafe => "/unsafe/",
+            Self::Stream => "/stream/",
+            Self::Resumable => "/resumable/",
+        }
+    }
+
+    fn rule(self) -> RouteRule {
+        let (kind, service) = match self {
+            Self::Safe => (RouteKind::Safe, "desk"),
+            Self::Unsafe => (RouteKind::Unsafe, "desk"),
+            Self::Stream => (stream_kind(false), "notes"),
+            Self::Resumable => (stream_kind(true), "notes"),
+        };
+        RouteRule {
+            name: self.path().to_owned(),
+            host: "desk.example".to_owned(),
+            path_prefix: self.path().to_owned(),
+            kind,
+            timeout: Duration::from_secs(5),
+            latency_target: Duration::from_millis(800),
+            rank: 0,
+            targets: vec![RouteTarget {
+                service: service.into(),
+                weight: 1,
+            }],
+            max_attempts: 2,
+        }
+    }
+}
+
+fn stream_kind(is_resumable: bool) -> RouteKind {
+    RouteKind::Streaming {
+        is_resumable,
+        gap_target: None,
+    }
+}
+
+fn entry(
+    name: &str,
+    service: &str,
+    address: SocketAddr,
+    stage: Option<ServerStage>,
+) -> ServerEntry {
+    ServerEntry {
+        name: name.into(),
+        born: None,
+        service: service.into(),
+        address,
+        data_centre: "north".into(),
+        slots: 4,
+        is_leaving: false,
+        stage,
+    }
+}
+
+pub fn service_entry(name: &str, address: SocketAddr) -> ServerEntry {
+    entry(name, "desk", address, None)
+}
+
+pub fn prefill_entry(name: &str, address: SocketAddr) -> ServerEntry {
+    entry(name, "notes", address, Some(ServerStage::Prefill))
+}
+
+pub fn decode_entry(name: &str, address: SocketAddr) -> ServerEntry {
+    entry(name, "notes", address, Some(ServerStage::Decode))
+}
+
+/// A gateway that serves on loopback.
+pub struct Deployment {
+    pub gateway: Rc<Gateway>,
+    pub address: SocketAddr,
+}
+
+impl Deployment {
+    pub async fn start(servers: Vec<ServerEntry>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let gateway = Rc::new(Gateway::new(settings(address), Box::new(TestWire)));
+        let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
+        let rules = routes.map(Route::rule).into();
+        gateway.apply_table(RouteTable::new(
+            1,
+            ClientLimits::default(),
+            rules,
+            services(),
+        ));
+        gateway.replace_servers(servers);
+        actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
+        actix_rt::spawn(run_admission(Rc::clone(&gateway)));
+        Self { gateway, address }
+    }
+
+    /// Sends a request that ends its connection and reads the whole answer.
+    pub async fn ask(&self, route: Route, id: &str) -> RawAnswer {
+        let mut client = RawClient::connect(self.address).await;
+        client
+            .send(&request(route, id, "connection: close\r\n"))
+            .await;
+        client.read_all().await
+    }
+}
+
+/// The bytes of a request.
+pub fn request(route: Route, id: &str, headers: &str) -> String {
+    let path = route.path();
+    format!(
+        "POST {path}x?y=1 HTTP/1.1\r\nhost: desk.example\r\nt-id: {id}\r\nt-tokens: 50\r\n\
+         {headers}content-length: 4\r\n\r\nbody"
+    )
+}
+
+fn services() -> BTreeMap<gs_protocol::ids::ServiceName, ServiceFacts> {
+    let engine = EngineFacts {
+        slots: 4,
+        memory_tokens: 10_000,
+        event_tokens: 1,
+        result_lifetime: Duration::from_millis(500),
+    };
+    let plain = ServiceFacts {
+        max_connections: None,
+        engine: None,
+    };
+    let engines = ServiceFacts {
+        max_connections: None,
+        engine: Some(engine),
+    };
+    BTreeMap::from([("desk".into(), plain), ("notes".into(), engines)])
+}
+
+fn settings(address: SocketAddr) -> GatewaySettings {
+    GatewaySettings {
+        own: PeerIdentity {
+            identity: EntryIdentity {
+                entry: "entry-1".into(),
+                incarnation: Incarnation(1),
+            },
+            data_centre: "north".into(),
+            address,
+            peer_address: address,
+        },
+        seed: 1,
+        stop_grace: Duration::from_secs(4),
+        repeat_ratio: 0.2,
+        repeat_extra: 50.0,
+        repeat_window: Duration::from_secs(10),
+        max_connections: 100,
+        max_kept_bytes: 1_000_000,
+        membership: MembershipSettings {
+            suspect_after: Duration::from_secs(2),
+            dead_after: Duration::from_secs(5),
+        },
+    }
+}
--- /dev/null
+++ b/crates/gs-gateway/tests/gateway/support/server.rs
@@ -0,0 +1,149 @@
+//! Servers that answer byte for byte as a test says.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a server does with one request; `{id}` in bytes stands for the request's identity.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Sends bytes and closes.
+    Send(String),
+    /// Sends bytes and resets the connection.
+    Reset(String),
+    /// Sends bytes and leaves the connection open.
+    Hold(String),
+    /// Sends several pieces with a pause before each, then closes.
+    Pieces(Vec<String>, Duration),
+}
+
+impl Script {
+    /// A whole answer.
+    pub fn whole(status: u16, headers: &str, body: &str) -> Self {
+        let length = body.len();
+        Self::Send(format!(
+            "HTTP/1.1 {status} X\r\nt-id: {{id}}\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    /// The head of an answer in chunks.
+    pub fn chunked_head() -> String {
+        "HTTP/1.1 200 OK\r\nt-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n".to_owned()
+    }
+
+    /// One chunk.
+    pub fn chunk(data: &str) -> String {
+        format!("{:x}\r\n{data}\r\n", data.len())
+    }
+}
+
+type Scripted = dyn Fn(usize, &str) -> Script;
+
+/// A server of a test.
+#[derive(Clone)]
+pub struct StubServer {
+    pub address: SocketAddr,
+    requests: Rc<RefCell<Vec<String>>>,
+    closed: Rc<RefCell<usize>>,
+}
+
+impl StubServer {
+    /// Starts a server; the script gets the number of the request and its bytes.
+    pub async fn start(script: impl Fn(usize, &str) -> Script + 'static) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let server = Self {
+            address: listener.local_addr().expect("an address"),
+            requests: Rc::default(),
+            closed: Rc::default(),
+        };
+        let shared = server.clone();
+        let script: Rc<Scripted> = Rc::new(script);
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (shared, script) = (shared.clone(), Rc::clone(&script));
+                actix_rt::spawn(async move { shared.serve(stream, &*script).await });
+            }
+        });
+        server
+    }
+
+    /// The requests that were read, heads and bodies.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.borrow().clone()
+    }
+
+    /// Requests whose sender closed the connection while the server held it.
+    pub fn closed(&self) -> usize {
+        *self.closed.borrow()
+    }
+
+    async fn serve(&self, mut stream: TcpStream, script: &Scripted) {
+        let Some(request) = read_request(&mut stream).await else {
+            return;
+        };
+        let number = self.requests.borrow().len();
+        let action = script(number, &request);
+        let id = header(&request, "t-id").unwrap_or_default();
+        self.requests.borrow_mut().push(request);
+        let filled = |text: &str| text.replace("{id}", &id).into_bytes();
+        match action {
+            Script::Send(text) => {
+                let _ = stream.write_all(&filled(&text)).await;
+            }
+            Script::Reset(text) => {
+                let _ = stream.write_all(&filled(&text)).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                reset(stream);
+            }
+            Script::Hold(text) => {
+                let _ = stream.write_all(&filled(&text)).await;
+                let mut rest = [0; 64];
+                while !matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {}
+                *self.closed.borrow_mut() += 1;
+            }
+            Script::Pieces(pieces, pause) => {
+                for piece in pieces {
+                    tokio::time::sleep(pause).await;
+                    if stream.write_all(&filled(&piece)).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn reset(stream: TcpStream) {
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
+/// The value of a header of a request.
+pub fn header(request: &str, name: &str) -> Option<String> {
+    let line = request
+        .lines()
+        .find(|line| line.to_ascii_lowercase().starts_with(&format!("{name}:")))?;
+    Some(line.split_once(':')?.1.trim().to_owned())
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length").and_then(|text| text.parse().ok());
+            if bytes.len() >= end + 4 + length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
+        }
+    }
+}
