Expect waits from the fleet's pace, and keep late streams out of the way

Change: the wait is expected from the streams that run and wait in the whole fleet; a late stream is refused at once while others wait that can be on time; heartbeats are arrays, and the whole of an entry goes out less often in larger fleets.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -5,7 +5,7 @@
 //! that can still be on time go first, by the time at which their first event is due; those that come back
 //! after a refusal go next. What would have to wait beyond its start time is refused at its arrival.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::ServiceName;
@@ -26,12 +26,20 @@
     pub memory_part: f64,
     /// The same for streams that come late anyhow, so that room is left for those that do not.
     pub late_memory_part: f64,
-    /// Starts are counted over this time.
-    pub rate_window: Duration,
     /// The shortest and the longest advice when to come back.
     pub retry_after: (Duration, Duration),
 }
 
+impl AdmissionSettings {
+    /// Part of an engine's memory that streams of a class may be expected to need.
+    pub fn memory_part(&self, class: StartClass) -> f64 {
+        match class {
+            StartClass::OnTime => self.memory_part,
+            StartClass::Late => self.late_memory_part,
+        }
+    }
+}
+
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
@@ -39,7 +47,6 @@
             late_wait: Duration::from_millis(1_500),
             memory_part: 0.95,
             late_memory_part: 0.8,
-            rate_window: Duration::from_secs(2),
             retry_after: (Duration::from_millis(1_200), Duration::from_millis(4_500)),
         }
     }
@@ -67,6 +74,15 @@
     pub latency_target: Duration,
 }
 
+/// How fast room comes in the whole fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FleetPace {
+    /// Streams that wait at other entries.
+    pub waiting_elsewhere: WaitingCounts,
+    /// Streams that end in a second.
+    pub ends_per_second: f64,
+}
+
 /// What became of an offer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AdmissionVerdict {
@@ -100,11 +116,32 @@
 
 /// Whether a stream can be on time; the order is that of the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum StartClass {
+pub enum StartClass {
+    /// Its first event can come in time.
     OnTime,
+    /// It comes late, whatever is done.
     Late,
 }
 
+/// Streams that wait, by class.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WaitingCounts {
+    /// Streams that can be on time.
+    pub on_time: u32,
+    /// Streams that come late.
+    pub late: u32,
+}
+
+impl WaitingCounts {
+    /// The count of a class.
+    pub fn of(self, class: StartClass) -> u32 {
+        match class {
+            StartClass::OnTime => self.on_time,
+            StartClass::Late => self.late,
+        }
+    }
+}
+
 /// The place in the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueuePlace {
@@ -119,7 +156,6 @@
     settings: AdmissionSettings,
     waiting: BTreeMap<QueuePlace, WaitingStream>,
     places: BTreeMap<TicketId, QueuePlace>,
-    starts: VecDeque<Instant>,
     next_ticket: TicketId,
 }
 
@@ -130,16 +166,30 @@
             settings,
             waiting: BTreeMap::new(),
             places: BTreeMap::new(),
-            starts: VecDeque::new(),
             next_ticket: 0,
         }
     }
 
+    /// The settings.
+    pub fn settings(&self) -> &AdmissionSettings {
+        &self.settings
+    }
+
     /// Streams that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
     }
 
+    /// Streams that wait, by class.
+    pub fn waiting(&self) -> WaitingCounts {
+        let classes = self.waiting.keys().map(|place| place.class);
+        let on_time = classes.filter(|class| *class == StartClass::OnTime).count();
+        WaitingCounts {
+            on_time: on_time as u32,
+            late: (self.waiting.len() - on_time) as u32,
+        }
+    }
+
     /// Whether no stream waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -147,7 +197,13 @@
 
     /// Takes a stream into the queue, unless its turn is expected to come too late. `draw`, from 0 to 1,
     /// spreads the returns of refused clients.
-    pub fn offer(&mut self, now: Instant, stream: WaitingStream, draw: f64) -> AdmissionVerdict {
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        stream: WaitingStream,
+        pace: FleetPace,
+        draw: f64,
+    ) -> AdmissionVerdict {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let on_time = stream.asked
@@ -163,8 +219,8 @@
             start_by,
             ticket,
         };
-        if self.expected_wait(now, &place) > start_by.saturating_duration_since(now) {
-            let retry_after = self.retry_after(now, draw);
+        if self.expected_wait(&place, pace) > start_by.saturating_duration_since(now) {
+            let retry_after = self.retry_after(draw);
             return AdmissionVerdict::Refused { retry_after };
         }
         self.waiting.insert(place, stream);
@@ -184,7 +240,7 @@
         &mut self,
         now: Instant,
         mut draw: impl FnMut() -> f64,
-        mut place_for: impl FnMut(&StreamDemand, f64) -> Option<P>,
+        mut place_for: impl FnMut(&StreamDemand, StartClass) -> Option<P>,
     ) -> Vec<AdmissionEffect<P>> {
         let mut effects = Vec::new();
         let expired: Vec<QueuePlace> = self
@@ -197,20 +253,15 @@
             self.withdraw(place.ticket);
             effects.push(AdmissionEffect::Refuse {
                 ticket: place.ticket,
-                retry_after: self.retry_after(now, draw()),
+                retry_after: self.retry_after(draw()),
             });
         }
         while let Some((place, stream)) = self.waiting.first_key_value() {
-            let memory_part = match place.class {
-                StartClass::OnTime => self.settings.memory_part,
-                StartClass::Late => self.settings.late_memory_part,
-            };
-            let Some(target) = place_for(&stream.demand, memory_part) else {
+            let Some(target) = place_for(&stream.demand, place.class) else {
                 break;
             };
             let ticket = place.ticket;
             self.withdraw(ticket);
-            self.starts.push_back(now);
             effects.push(AdmissionEffect::Start {
                 ticket,
                 place: target,
@@ -219,24 +270,28 @@
         effects
     }
 
-    /// How long the streams before a place are expected to take, at the rate of the last starts.
-    fn expected_wait(&mut self, now: Instant, place: &QueuePlace) -> Duration {
-        let window = self.settings.rate_window;
-        while let Some(first) = self.starts.front()
-            && now.saturating_duration_since(*first) > window
-        {
-            self.starts.pop_front();
-        }
-        let ahead = self.waiting.range(..place).count();
-        if ahead == 0 {
-            return Duration::ZERO;
+    /// How long the streams before a place are expected to take. Those of other entries count as well, as
+    /// the room is shared. While streams that can be on time wait, none that comes late gets room.
+    fn expected_wait(&self, place: &QueuePlace, pace: FleetPace) -> Duration {
+        let elsewhere = pace.waiting_elsewhere;
+        let ahead = match place.class {
+            StartClass::OnTime => elsewhere.on_time,
+            StartClass::Late if elsewhere.on_time + self.waiting().on_time > 0 => {
+                return Duration::MAX;
+            }
+            StartClass::Late => elsewhere.late,
+        };
+        let ahead = f64::from(ahead) + self.waiting.range(..place).count() as f64;
+        match ahead > 0.0 {
+            true => {
+                Duration::try_from_secs_f64(ahead / pace.ends_per_second).unwrap_or(Duration::MAX)
+            }
+            false => Duration::ZERO,
         }
-        let starts = self.starts.len().max(1);
-        window.mul_f64(ahead as f64 / starts as f64)
     }
 
     /// When room is expected, spread over time so that refused clients do not return together.
-    fn retry_after(&self, _now: Instant, draw: f64) -> Duration {
+    fn retry_after(&self, draw: f64) -> Duration {
         let (shortest, longest) = self.settings.retry_after;
         shortest + (longest - shortest).mul_f64(draw.clamp(0.0, 1.0))
     }
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -6,6 +6,7 @@
 use gs_protocol::ids::{EntryName, ServerName};
 use serde::{Deserialize, Serialize};
 
+use super::admission::WaitingCounts;
 use super::memory::StreamShape;
 
 /// Work at one server, besides streams.
@@ -102,7 +103,7 @@
 struct PeerDigest {
     heard: Instant,
     servers: Vec<ServerName>,
-    waiting: u32,
+    waiting: WaitingCounts,
 }
 
 /// What a peer has running at one server.
@@ -203,7 +204,13 @@
     }
 
     /// Takes in what a peer has running, and how many streams wait there.
-    pub fn hear_peer(&mut self, now: Instant, peer: &EntryName, digest: LoadDigest, waiting: u32) {
+    pub fn hear_peer(
+        &mut self,
+        now: Instant,
+        peer: &EntryName,
+        digest: LoadDigest,
+        waiting: WaitingCounts,
+    ) {
         self.forget_peer(peer);
         let mut servers = Vec::with_capacity(digest.len());
         for (server, work) in digest {
@@ -220,8 +227,20 @@
     }
 
     /// Streams that wait for room at the peers.
-    pub fn peers_waiting(&self) -> u32 {
-        self.peers.values().map(|digest| digest.waiting).sum()
+    pub fn peers_waiting(&self) -> WaitingCounts {
+        let mut total = WaitingCounts::default();
+        for digest in self.peers.values() {
+            total.on_time += digest.waiting.on_time;
+            total.late += digest.waiting.late;
+        }
+        total
+    }
+
+    /// Streams that are known to run in the whole fleet.
+    pub fn running_streams(&self) -> usize {
+        let own = self.own.values().map(|own| own.streams.len());
+        let peers = self.peer_work.values().flat_map(BTreeMap::values);
+        own.sum::<usize>() + peers.map(|peer| peer.work.streams.len()).sum::<usize>()
     }
 
     /// Forgets peers that have been silent for long.
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -14,8 +14,8 @@
 mod shutdown;
 
 pub use admission::{
-    AdmissionEffect, AdmissionQueue, AdmissionSettings, AdmissionVerdict, StreamDemand, TicketId,
-    WaitingStream,
+    AdmissionEffect, AdmissionQueue, AdmissionSettings, AdmissionVerdict, FleetPace, StartClass,
+    StreamDemand, TicketId, WaitingCounts, WaitingStream,
 };
 pub use directory::{DirectorySettings, ServerDirectory, ServerEntry, ServerStage};
 pub use lengths::LengthEstimate;
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -132,8 +132,8 @@
     pub const ALL: Self = Self { salt: 0, part: 1.0 };
 
     /// The turn of an entry.
-    pub fn new(salt: u64, own_waiting: usize, peers_waiting: u32) -> Self {
-        let own = own_waiting.max(1) as f64;
+    pub fn new(salt: u64, own_waiting: u32, peers_waiting: u32) -> Self {
+        let own = f64::from(own_waiting.max(1));
         Self {
             salt,
             part: own / (own + f64::from(peers_waiting)),
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionQueue, AdmissionSettings, DirectorySettings, LengthEstimate, LoadBook, LoadSettings,
-    PlacementView, RepeatBudget, RouteTable, ServerDirectory, ServerEntry, ShutdownPhase,
-    ShutdownPlan, TicketId,
+    AdmissionQueue, AdmissionSettings, DirectorySettings, FleetPace, LengthEstimate, LoadBook,
+    LoadSettings, PlacementView, RepeatBudget, RouteTable, ServerDirectory, ServerEntry,
+    ShutdownPhase, ShutdownPlan, TicketId,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
@@ -27,6 +27,12 @@
 /// Part of the fleet's repeat budget that is spent; the rest covers what peers do not know yet.
 const BUDGET_PART: f64 = 0.7;
 
+/// How long streams are taken to run before any has ended, in seconds.
+const FIRST_STREAM_SECONDS: f64 = 4.0;
+
+/// Weight of the newest stream in the time that streams run.
+const DURATION_WEIGHT: f64 = 0.05;
+
 /// Settings of the gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -78,6 +84,8 @@
     pub waiters: BTreeMap<TicketId, oneshot::Sender<StartOrder>>,
     pub budgets: BTreeMap<ServiceName, RepeatBudget>,
     pub lengths: BTreeMap<String, LengthEstimate>,
+    /// How long streams run, in seconds.
+    pub stream_seconds: f64,
     pub membership: MembershipState,
     pub rng: Pcg64Mcg,
 }
@@ -111,6 +119,7 @@
             waiters: BTreeMap::new(),
             budgets: BTreeMap::new(),
             lengths: BTreeMap::new(),
+            stream_seconds: FIRST_STREAM_SECONDS,
             membership: MembershipState::new(own, settings.membership),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
@@ -291,6 +300,22 @@
         estimate.expect(hint, most)
     }
 
+    /// How fast room comes in the whole fleet.
+    pub(crate) fn pace(&self) -> FleetPace {
+        let state = self.state.borrow();
+        FleetPace {
+            waiting_elsewhere: state.loads.peers_waiting(),
+            ends_per_second: state.loads.running_streams() as f64 / state.stream_seconds,
+        }
+    }
+
+    /// Takes in how long a stream has run.
+    pub(crate) fn learn_duration(&self, took: Duration) {
+        let mut state = self.state.borrow_mut();
+        let newest = took.as_secs_f64() - state.stream_seconds;
+        state.stream_seconds += DURATION_WEIGHT * newest;
+    }
+
     /// Takes in the length of a route's whole answer.
     pub(crate) fn learn_length(&self, route: &str, tokens: u64) {
         let mut state = self.state.borrow_mut();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -169,11 +169,11 @@
         arrived: job.arrived,
         latency_target: job.rule.latency_target,
     };
-    let draw = gateway.draw();
+    let (draw, pace) = (gateway.draw(), gateway.pace());
     let (sender, receiver) = oneshot::channel();
     let ticket = {
         let mut state = gateway.state.borrow_mut();
-        match state.queue.offer(Instant::now(), waiting, draw) {
+        match state.queue.offer(Instant::now(), waiting, pace, draw) {
             AdmissionVerdict::Refused { retry_after } => return Err(retry_after),
             AdmissionVerdict::Waits(ticket) => {
                 state.waiters.insert(ticket, sender);
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -100,12 +100,13 @@
         return Vec::new();
     };
     let data_centre = &gateway.settings.own.data_centre;
-    let turn = EngineTurn::new(turn_salt, queue.len(), loads.peers_waiting());
+    let (own, peers) = (queue.waiting(), loads.peers_waiting());
+    let settings = *queue.settings();
     let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
     queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
-        |demand, memory_part| {
+        |demand, class| {
             let facts = table.service(&demand.service)?.engine.as_ref()?;
             let view = PlacementView {
                 now,
@@ -116,8 +117,8 @@
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
-                memory_part,
-                turn,
+                memory_part: settings.memory_part(class),
+                turn: EngineTurn::new(turn_salt, own.of(class), peers.of(class)),
             };
             let server = choose_decode(&view, &demand.service, facts, needs, &[])?;
             let key = loads.add_stream(&server, demand.shape);
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::LoadDigest;
+use gs_control::forwarding::{LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts};
 use gs_control::membership::{MemberCandidate, MembershipEvent};
-use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber};
+use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber, ServerName};
 use gs_protocol::peer::{PeerIdentity, PeerState};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -19,8 +19,11 @@
 use crate::error::GatewayError;
 use crate::gateway::Gateway;
 
-/// Between two heartbeats when no stream begins or ends.
-const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Between two regular heartbeats, at the least.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// The same for each entry of the fleet.
+const HEARTBEAT_PER_ENTRY: Duration = Duration::from_millis(10);
 
 /// Between two heartbeats that tell of streams, at the least.
 const CHANGE_GAP: Duration = Duration::from_millis(4);
@@ -31,17 +34,70 @@
 /// The longest heartbeat, in bytes.
 const MAX_DATAGRAM: usize = 8_192;
 
-/// What an entry tells its peers.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Heartbeat {
-    peer: PeerIdentity,
+/// What an entry tells its peers. Arrays in place of maps keep the datagrams small, as bytes between data
+/// centres are dear.
+#[derive(Debug, Deserialize, Serialize)]
+enum Heartbeat {
+    /// Goes out at regular times.
+    #[serde(rename = "e")]
+    Entry(PeerIdentity, PeerState, LoadFrame),
+    /// Goes out when streams begin or end.
+    #[serde(rename = "l")]
+    Load(EntryIdentity, LoadFrame),
+}
+
+/// What an entry has running.
+#[derive(Debug, Deserialize, Serialize)]
+struct LoadFrame(
     /// Which heartbeat of this start it is.
-    number: u64,
-    is_ready: bool,
-    state: PeerState,
-    loads: LoadDigest,
-    /// Streams that wait for room there.
-    waiting: u32,
+    u64,
+    /// Streams that wait for room there and can be on time.
+    u32,
+    /// Streams that wait for room there and come late.
+    u32,
+    Vec<ServerFrame>,
+);
+
+/// What an entry has running at one server.
+#[derive(Debug, Deserialize, Serialize)]
+struct ServerFrame(
+    ServerName,
+    /// Requests.
+    u32,
+    /// Prompt tokens that are still to be read.
+    u64,
+    /// Tokens held and left of each stream.
+    Vec<(u32, u32)>,
+);
+
+impl LoadFrame {
+    fn new(number: u64, waiting: WaitingCounts, digest: LoadDigest) -> Self {
+        let servers = digest.into_iter().map(|(server, work)| {
+            let streams = work.streams.iter().map(|shape| (shape.held, shape.left));
+            let load = work.load;
+            ServerFrame(server, load.requests, load.prompt_tokens, streams.collect())
+        });
+        Self(number, waiting.on_time, waiting.late, servers.collect())
+    }
+
+    fn into_digest(self) -> LoadDigest {
+        let servers = self.3.into_iter();
+        servers
+            .map(|ServerFrame(server, requests, prompt_tokens, streams)| {
+                let shapes = streams.into_iter();
+                let work = ServerWork {
+                    load: ServerLoad {
+                        requests,
+                        prompt_tokens,
+                    },
+                    streams: shapes
+                        .map(|(held, left)| StreamShape { held, left })
+                        .collect(),
+                };
+                (server, work)
+            })
+            .collect()
+    }
 }
 
 /// The socket between entries.
@@ -61,6 +117,18 @@
             newest: RefCell::default(),
         })
     }
+
+    /// Whether a heartbeat is newer than all that the entry has sent; it is the newest one then.
+    fn is_new(&self, identity: &EntryIdentity, number: u64) -> bool {
+        let mut newest = self.newest.borrow_mut();
+        let is_old = newest.get(&identity.entry).is_some_and(|(known, last)| {
+            (known.incarnation, *last) >= (identity.incarnation, number)
+        });
+        if !is_old {
+            newest.insert(identity.entry.clone(), (identity.clone(), number));
+        }
+        !is_old
+    }
 }
 
 impl Gateway {
@@ -90,33 +158,47 @@
     own.identity.incarnation = incarnation;
     actix_rt::spawn(take_heartbeats(Rc::clone(&gateway), Rc::clone(&link)));
     let mut number = 0;
+    let mut told: Option<Instant> = None;
     loop {
         number += 1;
-        send_heartbeat(&gateway, &link, &own, number).await;
+        let entries = gateway.entry_count();
+        let interval = HEARTBEAT + HEARTBEAT_PER_ENTRY * entries;
+        let is_due = told.is_none_or(|told| told.elapsed() >= interval) || gateway.is_stopping();
+        let frame = load_frame(&gateway, number);
+        let heartbeat = match is_due {
+            true => {
+                told = Some(Instant::now());
+                Heartbeat::Entry(own.clone(), own_state(&gateway), frame)
+            }
+            false => Heartbeat::Load(own.identity.clone(), frame),
+        };
+        send_heartbeat(&gateway, &link, &heartbeat).await;
         gateway.handle_membership(MembershipEvent::Tick);
-        let gap = CHANGE_GAP + CHANGE_GAP_PER_ENTRY * gateway.entry_count();
+        let gap = CHANGE_GAP + CHANGE_GAP_PER_ENTRY * entries;
         tokio::time::sleep(gap).await;
+        let since = told.map_or(Duration::ZERO, |told| told.elapsed());
         tokio::select! {
             () = gateway.streams_changed.notified() => {}
-            () = tokio::time::sleep(HEARTBEAT.saturating_sub(gap)) => {}
+            () = tokio::time::sleep(interval.saturating_sub(since)) => {}
         }
     }
 }
 
-async fn send_heartbeat(gateway: &Gateway, link: &PeerLink, own: &PeerIdentity, number: u64) {
-    let heartbeat = Heartbeat {
-        peer: own.clone(),
-        number,
-        is_ready: gateway.is_ready(),
-        state: PeerState {
-            leaving: gateway.is_stopping(),
-            sequence: SequenceNumber(gateway.table().map_or(0, |table| table.version)),
-        },
-        loads: gateway.state.borrow().loads.own_digest(),
-        waiting: gateway.state.borrow().queue.len() as u32,
-    };
+fn own_state(gateway: &Gateway) -> PeerState {
+    PeerState {
+        leaving: !gateway.is_ready(),
+        sequence: SequenceNumber(gateway.table().map_or(0, |table| table.version)),
+    }
+}
+
+fn load_frame(gateway: &Gateway, number: u64) -> LoadFrame {
+    let state = gateway.state.borrow();
+    LoadFrame::new(number, state.queue.waiting(), state.loads.own_digest())
+}
+
+async fn send_heartbeat(gateway: &Gateway, link: &PeerLink, heartbeat: &Heartbeat) {
     let mut bytes = Vec::new();
-    if let Err(error) = ciborium::into_writer(&heartbeat, &mut bytes) {
+    if let Err(error) = ciborium::into_writer(heartbeat, &mut bytes) {
         log::warn!(target: "peers", error:%; "heartbeat not encoded");
         return;
     }
@@ -146,32 +228,27 @@
 }
 
 fn take_heartbeat(gateway: &Gateway, link: &PeerLink, heartbeat: Heartbeat) {
-    let identity = heartbeat.peer.identity.clone();
-    let name = identity.entry.clone();
-    {
-        let mut newest = link.newest.borrow_mut();
-        let is_old = newest.get(&name).is_some_and(|(known, number)| {
-            known.incarnation > identity.incarnation
-                || (known.incarnation == identity.incarnation && *number >= heartbeat.number)
-        });
-        if is_old {
-            return;
-        }
-        newest.insert(name.clone(), (identity, heartbeat.number));
+    let (identity, frame, entry) = match heartbeat {
+        Heartbeat::Entry(peer, state, frame) => (peer.identity.clone(), frame, Some((peer, state))),
+        Heartbeat::Load(identity, frame) => (identity, frame, None),
+    };
+    if identity.entry == gateway.settings.own.identity.entry || !link.is_new(&identity, frame.0) {
+        return;
+    }
+    if let Some((peer, state)) = entry {
+        gateway.handle_membership(MembershipEvent::PeerHeard { peer, state });
     }
-    let state = PeerState {
-        leaving: heartbeat.state.leaving || !heartbeat.is_ready,
-        ..heartbeat.state
+    let waiting = WaitingCounts {
+        on_time: frame.1,
+        late: frame.2,
     };
-    gateway.handle_membership(MembershipEvent::PeerHeard {
-        peer: heartbeat.peer,
-        state,
-    });
-    let now = Instant::now();
-    let mut gateway_state = gateway.state.borrow_mut();
-    gateway_state
-        .loads
-        .hear_peer(now, &name, heartbeat.loads, heartbeat.waiting);
-    drop(gateway_state);
+    let mut state = gateway.state.borrow_mut();
+    state.loads.hear_peer(
+        Instant::now(),
+        &identity.entry,
+        frame.into_digest(),
+        waiting,
+    );
+    drop(state);
     gateway.room_changed.notify_one();
 }
--- a/crates/gs-gateway/src/pump.rs
+++ b/crates/gs-gateway/src/pump.rs
@@ -78,6 +78,7 @@
         generation,
         sender,
         progress: StreamProgress::default(),
+        began: Instant::now(),
     };
     actix_rt::spawn(pump.run(stream));
     answer
@@ -89,6 +90,7 @@
     generation: GenerationJob,
     sender: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     progress: StreamProgress,
+    began: Instant,
 }
 
 impl StreamPump {
@@ -106,6 +108,7 @@
                     if is_whole {
                         let tokens = self.progress.events * u64::from(self.event_tokens());
                         self.gateway.learn_length(&job.rule.name, tokens);
+                        self.gateway.learn_duration(self.began.elapsed());
                     }
                     log::info!(target: "generation", id:% = job.facts.request, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_whole, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
                     break;
