--- a/crates/gs-control/tests/forwarding/admission.rs
+++ b/crates/gs-control/tests/forwarding/admission.rs
@@ -42,8 +42,8 @@
     }
 }
 
-fn waits(verdict: AdmissionVerdict) -> TicketId {
-    let AdmissionVerdict::Waits(ticket) = verdict else {
+fn waits(verdict: &AdmissionVerdict) -> TicketId {
+    let AdmissionVerdict::Waits(ticket) = *verdict else {
         panic!("{verdict:?}");
     };
     ticket
@@ -77,7 +77,7 @@
 #[test]
 fn a_stream_starts_at_once_where_there_is_room() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
-    let ticket = waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    let ticket = waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     assert_eq!(advance(&mut queue, start(), 1), (vec![ticket], vec![]));
     assert!(queue.is_empty());
 }
@@ -85,8 +85,8 @@
 #[test]
 fn the_first_event_that_is_due_first_goes_first() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
-    let patient = waits(queue.offer(start(), stream(start(), TARGET * 3), PACE, 0.5));
-    let urgent = waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    let patient = waits(&queue.offer(start(), stream(start(), TARGET * 3), PACE, 0.5));
+    let urgent = waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     assert_eq!(advance(&mut queue, start(), 2).0, [urgent, patient]);
 }
 
@@ -94,8 +94,8 @@
 fn a_stream_that_comes_back_late_goes_after_those_on_time_and_leaves_room() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
     let asked = start() - Duration::from_secs(3);
-    let late = waits(queue.offer(start(), arrived_later(asked, start(), TARGET), PACE, 0.5));
-    let fresh = waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    let late = waits(&queue.offer(start(), arrived_later(asked, start(), TARGET), PACE, 0.5));
+    let fresh = waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     let mut classes = Vec::new();
     let effects = queue.advance(
         start(),
@@ -115,7 +115,7 @@
 #[test]
 fn a_late_stream_is_refused_at_once_while_others_wait_that_can_be_on_time() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
-    waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     let asked = start() - Duration::from_secs(3);
     let verdict = queue.offer(start(), arrived_later(asked, start(), TARGET), PACE, 0.5);
     assert!(matches!(verdict, AdmissionVerdict::Refused { .. }));
@@ -124,7 +124,7 @@
 #[test]
 fn a_stream_is_refused_when_it_cannot_be_on_time_any_more() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
-    let ticket = waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    let ticket = waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     assert_eq!(
         advance(&mut queue, start() + milliseconds(400), 0),
         (vec![], vec![])
@@ -138,7 +138,7 @@
 #[test]
 fn a_withdrawn_stream_neither_starts_nor_is_refused() {
     let mut queue = AdmissionQueue::new(AdmissionSettings::default());
-    let ticket = waits(queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
+    let ticket = waits(&queue.offer(start(), stream(start(), TARGET), PACE, 0.5));
     queue.withdraw(ticket);
     assert_eq!(advance(&mut queue, start() + TARGET, 5), (vec![], vec![]));
 }
--- a/crates/gs-entry/tests/answers.rs
+++ b/crates/gs-entry/tests/answers.rs
@@ -75,6 +75,7 @@
         let rig =
             support::start_with(2, 1, &json!({ "timeouts": { "engineSilentMs": 500 } })).await?;
         let expected = ask(&rig, "wash notes").await?;
+        assert!(expected.whole, "before any fault: {:?}", expected.error);
         for name in ["notes-decode-0", "notes-decode-1"] {
             support::set_faults(&rig, name, &json!({ "slowFactor": 10.0 })).await?;
         }
--- a/crates/gs-gateway/tests/gateway/support/server.rs
+++ b/crates/gs-gateway/tests/gateway/support/server.rs
@@ -98,7 +98,7 @@
             Script::Reset(text) => {
                 let _ = stream.write_all(&filled(&text)).await;
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                reset(stream);
+                reset_on_close(&stream);
             }
             Script::Hold(text) => {
                 let _ = stream.write_all(&filled(&text)).await;
@@ -118,8 +118,10 @@
     }
 }
 
-fn reset(stream: TcpStream) {
-    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+/// Makes the end of a connection a reset.
+fn reset_on_close(stream: &TcpStream) {
+    let lingering = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    lingering.expect("a socket that can be reset");
 }
 
 /// The value of a header of a request.
--- a/crates/gs-standin/src/rig/client.rs
+++ b/crates/gs-standin/src/rig/client.rs
@@ -8,7 +8,7 @@
 use gs_protocol::refusal::ProblemBody;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::RigError;
 
@@ -51,9 +51,15 @@
         self.json()
     }
 
-    /// The body as a stream of completion events.
+    /// The body as a stream of completion events. An answer that is no success is an error of the stream, with
+    /// its status and body.
     pub fn streamed(&self) -> StreamedText {
-        StreamedText::read(&self.body)
+        let mut text = StreamedText::read(&self.body);
+        if !(200..300).contains(&self.status) {
+            let body = String::from_utf8_lossy(&self.body);
+            text.error = Some(json!({ "status": self.status, "body": body }));
+        }
+        text
     }
 }
 
