Count bodies for as long as streams keep them, and test logs with a full pipe

Change: the count lives in the job; QueuedWriter is tested with an output that nobody reads; run takes one step a line.

Ruled out: other holders of bodies: plain requests end with their job.

--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -202,6 +202,7 @@
     Failed(AttemptFailure, Option<ClientAnswer>),
 }
 
+/// Reads the prompt and starts the stream, at another engine if one turns it away.
 async fn run(
     gateway: &Rc<Gateway>,
     generation: GenerationJob,
@@ -212,10 +213,8 @@
     let mut passed: Vec<ServerName> = Vec::new();
     let job = &generation.job;
     for number in 0..MAX_DECODES {
-        if !kept
-            .as_ref()
-            .is_some_and(|kept| kept.is_fresh(generation.facts.as_ref()))
-        {
+        let facts = generation.facts.as_ref();
+        if !kept.as_ref().is_some_and(|kept| kept.is_fresh(facts)) {
             drop(kept.take());
             kept = match prefill(gateway, &generation, reserved.server(), number > 0).await {
                 Ok(kept) => Some(kept),
@@ -224,17 +223,16 @@
             };
         }
         if number > 0 && !gateway.spend_budget(&job.service) {
-            return job.refusal(gateway, RETURN_AFTER);
+            break;
         }
         let source = kept.as_ref().and_then(|kept| kept.source.as_ref());
         let resume = job.facts.resume.as_ref();
         let stage = SendStage::Decode(source);
         let outcome = decode(gateway, &generation, reserved.server(), stage, resume).await;
-        match outcome {
+        let (failure, answer) = match outcome {
+            DecodeOutcome::Failed(failure, answer) => (failure, answer),
             DecodeOutcome::Streams(answer, call) => {
-                if let Some(kept) = kept.take() {
-                    kept.taken();
-                }
+                kept.take().into_iter().for_each(KeptResult::taken);
                 let stream = RunningStream {
                     answer,
                     call,
@@ -242,23 +240,18 @@
                 };
                 return start_pump(gateway, generation, stream);
             }
-            DecodeOutcome::Failed(failure, answer) if failure.is_not_run() => {
-                log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?, own = answer.is_some(); "stream not started");
-                passed.push(reserved.server().clone());
-                gateway.note_full(reserved.server());
-                match reserve_again(gateway, &generation, &passed) {
-                    Some(other) => reserved = other,
-                    None => break,
-                }
-            }
-            DecodeOutcome::Failed(failure, answer) => {
-                // The engine may have taken the result; it lapses if not.
-                if let Some(kept) = kept.take() {
-                    kept.taken();
-                }
-                log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?; "stream failed before its first event");
-                return answer.unwrap_or_else(|| unknown_answer(job));
-            }
+        };
+        log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), failure:?; "stream not started");
+        if !failure.is_not_run() {
+            // The engine may have taken the result; it lapses if not.
+            kept.take().into_iter().for_each(KeptResult::taken);
+            return answer.unwrap_or_else(|| unknown_answer(job));
+        }
+        gateway.note_full(reserved.server());
+        passed.push(reserved.server().clone());
+        match reserve_again(gateway, &generation, &passed) {
+            Some(other) => reserved = other,
+            None => break,
         }
     }
     job.refusal(gateway, RETURN_AFTER)
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -124,7 +124,7 @@
 async fn serve_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> ClientAnswer {
     let _active = ActiveRequest::begin(gateway);
     let mut answer = match read_job(gateway, request).await {
-        Ok((job, _kept)) => dispatch(gateway, job).await,
+        Ok(job) => dispatch(gateway, job).await,
         Err(answer) => answer,
     };
     if gateway.is_stopping() {
@@ -157,7 +157,7 @@
 async fn read_job(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-) -> Result<(ForwardJob, KeptBytes), ClientAnswer> {
+) -> Result<ForwardJob, ClientAnswer> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let facts = gateway.wire.read_request(&head).map_err(|error| {
@@ -201,7 +201,7 @@
     {
         headers.insert(HOST, host);
     }
-    let job = ForwardJob {
+    Ok(ForwardJob {
         facts,
         method: head.method,
         path,
@@ -210,8 +210,8 @@
         rule,
         service,
         arrived,
-    };
-    Ok((job, kept))
+        _kept: kept,
+    })
 }
 
 async fn read_body(body: Incoming, limit: usize, request: &str) -> Result<Bytes, ClientAnswer> {
--- a/crates/gs-gateway/src/logs.rs
+++ b/crates/gs-gateway/src/logs.rs
@@ -19,13 +19,14 @@
 const BUDGET_WINDOW: Duration = Duration::from_secs(1);
 
 /// Writes lines from a thread of its own; lines that find the queue full are counted and left out.
-struct QueuedWriter {
+pub struct QueuedWriter {
     sender: SyncSender<Vec<u8>>,
     left_out: Arc<AtomicU64>,
 }
 
 impl QueuedWriter {
-    fn start(mut output: impl Write + Send + 'static) -> Self {
+    /// Starts the thread that writes to `output`.
+    pub fn start(mut output: impl Write + Send + 'static) -> Self {
         let (sender, receiver) = sync_channel::<Vec<u8>>(WAITING_LINES);
         let left_out = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&left_out);
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -17,7 +17,7 @@
 use crate::answer::{AnswerBody, ClientAnswer, own_answer};
 use crate::call::{CallError, ServerCall};
 use crate::gateway::Gateway;
-use crate::reservation::Reservation;
+use crate::reservation::{KeptBytes, Reservation};
 use crate::wire::{AnswerVerdict, ClientFacts, SendStage, ServerOrder};
 
 /// How long a connection to a server may take.
@@ -49,6 +49,8 @@
     pub rule: Arc<RouteRule>,
     pub service: ServiceName,
     pub arrived: Instant,
+    /// Counts the body for as long as it is kept.
+    pub _kept: KeptBytes,
 }
 
 impl ForwardJob {
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -110,6 +110,15 @@
     bytes: usize,
 }
 
+impl std::fmt::Debug for KeptBytes {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_tuple("KeptBytes")
+            .field(&self.bytes)
+            .finish()
+    }
+}
+
 impl KeptBytes {
     /// Counts bytes, if the limit allows it.
     pub fn take(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway on loopback, before servers that fail.
 
 mod generation;
+mod logs;
 mod plain;
 mod support;
