Tell a returning client by the deadlines of its route, not by its timeout

Cause: read as a newcomer: a stream's age was its route's timeout less the client's deadline. Operators change timeouts and clients do not know: after a longer timeout every fresh stream counted as late.

Change: LongestDeadline keeps the longest deadline of the last requests of a route; tests that a return is seen and that an older longest one is forgotten.

--- /dev/null
+++ b/crates/gs-control/src/forwarding/deadlines.rs
@@ -0,0 +1,31 @@
+//! Tells from a deadline how long a client has asked already.
+
+use std::time::Duration;
+
+/// Requests after which an older longest deadline is forgotten.
+const REQUESTS_PER_ROUND: u32 = 100;
+
+/// The longest deadline that clients of a route have lately begun with.
+///
+/// A client that comes back after a refusal has less time left than one that asks for the first time. The
+/// route's own timeout does not tell how much it began with: operators change it, and clients do not know.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LongestDeadline {
+    present: Duration,
+    before: Duration,
+    requests: u32,
+}
+
+impl LongestDeadline {
+    /// Takes in a client's deadline; returns how long it has asked already.
+    pub fn passed(&mut self, deadline: Duration) -> Duration {
+        if self.requests >= REQUESTS_PER_ROUND {
+            self.before = self.present;
+            self.present = Duration::ZERO;
+            self.requests = 0;
+        }
+        self.requests += 1;
+        self.present = self.present.max(deadline);
+        self.present.max(self.before).saturating_sub(deadline)
+    }
+}
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 //! have put on them. It learns of sockets and clocks only through arguments.
 
 mod admission;
+mod deadlines;
 mod directory;
 mod lengths;
 mod loads;
@@ -17,6 +18,7 @@
     AdmissionEffect, AdmissionQueue, AdmissionSettings, AdmissionVerdict, FleetPace, StartClass,
     StreamDemand, TicketId, WaitingCounts, WaitingStream,
 };
+pub use deadlines::LongestDeadline;
 pub use directory::{DirectorySettings, ServerDirectory, ServerEntry, ServerStage};
 pub use lengths::LengthEstimate;
 pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad, ServerWork, StreamKey};
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! The decisions about forwarded requests, without a network.
 
 mod admission;
+mod deadlines;
 mod directory;
 mod loads;
 mod memory;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DirectorySettings, FleetPace, LengthEstimate, LoadBook,
-    LoadSettings, PlacementView, RepeatBudget, RouteTable, ServerDirectory, ServerEntry,
-    ShutdownPhase, ShutdownPlan, TicketId,
+    LoadSettings, LongestDeadline, PlacementView, RepeatBudget, RouteTable, ServerDirectory,
+    ServerEntry, ShutdownPhase, ShutdownPlan, TicketId,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
@@ -84,6 +84,7 @@
     pub waiters: BTreeMap<TicketId, oneshot::Sender<StartOrder>>,
     pub budgets: BTreeMap<ServiceName, RepeatBudget>,
     pub lengths: BTreeMap<String, LengthEstimate>,
+    pub deadlines: BTreeMap<String, LongestDeadline>,
     /// How long streams run, in seconds.
     pub stream_seconds: f64,
     pub membership: MembershipState,
@@ -119,6 +120,7 @@
             waiters: BTreeMap::new(),
             budgets: BTreeMap::new(),
             lengths: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
             stream_seconds: FIRST_STREAM_SECONDS,
             membership: MembershipState::new(own, settings.membership),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
@@ -309,6 +311,16 @@
         }
     }
 
+    /// How long a client of a route has asked already, in earlier tries.
+    pub(crate) fn time_asked(&self, route: &str, deadline: Duration) -> Duration {
+        let mut state = self.state.borrow_mut();
+        state
+            .deadlines
+            .entry(route.to_owned())
+            .or_default()
+            .passed(deadline)
+    }
+
     /// Takes in how long a stream has run.
     pub(crate) fn learn_duration(&self, took: Duration) {
         let mut state = self.state.borrow_mut();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -161,7 +161,7 @@
 ) -> Result<StreamReservation, Duration> {
     let job = &generation.job;
     let passed = job.facts.deadline.map_or(Duration::ZERO, |deadline| {
-        job.rule.timeout.saturating_sub(deadline)
+        gateway.time_asked(&job.rule.name, deadline)
     });
     let waiting = WaitingStream {
         demand: generation.demand.clone(),
