Follow the registry by stale watches in all but eight entries, which heartbeats keep fresh

Change: gs_control::forwarding::freshness decides who reads exactly and when a view is behind what peers have told; heartbeats carry the newest version of servers beside that of routes; a watch that hangs is cut once a peer knows more. Fleets of eight entries or fewer read as before.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod deadlines;
 mod directory;
+mod freshness;
 mod lengths;
 mod loads;
 mod memory;
@@ -20,6 +21,9 @@
 };
 pub use deadlines::LongestDeadline;
 pub use directory::{DirectorySettings, ServerDirectory, ServerEntry, ServerStage};
+pub use freshness::{
+    FollowedView, FreshnessSettings, ReadMode, ReadPlan, ViewVersions, is_exact_reader,
+};
 pub use lengths::LengthEstimate;
 pub use loads::{LoadBook, LoadDigest, LoadSettings, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod deadlines;
 mod directory;
+mod freshness;
 mod loads;
 mod memory;
 mod repeats;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionQueue, AdmissionSettings, DirectorySettings, FleetPace, LengthEstimate, LoadBook,
-    LoadSettings, LongestDeadline, PlacementView, RepeatBudget, RouteTable, ServerDirectory,
-    ServerEntry, ShutdownPhase, ShutdownPlan, TicketId,
+    AdmissionQueue, AdmissionSettings, DirectorySettings, FleetPace, FollowedView, LengthEstimate,
+    LoadBook, LoadSettings, LongestDeadline, PlacementView, RepeatBudget, RouteTable,
+    ServerDirectory, ServerEntry, ShutdownPhase, ShutdownPlan, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
@@ -87,6 +87,7 @@
     pub deadlines: BTreeMap<String, LongestDeadline>,
     /// How long streams run, in seconds.
     pub stream_seconds: f64,
+    pub views: BTreeMap<FollowedView, ViewVersions>,
     pub membership: MembershipState,
     pub rng: Pcg64Mcg,
 }
@@ -122,6 +123,7 @@
             lengths: BTreeMap::new(),
             deadlines: BTreeMap::new(),
             stream_seconds: FIRST_STREAM_SECONDS,
+            views: BTreeMap::new(),
             membership: MembershipState::new(own, settings.membership),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
@@ -149,6 +151,8 @@
         }
         log::info!(target: "config", version, before:? = present; "configuration applied");
         state.table = Some(Arc::new(table));
+        drop(state);
+        self.note_version(FollowedView::Routes, version);
     }
 
     /// The configuration in force.
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod pump;
 mod reservation;
+mod views;
 mod wire;
 
 pub use answer::{AnswerBody, ClientAnswer};
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts};
+use gs_control::forwarding::{
+    FollowedView, LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts,
+};
 use gs_control::membership::{MemberCandidate, MembershipEvent};
 use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber, ServerName};
 use gs_protocol::peer::{PeerIdentity, PeerState};
@@ -40,12 +42,16 @@
 enum Heartbeat {
     /// Goes out at regular times.
     #[serde(rename = "e")]
-    Entry(PeerIdentity, PeerState, LoadFrame),
+    Entry(PeerIdentity, PeerState, ServerVersion, LoadFrame),
     /// Goes out when streams begin or end.
     #[serde(rename = "l")]
     Load(EntryIdentity, LoadFrame),
 }
 
+/// The newest version of the servers that an entry has seen; that of the routes is in its state.
+#[derive(Debug, Deserialize, Serialize)]
+struct ServerVersion(u64);
+
 /// What an entry has running.
 #[derive(Debug, Deserialize, Serialize)]
 struct LoadFrame(
@@ -168,7 +174,8 @@
         let heartbeat = match is_due {
             true => {
                 told = Some(Instant::now());
-                Heartbeat::Entry(own.clone(), own_state(&gateway), frame)
+                let servers = ServerVersion(gateway.own_version(FollowedView::Servers));
+                Heartbeat::Entry(own.clone(), own_state(&gateway), servers, frame)
             }
             false => Heartbeat::Load(own.identity.clone(), frame),
         };
@@ -229,13 +236,17 @@
 
 fn take_heartbeat(gateway: &Gateway, link: &PeerLink, heartbeat: Heartbeat) {
     let (identity, frame, entry) = match heartbeat {
-        Heartbeat::Entry(peer, state, frame) => (peer.identity.clone(), frame, Some((peer, state))),
+        Heartbeat::Entry(peer, state, servers, frame) => {
+            (peer.identity.clone(), frame, Some((peer, state, servers)))
+        }
         Heartbeat::Load(identity, frame) => (identity, frame, None),
     };
     if identity.entry == gateway.settings.own.identity.entry || !link.is_new(&identity, frame.0) {
         return;
     }
-    if let Some((peer, state)) = entry {
+    if let Some((peer, state, ServerVersion(servers))) = entry {
+        gateway.hear_version(FollowedView::Routes, state.sequence.0);
+        gateway.hear_version(FollowedView::Servers, servers);
         gateway.handle_membership(MembershipEvent::PeerHeard { peer, state });
     }
     let waiting = WaitingCounts {
