Take clients of differing patience for what they are: first tries

Cause: a stream's age was the longest deadline of its route less its own. The test fails before. Ruled out: bursts alone (the refusals went on at base load, seconds 32 to 36).

--- a/crates/gs-control/tests/forwarding/deadlines.rs
+++ b/crates/gs-control/tests/forwarding/deadlines.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gs_control::forwarding::LongestDeadline;
+use test_case::test_case;
 
 use super::support::milliseconds;
 
@@ -25,3 +26,15 @@
     assert_eq!(passed[0], milliseconds(5_000));
     assert_eq!(passed[249], Duration::ZERO);
 }
+
+/// Clients whose patience differs by a seventh all ask for the first time: none is taken for one that comes
+/// back and put behind the others.
+#[test_case(14_000, 0; "the most patient")]
+#[test_case(13_200, 0; "a usual one")]
+#[test_case(12_000, 0; "the least patient")]
+#[test_case(11_800, 2_200; "one that comes back")]
+fn an_impatient_client_does_not_come_back(deadline: u64, passed: u64) {
+    let mut longest = LongestDeadline::default();
+    longest.passed(milliseconds(14_000));
+    assert_eq!(longest.passed(milliseconds(deadline)), milliseconds(passed));
+}
