Reach the decode engine before the prefill, and tell peers of servers in trouble

Change: the connection to the decode engine is opened before the prefill; heartbeats carry what an entry has met at servers that it avoids (gs_control::forwarding::troubles: two peers that cannot reach it, or one that met another server there); of two servers named at one address the later start is used. Tests of each; that of the gateway fails before (one prompt read, none now).

--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -1,11 +1,13 @@
 //! The backend servers that the registry names, kept through outages of the registry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 
+use super::troubles::{ServerTrouble, TroubleReport};
+
 /// What a model engine does.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ServerStage {
@@ -70,6 +72,8 @@
 pub struct ServerDirectory {
     settings: DirectorySettings,
     servers: BTreeMap<ServerName, KnownServer>,
+    /// Servers at whose addresses the registry names one that started later.
+    replaced: BTreeSet<ServerName>,
     is_registry_lost: bool,
     returned_at: Option<Instant>,
 }
@@ -80,6 +84,7 @@
         Self {
             settings,
             servers: BTreeMap::new(),
+            replaced: BTreeSet::new(),
             is_registry_lost: false,
             returned_at: None,
         }
@@ -101,12 +106,37 @@
             self.remove(now, &name);
         }
         for entry in listed.into_values() {
-            self.put(entry);
+            self.insert(entry);
         }
+        self.find_replaced();
     }
 
     /// Takes in one entry.
     pub fn put(&mut self, entry: ServerEntry) {
+        self.insert(entry);
+        self.find_replaced();
+    }
+
+    /// An address has one server at a time: of two that are named, the earlier start has ended.
+    fn find_replaced(&mut self) {
+        let entries = || self.servers.values().map(|known| &known.entry);
+        let mut latest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        for entry in entries() {
+            let born = latest.entry(entry.address).or_default();
+            *born = (*born).max(entry.born.unwrap_or(0));
+        }
+        let is_replaced = |entry: &&ServerEntry| {
+            entry
+                .born
+                .is_some_and(|born| latest.get(&entry.address).is_some_and(|last| *last > born))
+        };
+        self.replaced = entries()
+            .filter(is_replaced)
+            .map(|entry| entry.name.clone())
+            .collect();
+    }
+
+    fn insert(&mut self, entry: ServerEntry) {
         let misdirected_until = self
             .servers
             .get(&entry.name)
@@ -130,6 +160,7 @@
         };
         let Some(end) = grace_end else {
             self.servers.remove(name);
+            self.find_replaced();
             return;
         };
         if let Some(known) = self.servers.get_mut(name) {
@@ -144,6 +175,20 @@
         }
     }
 
+    /// Servers at whose addresses others have answered, for the peers.
+    pub fn own_troubles(&self, now: Instant) -> TroubleReport {
+        let misdirected = self
+            .servers
+            .values()
+            .filter(|known| known.misdirected_until.is_some_and(|until| until > now));
+        misdirected
+            .map(|known| {
+                let trouble = ServerTrouble::Misdirected(known.entry.born);
+                (known.entry.name.clone(), trouble)
+            })
+            .collect()
+    }
+
     /// The registry does not answer.
     pub fn registry_lost(&mut self) {
         self.is_registry_lost = true;
@@ -169,6 +214,9 @@
         for name in &gone {
             self.servers.remove(name);
         }
+        if !gone.is_empty() {
+            self.find_replaced();
+        }
         gone
     }
 
@@ -186,6 +234,7 @@
                 entry.service == *service
                     && entry.stage == stage
                     && !entry.is_leaving
+                    && !self.replaced.contains(&entry.name)
                     && known.misdirected_until.is_none_or(|until| until <= now)
                     && known.missing_until.is_none_or(|until| until > now)
             })
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -7,7 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::admission::WaitingCounts;
+use super::directory::ServerEntry;
 use super::memory::StreamShape;
+use super::troubles::{ServerTrouble, TroubleBook, TroubleReport};
 
 /// Work at one server, besides streams.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -128,6 +130,7 @@
     peers: BTreeMap<EntryName, PeerDigest>,
     peer_work: BTreeMap<ServerName, BTreeMap<EntryName, PeerWork>>,
     health: BTreeMap<ServerName, ServerHealth>,
+    troubles: TroubleBook,
     next_stream: StreamKey,
 }
 
@@ -140,6 +143,7 @@
             peers: BTreeMap::new(),
             peer_work: BTreeMap::new(),
             health: BTreeMap::new(),
+            troubles: TroubleBook::default(),
             next_stream: 0,
         }
     }
@@ -226,6 +230,22 @@
         self.peers.insert(peer.clone(), digest);
     }
 
+    /// Takes in what a peer has met at servers.
+    pub fn hear_troubles(&mut self, now: Instant, peer: &EntryName, report: TroubleReport) {
+        self.troubles.hear(now, peer, report);
+    }
+
+    /// Servers that this entry could not reach and leaves alone, for the peers.
+    pub fn own_troubles(&self, now: Instant) -> TroubleReport {
+        let avoided = self
+            .health
+            .iter()
+            .filter(|(_, health)| health.avoided_until.is_some_and(|until| until > now));
+        avoided
+            .map(|(server, _)| (server.clone(), ServerTrouble::Unreachable))
+            .collect()
+    }
+
     /// Streams that wait for room at the peers.
     pub fn peers_waiting(&self) -> WaitingCounts {
         let mut total = WaitingCounts::default();
@@ -246,6 +266,7 @@
     /// Forgets peers that have been silent for long.
     pub fn drop_silent(&mut self, now: Instant) {
         let lifetime = self.settings.digest_lifetime;
+        self.troubles.drop_old(now, lifetime);
         let silent: Vec<EntryName> = self
             .peers
             .iter()
@@ -370,12 +391,13 @@
         health.failure_share * 0.5_f64.powf(age / half_life)
     }
 
-    /// Whether a server is left alone after it could not be reached.
-    pub fn is_avoided(&self, now: Instant, server: &ServerName) -> bool {
+    /// Whether a server is left alone after this entry or its peers could not reach it.
+    pub fn is_avoided(&self, now: Instant, entry: &ServerEntry) -> bool {
         self.health
-            .get(server)
+            .get(&entry.name)
             .and_then(|health| health.avoided_until)
             .is_some_and(|until| until > now)
+            || self.troubles.speaks_against(entry)
     }
 
     /// Forgets the health of servers that are no longer named.
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 mod repeats;
 mod routes;
 mod shutdown;
+mod troubles;
 
 pub use admission::{
     AdmissionEffect, AdmissionQueue, AdmissionSettings, AdmissionVerdict, FleetPace, StartClass,
@@ -35,3 +36,4 @@
     ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceFacts,
 };
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
+pub use troubles::{ServerTrouble, TroubleBook, TroubleReport};
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -61,7 +61,7 @@
         let reached: Vec<&ServerEntry> = usable
             .iter()
             .copied()
-            .filter(|entry| !self.loads.is_avoided(self.now, &entry.name))
+            .filter(|entry| !self.loads.is_avoided(self.now, entry))
             .collect();
         if reached.is_empty() { usable } else { reached }
     }
--- a/crates/gs-control/tests/forwarding/directory.rs
+++ b/crates/gs-control/tests/forwarding/directory.rs
@@ -157,3 +157,37 @@
         }
     }
 }
+
+fn at_address(number: u16, port: u16, born: Option<u64>) -> ServerEntry {
+    let mut entry = server(number, None);
+    entry.address.set_port(port);
+    entry.born = born;
+    entry
+}
+
+/// A server that crashed is named for some seconds yet, beside the one that has started at its address.
+#[test_case(Some(100), Some(200), &[2]; "the later start has the address")]
+#[test_case(Some(200), Some(100), &[1]; "whatever their order")]
+#[test_case(None, None, &[1, 2]; "starts that are not known tell nothing")]
+fn the_later_start_at_an_address_is_used(
+    first: Option<u64>,
+    second: Option<u64>,
+    expected: &[u16],
+) {
+    let mut directory = ServerDirectory::new(DirectorySettings::default());
+    directory.replace_all(start(), vec![at_address(1, 4_500, first)]);
+    directory.put(at_address(2, 4_500, second));
+    let names = |numbers: &[u16]| -> Vec<String> {
+        let names = numbers
+            .iter()
+            .map(|number| server(*number, None).name.to_string());
+        names.collect()
+    };
+    assert_eq!(usable(&directory, start()), names(expected));
+    directory.remove(start(), &server(2, None).name);
+    assert_eq!(
+        usable(&directory, start()),
+        names(&[1]),
+        "named alone, it is used"
+    );
+}
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -107,7 +107,7 @@
     book.note_unreachable(start(), &name(1));
     let now = start();
     assert_eq!(
-        book.is_avoided(now + milliseconds(after), &name(1)),
+        book.is_avoided(now + milliseconds(after), &server(1, None)),
         is_avoided
     );
 }
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -10,3 +10,4 @@
 mod routes;
 mod shutdown;
 mod support;
+mod troubles;
--- a/crates/gs-gateway/src/call.rs
+++ b/crates/gs-gateway/src/call.rs
@@ -94,6 +94,11 @@
         Ok(Self { sender, driver })
     }
 
+    /// Whether the other end has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -98,7 +98,7 @@
     pub settings: GatewaySettings,
     pub(crate) wire: Box<dyn ServerWire>,
     pub(crate) state: RefCell<GatewayState>,
-    /// Told when own streams or their queue have changed, or this entry begins to stop.
+    /// Told when own streams or their queue have changed, a server is in trouble, or this entry begins to stop.
     pub(crate) streams_changed: Notify,
     /// Told when room may have come or a stream has begun to wait.
     pub(crate) room_changed: Notify,
@@ -379,6 +379,7 @@
         let mut state = self.state.borrow_mut();
         let hold = state.loads.note_unreachable(Instant::now(), server);
         log::info!(target: "servers", server:%, hold_ms = hold.as_millis() as u64; "server unreachable");
+        self.streams_changed.notify_one();
     }
 
     /// An engine has no room.
@@ -392,5 +393,6 @@
         log::info!(target: "servers", server:%; "another server answers at the address");
         let mut state = self.state.borrow_mut();
         state.directory.note_misdirected(Instant::now(), server);
+        self.streams_changed.notify_one();
     }
 }
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -123,7 +123,7 @@
     match wait_for_room(gateway, &generation).await {
         Ok(reserved) => run(gateway, generation, reserved).await,
         Err(retry_after) => {
-            log::info!(target: "generation", id:% = generation.job.facts.request, retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no room");
+            log::info!(target: "generation", id:% = generation.job.facts.request, deadline_ms = generation.job.facts.deadline.map_or(0, |deadline| deadline.as_millis() as u64), retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no room");
             generation.job.refusal(gateway, retry_after)
         }
     }
@@ -188,7 +188,7 @@
     gateway.room_changed.notify_one();
     match receiver.await {
         Ok(StartOrder::Start(reserved)) => {
-            log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), prompt = generation.demand.shape.held, expected = generation.demand.shape.left, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
+            log::info!(target: "generation", id:% = job.facts.request, decode:% = reserved.server(), deadline_ms = job.facts.deadline.map_or(0, |deadline| deadline.as_millis() as u64), prompt = generation.demand.shape.held, expected = generation.demand.shape.left, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
             Ok(reserved)
         }
         Ok(StartOrder::Refuse(retry_after)) => Err(retry_after),
@@ -212,23 +212,39 @@
     let mut kept: Option<KeptResult> = None;
     let mut passed: Vec<ServerName> = Vec::new();
     let job = &generation.job;
-    for number in 0..MAX_DECODES {
+    let mut is_repeat = false;
+    for _ in 0..MAX_DECODES {
         let facts = generation.facts.as_ref();
+        // An engine that is gone must not cost a prefill.
+        let Some(call) = open_decode(gateway, &generation, reserved.server()).await else {
+            passed.push(reserved.server().clone());
+            match reserve_again(gateway, &generation, &passed) {
+                Some(other) => reserved = other,
+                None => break,
+            }
+            continue;
+        };
         if !kept.as_ref().is_some_and(|kept| kept.is_fresh(facts)) {
             drop(kept.take());
-            kept = match prefill(gateway, &generation, reserved.server(), number > 0).await {
+            kept = match prefill(gateway, &generation, reserved.server(), is_repeat).await {
                 Ok(kept) => Some(kept),
                 Err(PrefillFailure::NoEngine) => None,
                 Err(PrefillFailure::Failed) => return job.refusal(gateway, RETURN_AFTER),
             };
         }
-        if number > 0 && !gateway.spend_budget(&job.service) {
+        if is_repeat && !gateway.spend_budget(&job.service) {
             break;
         }
+        is_repeat = true;
         let source = kept.as_ref().and_then(|kept| kept.source.as_ref());
         let resume = job.facts.resume.as_ref();
         let stage = SendStage::Decode(source);
-        let outcome = decode(gateway, &generation, reserved.server(), stage, resume).await;
+        let sent = SentDecode {
+            server: reserved.server(),
+            stage,
+            resume,
+        };
+        let outcome = decode(gateway, &generation, call, sent).await;
         let (failure, answer) = match outcome {
             DecodeOutcome::Failed(failure, answer) => (failure, answer),
             DecodeOutcome::Streams(answer, call) => {
@@ -380,13 +396,13 @@
 async fn decode(
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
-    server: &ServerName,
-    stage: SendStage<'_>,
-    resume: Option<&ResumePoint>,
+    call: ServerCall,
+    sent: SentDecode<'_>,
 ) -> DecodeOutcome {
     let job = &generation.job;
+    let server = sent.server;
     let left = job.answer_by().saturating_duration_since(Instant::now());
-    let sent = send_decode(gateway, generation, server, stage, resume);
+    let sent = send_decode(gateway, generation, call, sent);
     let (answer, call) = match tokio::time::timeout(left, sent).await {
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) if error.is_not_sent() => {
@@ -435,24 +451,54 @@
     }
 }
 
-/// Sends a stream to a decode engine and waits for the head of its answer.
+/// Connects to a decode engine; `None` if it cannot be reached.
+pub(crate) async fn open_decode(
+    gateway: &Gateway,
+    generation: &GenerationJob,
+    server: &ServerName,
+) -> Option<ServerCall> {
+    let address = gateway.server_address(server)?;
+    match ServerCall::open(address, CONNECT_LIMIT).await {
+        Ok(call) => Some(call),
+        Err(error) => {
+            log::info!(target: "generation", id:% = generation.job.facts.request, decode:% = server, error:%; "engine not reached");
+            gateway.note_unreachable(server);
+            None
+        }
+    }
+}
+
+/// What a decode engine is asked.
+#[derive(Clone, Copy)]
+pub(crate) struct SentDecode<'a> {
+    pub server: &'a ServerName,
+    pub stage: SendStage<'a>,
+    pub resume: Option<&'a ResumePoint>,
+}
+
+/// Sends a stream to a decode engine and waits for the head of its answer. The connection is opened anew if
+/// it was closed while the prompt was read.
 pub(crate) async fn send_decode(
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
-    server: &ServerName,
-    stage: SendStage<'_>,
-    resume: Option<&ResumePoint>,
+    opened: ServerCall,
+    sent: SentDecode<'_>,
 ) -> Result<(Response<Incoming>, ServerCall), CallError> {
     let job = &generation.job;
-    let address = gateway.server_address(server);
-    let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
-    let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
+    let mut call = match opened.is_closed() {
+        true => {
+            let address = gateway.server_address(sent.server);
+            let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
+            ServerCall::open(address, CONNECT_LIMIT).await?
+        }
+        false => opened,
+    };
     let order = ServerOrder {
-        server,
-        stage,
+        server: sent.server,
+        stage: sent.stage,
         deadline: job.answer_by().saturating_duration_since(Instant::now()),
         priority: Some(generation.priority()),
-        resume,
+        resume: sent.resume,
     };
     let request = job.server_request(gateway, &order);
     let answer = call.send(request).await?;
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    FollowedView, LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts,
+    FollowedView, LoadDigest, ServerLoad, ServerWork, StreamShape, TroubleReport, WaitingCounts,
 };
 use gs_control::membership::{MemberCandidate, MembershipEvent};
 use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber, ServerName};
@@ -62,6 +62,8 @@
     /// Streams that wait for room there and come late.
     u32,
     Vec<ServerFrame>,
+    /// What it has met at servers that it leaves alone.
+    TroubleReport,
 );
 
 /// What an entry has running at one server.
@@ -77,13 +79,24 @@
 );
 
 impl LoadFrame {
-    fn new(number: u64, waiting: WaitingCounts, digest: LoadDigest) -> Self {
+    fn new(
+        number: u64,
+        waiting: WaitingCounts,
+        digest: LoadDigest,
+        troubles: TroubleReport,
+    ) -> Self {
         let servers = digest.into_iter().map(|(server, work)| {
             let streams = work.streams.iter().map(|shape| (shape.held, shape.left));
             let load = work.load;
             ServerFrame(server, load.requests, load.prompt_tokens, streams.collect())
         });
-        Self(number, waiting.on_time, waiting.late, servers.collect())
+        Self(
+            number,
+            waiting.on_time,
+            waiting.late,
+            servers.collect(),
+            troubles,
+        )
     }
 
     fn into_digest(self) -> LoadDigest {
@@ -199,8 +212,16 @@
 }
 
 fn load_frame(gateway: &Gateway, number: u64) -> LoadFrame {
+    let now = Instant::now();
     let state = gateway.state.borrow();
-    LoadFrame::new(number, state.queue.waiting(), state.loads.own_digest())
+    let mut troubles = state.loads.own_troubles(now);
+    troubles.extend(state.directory.own_troubles(now));
+    LoadFrame::new(
+        number,
+        state.queue.waiting(),
+        state.loads.own_digest(),
+        troubles,
+    )
 }
 
 async fn send_heartbeat(gateway: &Gateway, link: &PeerLink, heartbeat: &Heartbeat) {
@@ -235,7 +256,7 @@
 }
 
 fn take_heartbeat(gateway: &Gateway, link: &PeerLink, heartbeat: Heartbeat) {
-    let (identity, frame, entry) = match heartbeat {
+    let (identity, mut frame, entry) = match heartbeat {
         Heartbeat::Entry(peer, state, servers, frame) => {
             (peer.identity.clone(), frame, Some((peer, state, servers)))
         }
@@ -253,13 +274,13 @@
         on_time: frame.1,
         late: frame.2,
     };
+    let now = Instant::now();
+    let troubles = std::mem::take(&mut frame.4);
     let mut state = gateway.state.borrow_mut();
-    state.loads.hear_peer(
-        Instant::now(),
-        &identity.entry,
-        frame.into_digest(),
-        waiting,
-    );
+    state.loads.hear_troubles(now, &identity.entry, troubles);
+    state
+        .loads
+        .hear_peer(now, &identity.entry, frame.into_digest(), waiting);
     drop(state);
     gateway.room_changed.notify_one();
 }
--- a/crates/gs-gateway/src/pump.rs
+++ b/crates/gs-gateway/src/pump.rs
@@ -15,7 +15,7 @@
 use crate::call::ServerCall;
 use crate::event_stream::EventSplitter;
 use crate::gateway::Gateway;
-use crate::generation::{GenerationJob, reserve_again, send_decode};
+use crate::generation::{GenerationJob, SentDecode, open_decode, reserve_again, send_decode};
 use crate::reservation::{ActiveRequest, StreamReservation};
 use crate::wire::{AnswerVerdict, ResumePoint, SendStage};
 
@@ -155,13 +155,18 @@
             _ => Some(self.progress.last.as_ref()?),
         };
         let reserved = reserve_again(&self.gateway, &self.generation, passed)?;
+        let server = reserved.server().clone();
+        let call = open_decode(&self.gateway, &self.generation, &server).await?;
         if !self.gateway.spend_budget(&job.service) {
             return None;
         }
-        let server = reserved.server().clone();
         let left = job.answer_by().saturating_duration_since(Instant::now());
-        let stage = SendStage::Decode(None);
-        let sent = send_decode(&self.gateway, &self.generation, &server, stage, last);
+        let asked = SentDecode {
+            server: &server,
+            stage: SendStage::Decode(None),
+            resume: last,
+        };
+        let sent = send_decode(&self.gateway, &self.generation, call, asked);
         let sent = tokio::time::timeout(left, sent).await.ok()?;
         let (answer, call) = match sent {
             Ok(sent) => sent,
--- a/crates/gs-gateway/tests/gateway/generation.rs
+++ b/crates/gs-gateway/tests/gateway/generation.rs
@@ -201,3 +201,21 @@
         Some("decode")
     );
 }
+
+/// A decode engine that is gone is found out before the prompt is read, not by a result that nobody takes.
+#[actix_rt::test]
+async fn an_engine_that_is_gone_costs_no_prefill() {
+    let prefill = prefill_engine().await;
+    let gone = {
+        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await;
+        listener.expect("a port").local_addr().expect("an address")
+    };
+    let entries = vec![
+        prefill_entry("p0", prefill.address),
+        decode_entry("d0", gone),
+    ];
+    let deployment = Deployment::start(entries).await;
+    let answer = deployment.ask(Route::Stream, "r1").await;
+    assert_eq!(answer.status(), 503, "not run: {answer:?}");
+    assert_eq!(prefill.requests(), Vec::<String>::new());
+}
