--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -45,7 +45,7 @@
         Self {
             start_lead: Duration::from_millis(330),
             late_wait: Duration::from_millis(1_500),
-            memory_part: 0.95,
+            memory_part: 0.88,
             late_memory_part: 0.8,
             retry_after: (Duration::from_millis(1_200), Duration::from_millis(4_500)),
         }
