Order idle prefill engines to the decode stage, each once, by a claim in the store

Cause: both grown sites have 16 prefill engines before 29 decode engines. A prompt takes 94 ms of the former, a stream half a second of all memory of the latter: at 55 streams a second decode memory is full and prefill a third used. Change: gs_control::forwarding::stages works out the split from what streams have needed; the entry that hashes lowest claims a server by an object that can be made once and sends it its only order, so that no two holders ever order one server and a paused holder can do no harm; peers are told while an engine changes. A test of the gateway failed first on a runaway: an order that was not seen in the registry was made up for by another; ordered engines now count where they go until the registry shows it or they refuse. Ruled out: a holder by lease (two holders can then order one server within its time).

--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -5,15 +5,18 @@
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use super::troubles::{ServerTrouble, TroubleReport};
 
 /// What a model engine does.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum ServerStage {
     /// It generates tokens.
+    #[serde(rename = "d")]
     Decode,
     /// It reads prompts.
+    #[serde(rename = "p")]
     Prefill,
 }
 
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::admission::WaitingCounts;
-use super::directory::ServerEntry;
+use super::directory::{ServerEntry, ServerStage};
 use super::memory::StreamShape;
 use super::troubles::{ServerTrouble, TroubleBook, TroubleReport};
 
@@ -131,6 +131,7 @@
     peer_work: BTreeMap<ServerName, BTreeMap<EntryName, PeerWork>>,
     health: BTreeMap<ServerName, ServerHealth>,
     troubles: TroubleBook,
+    switching: BTreeMap<ServerName, (ServerStage, Instant)>,
     next_stream: StreamKey,
 }
 
@@ -144,6 +145,7 @@
             peer_work: BTreeMap::new(),
             health: BTreeMap::new(),
             troubles: TroubleBook::default(),
+            switching: BTreeMap::new(),
             next_stream: 0,
         }
     }
@@ -241,8 +243,30 @@
             .health
             .iter()
             .filter(|(_, health)| health.avoided_until.is_some_and(|until| until > now));
-        avoided
-            .map(|(server, _)| (server.clone(), ServerTrouble::Unreachable))
+        let unreachable = avoided.map(|(server, _)| (server.clone(), ServerTrouble::Unreachable));
+        let switching = self.own_switching(now);
+        let switching =
+            switching.map(|(server, stage)| (server.clone(), ServerTrouble::Switching(stage)));
+        unreachable.chain(switching).collect()
+    }
+
+    /// This entry has ordered a server to another stage, where it is busy until the time.
+    pub fn note_switching(&mut self, server: &ServerName, stage: ServerStage, until: Instant) {
+        self.switching.insert(server.clone(), (stage, until));
+    }
+
+    fn own_switching(&self, now: Instant) -> impl Iterator<Item = (&ServerName, ServerStage)> {
+        let switching = self.switching.iter();
+        switching
+            .filter(move |(_, (_, until))| *until > now)
+            .map(|(server, (stage, _))| (server, *stage))
+    }
+
+    /// Servers that this entry or its peers have ordered to another stage, by the stage that they will have.
+    pub fn switching(&self, now: Instant) -> BTreeMap<ServerName, ServerStage> {
+        let switching = self.own_switching(now).chain(self.troubles.switching());
+        switching
+            .map(|(server, stage)| (server.clone(), stage))
             .collect()
     }
 
@@ -398,6 +422,9 @@
             .and_then(|health| health.avoided_until)
             .is_some_and(|until| until > now)
             || self.troubles.speaks_against(entry)
+            || self
+                .own_switching(now)
+                .any(|(server, _)| *server == entry.name)
     }
 
     /// Forgets the health of servers that are no longer named.
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 mod repeats;
 mod routes;
 mod shutdown;
+mod stages;
 mod troubles;
 
 pub use admission::{
@@ -36,4 +37,5 @@
     ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceFacts,
 };
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
+pub use stages::{StageEstimate, StageMove, StageNeed, next_move};
 pub use troubles::{ServerTrouble, TroubleBook, TroubleReport};
--- a/crates/gs-control/src/forwarding/routes.rs
+++ b/crates/gs-control/src/forwarding/routes.rs
@@ -94,6 +94,8 @@
     pub event_tokens: u32,
     /// How long an engine keeps the result of a prefill that is not taken.
     pub result_lifetime: Duration,
+    /// How long an engine is away while it changes its stage; none if it cannot be ordered to.
+    pub stage_switch: Option<Duration>,
 }
 
 /// One service.
--- a/crates/gs-control/src/forwarding/troubles.rs
+++ b/crates/gs-control/src/forwarding/troubles.rs
@@ -10,7 +10,7 @@
 use gs_protocol::ids::{EntryName, ServerName};
 use serde::{Deserialize, Serialize};
 
-use super::directory::ServerEntry;
+use super::directory::{ServerEntry, ServerStage};
 
 /// How many peers must not have reached a server before it is avoided here. One alone may be cut off itself.
 const UNREACHED_PEERS: usize = 2;
@@ -24,6 +24,19 @@
     /// Another server has answered at its address; it was the start at this Unix millisecond that was meant.
     #[serde(rename = "m")]
     Misdirected(Option<u64>),
+    /// It was ordered to another stage and runs nothing until that is done.
+    #[serde(rename = "s")]
+    Switching(ServerStage),
+}
+
+impl ServerTrouble {
+    /// The stage that the server will have.
+    fn stage(self) -> Option<ServerStage> {
+        match self {
+            Self::Switching(stage) => Some(stage),
+            Self::Unreachable | Self::Misdirected(_) => None,
+        }
+    }
 }
 
 /// What one entry has met, by server.
@@ -76,6 +89,15 @@
         let troubles = || peers.values().map(|told| told.trouble);
         let is_replaced = |trouble| trouble == ServerTrouble::Misdirected(entry.born);
         let unreached = troubles().filter(|trouble| *trouble == ServerTrouble::Unreachable);
-        unreached.count() >= UNREACHED_PEERS || troubles().any(is_replaced)
+        unreached.count() >= UNREACHED_PEERS
+            || troubles().any(|trouble| is_replaced(trouble) || trouble.stage().is_some())
+    }
+
+    /// Servers that peers have ordered to another stage.
+    pub fn switching(&self) -> impl Iterator<Item = (&ServerName, ServerStage)> {
+        self.told.iter().filter_map(|(server, peers)| {
+            let stage = peers.values().find_map(|told| told.trouble.stage());
+            stage.map(|stage| (server, stage))
+        })
     }
 }
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -16,6 +16,7 @@
     slots: 3,
     memory_tokens: 10_000,
     event_tokens: 10,
+    stage_switch: None,
     result_lifetime: Duration::from_millis(500),
 };
 
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -9,5 +9,6 @@
 mod repeats;
 mod routes;
 mod shutdown;
+mod stages;
 mod support;
 mod troubles;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,7 +9,8 @@
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DirectorySettings, FleetPace, FollowedView, LengthEstimate,
     LoadBook, LoadSettings, LongestDeadline, PlacementView, RepeatBudget, RouteTable,
-    ServerDirectory, ServerEntry, ShutdownPhase, ShutdownPlan, TicketId, ViewVersions,
+    ServerDirectory, ServerEntry, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate,
+    TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
@@ -87,6 +88,11 @@
     pub deadlines: BTreeMap<String, LongestDeadline>,
     /// How long streams run, in seconds.
     pub stream_seconds: f64,
+    /// What streams need of the engines, by service.
+    pub stages: BTreeMap<ServiceName, StageEstimate>,
+    /// Servers that this entry has tried to order to another stage, with the stage that they will have if
+    /// they may change.
+    pub ordered: BTreeMap<ServerName, Option<ServerStage>>,
     pub views: BTreeMap<FollowedView, ViewVersions>,
     pub membership: MembershipState,
     pub rng: Pcg64Mcg,
@@ -123,6 +129,8 @@
             lengths: BTreeMap::new(),
             deadlines: BTreeMap::new(),
             stream_seconds: FIRST_STREAM_SECONDS,
+            stages: BTreeMap::new(),
+            ordered: BTreeMap::new(),
             views: BTreeMap::new(),
             membership: MembershipState::new(own, settings.membership),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
@@ -172,6 +180,8 @@
         state
             .loads
             .retain_servers(|server| directory.get(server).is_some());
+        let ordered = &mut state.ordered;
+        ordered.retain(|server, _| directory.get(server).is_some());
         drop(guard);
         self.room_changed.notify_one();
     }
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -119,6 +119,7 @@
         .and_then(|table| table.service(&job.service))
         .and_then(|service| service.engine.clone());
     let demand = stream_demand(gateway, &job);
+    gateway.learn_stream(&demand.service, demand.shape);
     let generation = GenerationJob { job, demand, facts };
     match wait_for_room(gateway, &generation).await {
         Ok(reserved) => run(gateway, generation, reserved).await,
@@ -329,9 +330,11 @@
             prompt_tokens: u64::from(generation.demand.shape.held),
         };
         let _reserved = Reservation::take(gateway, &server, load);
+        let began = Instant::now();
         match try_prefill(gateway, generation, &server).await {
             Ok(kept) => {
                 gateway.note_answer(&server, false);
+                gateway.learn_prefill(service, load.prompt_tokens, began.elapsed());
                 return Ok(kept);
             }
             Err(error) => {
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod pump;
 mod reservation;
+mod stages;
 mod views;
 mod wire;
 
@@ -29,7 +30,8 @@
 pub use ingress::{serve_clients, serve_simple};
 pub use lifecycle::{run_admission, run_shutdown};
 pub use peers::{PeerLink, run_peers};
+pub use stages::{OrderDesk, run_stages};
 pub use wire::{
     AnswerVerdict, ClientFacts, GenerationFacts, KvSource, PrefillResult, RequestError,
-    ResumePoint, SendStage, ServerOrder, ServerWire, SmallCall,
+    ResumePoint, SendStage, ServerOrder, ServerWire, SmallCall, StageOrder,
 };
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gs_protocol::ids::ServerName;
+use bytes::Bytes;
+use gs_control::forwarding::ServerStage;
+use gs_protocol::ids::{EntryName, ServerName};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, http};
+use hyper::{Method, Request, http};
 
 /// A request that is no proper request.
 #[derive(Debug, Eq, thiserror::Error, PartialEq)]
@@ -105,6 +108,21 @@
     pub path: String,
 }
 
+/// An order to an engine to change its stage.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StageOrder<'a> {
+    /// The engine that is meant; another one at the address refuses.
+    pub server: &'a ServerName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// What it is to do.
+    pub stage: ServerStage,
+    /// Who orders it.
+    pub holder: &'a EntryName,
+    /// Larger than that of every earlier order of any holder.
+    pub fence: u64,
+}
+
 /// What an answer's head says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerVerdict {
@@ -137,6 +155,9 @@
     /// Reads the body of an answer to a prefill; `None` if it is none.
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
 
+    /// The call that orders an engine to another stage.
+    fn stage_request(&self, order: &StageOrder<'_>) -> Request<Full<Bytes>>;
+
     /// The call that frees a prefill's result.
     fn free_call(&self, handle: &str) -> SmallCall;
 
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -3,4 +3,5 @@
 mod generation;
 mod logs;
 mod plain;
+mod stages;
 mod support;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -148,6 +148,7 @@
         memory_tokens: 10_000,
         event_tokens: 1,
         result_lifetime: Duration::from_millis(500),
+        stage_switch: Some(Duration::from_millis(200)),
     };
     let plain = ServiceFacts {
         max_connections: None,
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use gs_gateway::{
     AnswerVerdict, ClientFacts, GenerationFacts, PrefillResult, RequestError, ResumePoint,
-    SendStage, ServerOrder, ServerWire, SmallCall,
+    SendStage, ServerOrder, ServerWire, SmallCall, StageOrder,
 };
-use hyper::Method;
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{request, response};
+use hyper::{Method, Request};
 
 pub struct TestWire;
 
@@ -93,6 +95,21 @@
         })
     }
 
+    fn stage_request(&self, order: &StageOrder<'_>) -> Request<Full<Bytes>> {
+        let StageOrder {
+            server,
+            stage,
+            holder,
+            fence,
+            ..
+        } = order;
+        Request::post("/stage")
+            .header("t-server", server.as_str())
+            .header("t-order", format!("{stage:?} {holder} {fence}"))
+            .body(Full::new(Bytes::new()))
+            .expect("a plain request")
+    }
+
     fn free_call(&self, handle: &str) -> SmallCall {
         SmallCall {
             method: Method::DELETE,
