Play several entries before failing servers, with clients that check every answer

It checks that what was refused has not run, that what may run once did, that answers and events are the request's own, whole or broken off for all to see, and that nothing stays counted.

--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -3,5 +3,6 @@
 mod generation;
 mod logs;
 mod plain;
+mod soak;
 mod stages;
 mod support;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -9,8 +9,8 @@
     ClientLimits, EngineFacts, RouteKind, RouteRule, RouteTable, RouteTarget, ServerEntry,
     ServerStage, ServiceFacts,
 };
-use gs_control::membership::MembershipSettings;
-use gs_gateway::{Gateway, GatewaySettings, run_admission, serve_clients};
+use gs_control::membership::{MemberCandidate, MembershipSettings};
+use gs_gateway::{Gateway, GatewaySettings, PeerLink, run_admission, run_peers, serve_clients};
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::PeerIdentity;
 use tokio::net::TcpListener;
@@ -106,9 +106,13 @@
 
 impl Deployment {
     pub async fn start(servers: Vec<ServerEntry>) -> Self {
+        Self::start_named("entry-1", servers).await
+    }
+
+    pub async fn start_named(name: &str, servers: Vec<ServerEntry>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let gateway = Rc::new(Gateway::new(settings(address), Box::new(TestWire)));
+        let gateway = Rc::new(Gateway::new(settings(name, address), Box::new(TestWire)));
         let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
         let rules = routes.map(Route::rule).into();
         gateway.apply_table(RouteTable::new(
@@ -123,6 +127,30 @@
         Self { gateway, address }
     }
 
+    /// Lets entries send each other heartbeats.
+    pub async fn join(entries: &[Self]) {
+        let candidates: Vec<MemberCandidate> = entries
+            .iter()
+            .map(|entry| {
+                let own = &entry.gateway.settings.own;
+                MemberCandidate {
+                    name: own.identity.entry.clone(),
+                    data_centre: own.data_centre.clone(),
+                    address: own.address,
+                    peer_address: own.peer_address,
+                    leaving: false,
+                }
+            })
+            .collect();
+        for entry in entries {
+            let gateway = Rc::clone(&entry.gateway);
+            let link = PeerLink::open(gateway.settings.own.peer_address).await;
+            let link = Rc::new(link.expect("the port of the clients is free for datagrams"));
+            gateway.see_entries(candidates.clone());
+            actix_rt::spawn(run_peers(gateway, link, Incarnation(1)));
+        }
+    }
+
     /// Sends a request that ends its connection and reads the whole answer.
     pub async fn ask(&self, route: Route, id: &str) -> RawAnswer {
         let mut client = RawClient::connect(self.address).await;
@@ -161,11 +189,11 @@
     BTreeMap::from([("desk".into(), plain), ("notes".into(), engines)])
 }
 
-fn settings(address: SocketAddr) -> GatewaySettings {
+fn settings(name: &str, address: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         own: PeerIdentity {
             identity: EntryIdentity {
-                entry: "entry-1".into(),
+                entry: name.into(),
                 incarnation: Incarnation(1),
             },
             data_centre: "north".into(),
--- a/crates/gs-gateway/tests/gateway/support/mod.rs
+++ b/crates/gs-gateway/tests/gateway/support/mod.rs
@@ -5,7 +5,7 @@
 mod server;
 mod wire;
 
-pub use client::RawClient;
+pub use client::{RawAnswer, RawClient};
 pub use deployment::{Deployment, Route, decode_entry, prefill_entry, request, service_entry};
 pub use server::{Script, StubServer, header};
 
