--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -29,7 +29,7 @@
 pub use gateway::{EntryCard, Gateway, GatewaySettings};
 pub use ingress::{serve_clients, serve_simple};
 pub use lifecycle::{run_admission, run_shutdown};
-pub use peers::{PeerLink, run_peers};
+pub use peers::{PeerLink, run_peers, take_heartbeats};
 pub use stages::{OrderDesk, run_stages};
 pub use wire::{
     AnswerVerdict, ClientFacts, GenerationFacts, KvSource, PrefillResult, RequestError,
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -15,11 +15,12 @@
 use gs_control::membership::{MemberCandidate, MembershipEvent};
 use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber, ServerName};
 use gs_protocol::peer::{PeerIdentity, PeerState};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::error::GatewayError;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, GatewayState};
 
 /// Between two regular heartbeats, at the least.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -165,17 +166,26 @@
         }
     }
 
+    /// Where some other entry that is alive is reached by peers.
+    pub fn some_peer(&self) -> Option<SocketAddr> {
+        let mut guard = self.state.borrow_mut();
+        let GatewayState {
+            membership, rng, ..
+        } = &mut *guard;
+        let alive = membership.usable();
+        alive.choose(rng).map(|member| member.peer_address)
+    }
+
     /// Where the other entries are reached, listed or heard.
     fn peer_addresses(&self) -> Vec<SocketAddr> {
         self.state.borrow().membership.peer_addresses()
     }
 }
 
-/// Sends and takes heartbeats until the process ends. Later starts of an entry have larger incarnations.
+/// Sends heartbeats until the process ends. Later starts of an entry have larger incarnations.
 pub async fn run_peers(gateway: Rc<Gateway>, link: Rc<PeerLink>, incarnation: Incarnation) {
     let mut own = gateway.settings.own.clone();
     own.identity.incarnation = incarnation;
-    actix_rt::spawn(take_heartbeats(Rc::clone(&gateway), Rc::clone(&link)));
     let mut number = 0;
     let mut told: Option<Instant> = None;
     loop {
@@ -237,7 +247,8 @@
     }
 }
 
-async fn take_heartbeats(gateway: Rc<Gateway>, link: Rc<PeerLink>) {
+/// Takes heartbeats until the process ends.
+pub async fn take_heartbeats(gateway: Rc<Gateway>, link: Rc<PeerLink>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         let length = match link.socket.recv_from(&mut buffer).await {
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -10,7 +10,9 @@
     ServerStage, ServiceFacts,
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
-use gs_gateway::{Gateway, GatewaySettings, PeerLink, run_admission, run_peers, serve_clients};
+use gs_gateway::{
+    Gateway, GatewaySettings, PeerLink, run_admission, run_peers, serve_clients, take_heartbeats,
+};
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::PeerIdentity;
 use tokio::net::TcpListener;
@@ -147,6 +149,7 @@
             let link = PeerLink::open(gateway.settings.own.peer_address).await;
             let link = Rc::new(link.expect("the port of the clients is free for datagrams"));
             gateway.see_entries(candidates.clone());
+            actix_rt::spawn(take_heartbeats(Rc::clone(&gateway), Rc::clone(&link)));
             actix_rt::spawn(run_peers(gateway, link, Incarnation(1)));
         }
     }
