Split prefills from generations, and judge servers' failures in one place

Change: prefill.rs with the results' guard, reach_decode, server_answer, is_promise and unknown_answer; dead code gone. Behaviour is meant to be the same. Ruled out: a shared module for all answers; two functions beside ForwardJob are enough.

--- a/crates/gs-gateway/src/error.rs
+++ b/crates/gs-gateway/src/error.rs
@@ -16,7 +16,4 @@
     /// The signal handlers cannot be installed.
     #[error("cannot install the signal handlers: {0}")]
     Signals(std::io::Error),
-    /// A digest for the peers cannot be encoded.
-    #[error("cannot encode a digest: {0}")]
-    EncodeDigest(#[from] ciborium::ser::Error<std::io::Error>),
 }
--- a/crates/gs-gateway/src/event_stream.rs
+++ b/crates/gs-gateway/src/event_stream.rs
@@ -52,12 +52,6 @@
         self.kept.is_empty()
     }
 
-    /// What is kept back, for streams that are no events.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.kept.split().freeze()
-    }
-
     fn event_end(&mut self) -> Option<usize> {
         let mut at = self.scanned;
         while at < self.kept.len() {
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -4,41 +4,29 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, EngineTurn, ServerLoad,
-    StreamDemand, StreamShape, TicketId, WaitingStream, choose_decode, choose_prefill,
+    AdmissionVerdict, AttemptFailure, DecodeDemand, EngineFacts, EngineTurn, StreamDemand,
+    StreamShape, TicketId, WaitingStream, choose_decode,
 };
 use gs_protocol::ids::ServerName;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
 use tokio::sync::oneshot;
 
-use crate::answer::{AnswerBody, ClientAnswer, own_answer};
+use crate::answer::ClientAnswer;
 use crate::call::{CallError, ServerCall};
 use crate::gateway::{Gateway, StartOrder};
-use crate::give_back::give_back;
-use crate::plain::{CONNECT_LIMIT, ForwardJob, RETURN_AFTER};
+use crate::plain::{CONNECT_LIMIT, ForwardJob, RETURN_AFTER, is_promise, server_answer};
+use crate::prefill::{KeptResult, MAX_PREFILL_ANSWER, fresh_result};
 use crate::pump::{RunningStream, start_pump};
-use crate::reservation::{Reservation, StreamReservation};
-use crate::wire::{AnswerVerdict, KvSource, ResumePoint, SendStage, ServerOrder};
+use crate::reservation::StreamReservation;
+use crate::wire::{AnswerVerdict, ResumePoint, SendStage, ServerOrder};
 
 /// Part of an engine's memory that may be needed where a stream goes that another engine did not take.
 const SECOND_MEMORY_PART: f64 = 0.9;
 
-/// Engines that a prefill is tried at.
-const MAX_PREFILLS: usize = 3;
-
 /// Engines that a stream is tried at before its first event.
 const MAX_DECODES: usize = 4;
 
-/// Part of a prefill result's life after which it is not relied on.
-const RESULT_PART: f64 = 0.7;
-
-/// The longest answer to a prefill, in bytes.
-const MAX_PREFILL_ANSWER: usize = 65_536;
-
-/// How long a prefill may take, in latency targets of its route.
-const PREFILL_TARGETS: f64 = 1.0;
-
 /// The last place in an engine's queue.
 const LAST_PRIORITY: u8 = 9;
 
@@ -65,37 +53,6 @@
     }
 }
 
-/// A prefill's result that nobody has taken; dropping it frees it at its engine.
-struct KeptResult {
-    gateway: Rc<Gateway>,
-    source: Option<KvSource>,
-    made: Instant,
-}
-
-impl KeptResult {
-    /// The result was taken by a decode engine.
-    fn taken(mut self) {
-        self.source = None;
-    }
-
-    fn is_fresh(&self, facts: Option<&EngineFacts>) -> bool {
-        let life = facts.map_or(Duration::MAX, |facts| {
-            facts.result_lifetime.mul_f64(RESULT_PART)
-        });
-        self.made.elapsed() < life
-    }
-}
-
-impl Drop for KeptResult {
-    fn drop(&mut self) {
-        let Some(source) = self.source.take() else {
-            return;
-        };
-        let call = self.gateway.wire.free_call(&source.handle);
-        give_back(source.address, call);
-    }
-}
-
 /// Takes a waiting stream out of the queue when its request is dropped.
 struct TicketGuard {
     gateway: Rc<Gateway>,
@@ -215,34 +172,27 @@
     let job = &generation.job;
     let mut is_repeat = false;
     for _ in 0..MAX_DECODES {
-        let facts = generation.facts.as_ref();
-        // An engine that is gone must not cost a prefill.
-        let Some(call) = open_decode(gateway, &generation, reserved.server()).await else {
-            passed.push(reserved.server().clone());
-            match reserve_again(gateway, &generation, &passed) {
-                Some(other) => reserved = other,
-                None => break,
-            }
-            continue;
+        let Some((reached, call)) = reach_decode(gateway, &generation, reserved, &mut passed).await
+        else {
+            break;
         };
-        if !kept.as_ref().is_some_and(|kept| kept.is_fresh(facts)) {
-            drop(kept.take());
-            kept = match prefill(gateway, &generation, reserved.server(), is_repeat).await {
-                Ok(kept) => Some(kept),
-                Err(PrefillFailure::NoEngine) => None,
-                Err(PrefillFailure::Failed) => return job.refusal(gateway, RETURN_AFTER),
-            };
-        }
+        reserved = reached;
+        let before = kept.take();
+        let Ok(fresh) =
+            fresh_result(gateway, &generation, reserved.server(), before, is_repeat).await
+        else {
+            break;
+        };
+        kept = fresh;
         if is_repeat && !gateway.spend_budget(&job.service) {
             break;
         }
         is_repeat = true;
         let source = kept.as_ref().and_then(|kept| kept.source.as_ref());
         let resume = job.facts.resume.as_ref();
-        let stage = SendStage::Decode(source);
         let sent = SentDecode {
             server: reserved.server(),
-            stage,
+            stage: SendStage::Decode(source),
             resume,
         };
         let outcome = decode(gateway, &generation, call, sent).await;
@@ -262,24 +212,33 @@
         if !failure.is_not_run() {
             // The engine may have taken the result; it lapses if not.
             kept.take().into_iter().for_each(KeptResult::taken);
-            return answer.unwrap_or_else(|| unknown_answer(job));
+            return answer.unwrap_or_else(|| job.unknown_answer());
         }
         gateway.note_full(reserved.server());
         passed.push(reserved.server().clone());
-        match reserve_again(gateway, &generation, &passed) {
-            Some(other) => reserved = other,
-            None => break,
-        }
     }
     job.refusal(gateway, RETURN_AFTER)
 }
 
-fn unknown_answer(job: &ForwardJob) -> ClientAnswer {
-    let status = match Instant::now() >= job.answer_by() {
-        true => StatusCode::GATEWAY_TIMEOUT,
-        false => StatusCode::BAD_GATEWAY,
-    };
-    own_answer(status, "the request may have run\n")
+/// A decode engine that can be reached, from the reserved one on: one that is gone must not cost a prefill.
+async fn reach_decode(
+    gateway: &Rc<Gateway>,
+    generation: &GenerationJob,
+    first: StreamReservation,
+    passed: &mut Vec<ServerName>,
+) -> Option<(StreamReservation, ServerCall)> {
+    let mut reserved = first;
+    for _ in 0..MAX_DECODES {
+        let server = reserved.server().clone();
+        if !passed.contains(&server) {
+            if let Some(call) = open_decode(gateway, generation, &server).await {
+                return Some((reserved, call));
+            }
+            passed.push(server);
+        }
+        reserved = reserve_again(gateway, generation, passed)?;
+    }
+    None
 }
 
 /// Another decode engine with room.
@@ -296,106 +255,6 @@
     Some(StreamReservation::take(gateway, &server, shape))
 }
 
-/// Why there is no prefill result.
-enum PrefillFailure {
-    /// No prefill engine is known; a decode engine can read the prompt itself.
-    NoEngine,
-    /// It was tried and failed.
-    Failed,
-}
-
-async fn prefill(
-    gateway: &Rc<Gateway>,
-    generation: &GenerationJob,
-    decode: &ServerName,
-    mut is_counted: bool,
-) -> Result<KeptResult, PrefillFailure> {
-    let service = &generation.demand.service;
-    let mut passed: Vec<ServerName> = Vec::new();
-    for _ in 0..MAX_PREFILLS {
-        let chosen = gateway.with_view(|view| choose_prefill(view, service, decode, &passed));
-        let Some(server) = chosen else {
-            let is_none = passed.is_empty();
-            return Err(if is_none {
-                PrefillFailure::NoEngine
-            } else {
-                PrefillFailure::Failed
-            });
-        };
-        if is_counted && !gateway.spend_budget(service) {
-            return Err(PrefillFailure::Failed);
-        }
-        let load = ServerLoad {
-            requests: 1,
-            prompt_tokens: u64::from(generation.demand.shape.held),
-        };
-        let _reserved = Reservation::take(gateway, &server, load);
-        let began = Instant::now();
-        match try_prefill(gateway, generation, &server).await {
-            Ok(kept) => {
-                gateway.note_answer(&server, false);
-                gateway.learn_prefill(service, load.prompt_tokens, began.elapsed());
-                return Ok(kept);
-            }
-            Err(error) => {
-                log::info!(target: "generation", id:% = generation.job.facts.request, prefill:% = server, error:%; "prefill failed");
-                match error.is_not_sent() {
-                    true => gateway.note_unreachable(&server),
-                    false => gateway.note_answer(&server, true),
-                }
-                is_counted |= !error.is_not_sent();
-                passed.push(server);
-            }
-        }
-    }
-    Err(PrefillFailure::Failed)
-}
-
-async fn try_prefill(
-    gateway: &Rc<Gateway>,
-    generation: &GenerationJob,
-    server: &ServerName,
-) -> Result<KeptResult, CallError> {
-    let job = &generation.job;
-    let address = gateway.server_address(server);
-    let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
-    let left = job.answer_by().saturating_duration_since(Instant::now());
-    let limit = left.min(job.rule.latency_target.mul_f64(PREFILL_TARGETS));
-    let order = ServerOrder {
-        server,
-        stage: SendStage::Prefill,
-        deadline: left,
-        priority: Some(generation.priority()),
-        resume: None,
-    };
-    let request = job.server_request(gateway, &order);
-    let exchange = async {
-        let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
-        let (head, body) = call.send(request).await?.into_parts();
-        let body = ServerCall::read_whole(body, MAX_PREFILL_ANSWER).await?;
-        Ok((head, body))
-    };
-    let answered = tokio::time::timeout(limit, exchange).await;
-    let (head, body) = answered.map_err(|_| CallError::AnswerTimeout(limit))??;
-    let verdict = gateway.wire.judge_prefill(&head);
-    if verdict == AnswerVerdict::Misdirected {
-        gateway.note_misdirected(server);
-    }
-    let result = match verdict {
-        AnswerVerdict::Success => gateway.wire.read_prefill(&body),
-        _ => None,
-    };
-    let result = result.ok_or(CallError::Refused(head.status.as_u16()))?;
-    Ok(KeptResult {
-        gateway: Rc::clone(gateway),
-        source: Some(KvSource {
-            address,
-            handle: result.handle,
-        }),
-        made: Instant::now(),
-    })
-}
-
 async fn decode(
     gateway: &Rc<Gateway>,
     generation: &GenerationJob,
@@ -439,16 +298,13 @@
         }
         AnswerVerdict::ServerFailure => {
             gateway.note_answer(server, true);
-            let is_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
             let limit = job.answer_by().saturating_duration_since(Instant::now());
             let reading = ServerCall::read_whole(body, MAX_PREFILL_ANSWER);
             let whole = match tokio::time::timeout(limit, reading).await {
-                Ok(Ok(whole)) if !is_promise => whole,
+                Ok(Ok(whole)) if !is_promise(head.status) => whole,
                 _ => return DecodeOutcome::Failed(AttemptFailure::ServerError, None),
             };
-            let mut answer = Response::new(AnswerBody::whole(whole));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = gateway.wire.client_headers(&head.headers);
+            let answer = server_answer(gateway, &head, whole);
             DecodeOutcome::Failed(AttemptFailure::ServerError, Some(answer))
         }
     }
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod lifecycle;
 mod peers;
 mod plain;
+mod prefill;
 mod pump;
 mod reservation;
 mod stages;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -12,6 +12,7 @@
 use gs_protocol::ids::{ServerName, ServiceName};
 use http_body_util::Full;
 use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 
 use crate::answer::{AnswerBody, ClientAnswer, own_answer};
@@ -80,6 +81,15 @@
         answer.headers_mut().insert(name, value);
         answer
     }
+
+    /// The answer for a request that may have run.
+    pub fn unknown_answer(&self) -> ClientAnswer {
+        let status = match Instant::now() >= self.answer_by() {
+            true => StatusCode::GATEWAY_TIMEOUT,
+            false => StatusCode::BAD_GATEWAY,
+        };
+        own_answer(status, "the request may have run\n")
+    }
 }
 
 /// A server's failure that may be passed on.
@@ -156,16 +166,23 @@
     }
     match last {
         FinalAnswer::NotRun => job.refusal(gateway, RETURN_AFTER),
-        FinalAnswer::ServersOwn | FinalAnswer::Unknown => {
-            let status = match Instant::now() >= job.answer_by() {
-                true => StatusCode::GATEWAY_TIMEOUT,
-                false => StatusCode::BAD_GATEWAY,
-            };
-            own_answer(status, "the request may have run\n")
-        }
+        FinalAnswer::ServersOwn | FinalAnswer::Unknown => job.unknown_answer(),
     }
 }
 
+/// A server's own answer as it goes to the client.
+pub(crate) fn server_answer(gateway: &Gateway, head: &Parts, body: Bytes) -> ClientAnswer {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = gateway.wire.client_headers(&head.headers);
+    answer
+}
+
+/// Whether a status says that a request has not run.
+pub(crate) fn is_promise(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 async fn try_server(
     gateway: &Rc<Gateway>,
     job: &ForwardJob,
@@ -206,7 +223,7 @@
     job: &ForwardJob,
     server: &ServerName,
     is_sent: &mut bool,
-) -> Result<(hyper::http::response::Parts, Bytes), CallError> {
+) -> Result<(Parts, Bytes), CallError> {
     let address = gateway.server_address(server);
     let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
     let mut call = ServerCall::open(address, CONNECT_LIMIT).await?;
@@ -233,24 +250,17 @@
 ) -> TryOutcome {
     let (head, body) = answer.into_parts();
     let verdict = gateway.wire.judge_answer(&head, &job.facts.request);
-    let passed_on = || {
-        let mut answer = Response::new(AnswerBody::whole(body.clone()));
-        *answer.status_mut() = head.status;
-        *answer.headers_mut() = gateway.wire.client_headers(&head.headers);
-        answer
-    };
     log::debug!(target: "request", id:% = job.facts.request, server:%, status = head.status.as_u16(), verdict:?; "answered");
     match verdict {
         AnswerVerdict::Success => {
             gateway.note_answer(server, false);
-            TryOutcome::Answered(passed_on())
+            TryOutcome::Answered(server_answer(gateway, &head, body))
         }
         AnswerVerdict::ServerFailure => {
             gateway.note_answer(server, true);
-            let answer = passed_on();
-            // These statuses say that a request has not run, which this server did not say.
-            let is_promise = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
-            TryOutcome::Failed(AttemptFailure::ServerError, (!is_promise).then_some(answer))
+            // A promise that the server did not make is not passed on.
+            let answer = (!is_promise(head.status)).then(|| server_answer(gateway, &head, body));
+            TryOutcome::Failed(AttemptFailure::ServerError, answer)
         }
         AnswerVerdict::NotExecuted => {
             gateway.note_answer(server, true);
