Judge silence by the heartbeats of the fleet's size, and pause claims that fail

Cause: beyond 220 entries the regular heartbeat of an entry comes more rarely than the 2.6 s after which it is suspected and the 3 s for which its load counts: membership, the readers of the registry and the parts of the repeat budget would flap. Change: an entry is suspected after 2.2 intervals at the soonest and dead after 3.5, a digest counts for 2.2; nothing changes up to 80 entries. After a failed claim nothing is claimed for 5 s. Tests of each. Ruled out: a cap of the interval (350 entries would send 290 datagrams a second each at rest).

--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -11,6 +11,9 @@
 use super::memory::StreamShape;
 use super::troubles::{ServerTrouble, TroubleBook, TroubleReport};
 
+/// Intervals for which the digest of a peer counts at least.
+const DIGEST_INTERVALS: f64 = 2.2;
+
 /// Work at one server, besides streams.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerLoad {
@@ -132,6 +135,7 @@
     health: BTreeMap<ServerName, ServerHealth>,
     troubles: TroubleBook,
     switching: BTreeMap<ServerName, (ServerStage, Instant)>,
+    interval: Duration,
     next_stream: StreamKey,
 }
 
@@ -146,6 +150,7 @@
             health: BTreeMap::new(),
             troubles: TroubleBook::default(),
             switching: BTreeMap::new(),
+            interval: Duration::ZERO,
             next_stream: 0,
         }
     }
@@ -287,9 +292,18 @@
         own.sum::<usize>() + peers.map(|peer| peer.work.streams.len()).sum::<usize>()
     }
 
+    /// Entries of a fleet of this size tell of themselves once in an interval, so what they have told counts
+    /// for longer.
+    pub fn note_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
     /// Forgets peers that have been silent for long.
     pub fn drop_silent(&mut self, now: Instant) {
-        let lifetime = self.settings.digest_lifetime;
+        let lifetime = self
+            .settings
+            .digest_lifetime
+            .max(self.interval.mul_f64(DIGEST_INTERVALS));
         self.troubles.drop_old(now, lifetime);
         let silent: Vec<EntryName> = self
             .peers
--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{EntryName, Incarnation};
 use gs_protocol::peer::{PeerIdentity, PeerState};
@@ -12,6 +12,12 @@
     MembershipSettings,
 };
 
+/// Intervals between heartbeats after which an entry is suspected at the soonest: one may be lost.
+const SUSPECT_INTERVALS: f64 = 2.2;
+
+/// The same for taking it for dead.
+const DEAD_INTERVALS: f64 = 3.5;
+
 /// A member and when it was last heard.
 #[derive(Clone, Debug)]
 struct KnownMember {
@@ -30,6 +36,8 @@
     candidates: BTreeMap<EntryName, MemberCandidate>,
     members: BTreeMap<EntryName, KnownMember>,
     links: BTreeMap<EntryName, SocketAddr>,
+    /// Between two heartbeats of an entry.
+    interval: Duration,
 }
 
 impl MembershipState {
@@ -41,6 +49,7 @@
             candidates: BTreeMap::new(),
             members: BTreeMap::new(),
             links: BTreeMap::new(),
+            interval: Duration::ZERO,
         }
     }
 
@@ -60,6 +69,12 @@
         self.plan_links(effects);
     }
 
+    /// Entries of a fleet of this size are heard once in an interval, so none is suspected sooner than after
+    /// two of them.
+    pub fn note_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
     /// All entries that were ever heard and are not yet forgotten, by name.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|member| &member.record)
@@ -169,12 +184,16 @@
     }
 
     fn judge_silence(&mut self, now: Instant, effects: &mut Vec<MembershipEffect>) {
-        let settings = self.settings;
+        let (settings, interval) = (self.settings, self.interval);
         for member in self.members.values_mut() {
             let silence = now.saturating_duration_since(member.heard);
-            let status = if silence >= settings.dead_after {
+            let status = if silence >= settings.dead_after.max(interval.mul_f64(DEAD_INTERVALS)) {
                 MemberStatus::Dead
-            } else if silence >= settings.suspect_after {
+            } else if silence
+                >= settings
+                    .suspect_after
+                    .max(interval.mul_f64(SUSPECT_INTERVALS))
+            {
                 MemberStatus::Suspect
             } else {
                 continue;
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -89,6 +89,32 @@
     assert_eq!(choose(&book, &directory), Some(name(1)));
 }
 
+/// Entries of a large fleet tell of themselves more rarely than a digest lives in a small one.
+#[test_case(0, Some(1); "the digest of a small fleet has lapsed")]
+#[test_case(3_900, Some(2); "that of a large one counts")]
+fn a_digest_counts_until_the_next_one_is_due(interval: u64, expected: Option<u16>) {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let directory = directory(None, 2);
+    book.note_interval(milliseconds(interval));
+    book.add(&name(2), ServerLoad::REQUEST);
+    let work = ServerWork {
+        load: ServerLoad {
+            requests: 2,
+            prompt_tokens: 0,
+        },
+        streams: Vec::new(),
+    };
+    let peer = "entry-2".into();
+    book.hear_peer(
+        start(),
+        &peer,
+        vec![(name(1), work)],
+        WaitingCounts::default(),
+    );
+    book.drop_silent(start() + Duration::from_secs(4));
+    assert_eq!(choose(&book, &directory), expected.map(name));
+}
+
 #[test]
 fn a_server_that_fails_part_of_its_requests_gets_fewer() {
     let mut book = LoadBook::new(LoadSettings::default());
--- a/crates/gs-control/tests/membership.rs
+++ b/crates/gs-control/tests/membership.rs
@@ -12,6 +12,7 @@
 use gs_protocol::peer::{PeerIdentity, PeerState};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use test_case::test_case;
 
 const SETTINGS: MembershipSettings = MembershipSettings {
     suspect_after: Duration::from_millis(1_000),
@@ -217,3 +218,54 @@
     });
     result.expect("every run keeps the invariants");
 }
+
+/// In a large fleet entries are heard more rarely than the times of the settings say: 350 entries each 3.9 s.
+#[test_case(0, 1_100, MemberStatus::Suspect; "by the settings in a small fleet")]
+#[test_case(3_900, 3_900, MemberStatus::Alive; "one interval")]
+#[test_case(3_900, 8_000, MemberStatus::Alive; "one heartbeat is lost")]
+#[test_case(3_900, 8_600, MemberStatus::Suspect; "two are lost")]
+#[test_case(3_900, 13_700, MemberStatus::Dead; "three are lost")]
+fn silence_is_judged_by_the_interval_of_the_fleet(
+    interval: u64,
+    silence: u64,
+    expected: MemberStatus,
+) {
+    let now = Instant::now();
+    let mut effects = Vec::new();
+    let mut state = MembershipState::new(name(0), SETTINGS);
+    state.note_interval(Duration::from_millis(interval));
+    let peer = PeerIdentity {
+        identity: EntryIdentity {
+            entry: name(1),
+            incarnation: Incarnation(1),
+        },
+        data_centre: "north".into(),
+        address: address(1),
+        peer_address: address(1),
+    };
+    let heard = PeerState {
+        leaving: false,
+        sequence: SequenceNumber(0),
+    };
+    let listed = MemberCandidate {
+        name: name(1),
+        data_centre: "north".into(),
+        address: address(1),
+        peer_address: address(1),
+        leaving: false,
+    };
+    state.handle(
+        now,
+        MembershipEvent::CandidatesSeen(vec![listed]),
+        &mut effects,
+    );
+    state.handle(
+        now,
+        MembershipEvent::PeerHeard { peer, state: heard },
+        &mut effects,
+    );
+    let later = now + Duration::from_millis(silence);
+    state.handle(later, MembershipEvent::Tick, &mut effects);
+    let status = state.member(&name(1)).map(|record| record.status);
+    assert_eq!(status, Some(expected));
+}
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -157,6 +157,13 @@
         self.handle_membership(MembershipEvent::CandidatesSeen(candidates));
     }
 
+    /// How often entries of a fleet of this size are heard.
+    fn note_interval(&self, interval: Duration) {
+        let mut state = self.state.borrow_mut();
+        state.membership.note_interval(interval);
+        state.loads.note_interval(interval);
+    }
+
     fn handle_membership(&self, event: MembershipEvent) {
         let mut effects = Vec::new();
         let mut state = self.state.borrow_mut();
@@ -192,6 +199,7 @@
         number += 1;
         let entries = gateway.entry_count();
         let interval = HEARTBEAT + HEARTBEAT_PER_ENTRY * entries;
+        gateway.note_interval(interval);
         let is_due = told.is_none_or(|told| told.elapsed() >= interval) || gateway.is_stopping();
         let frame = load_frame(&gateway, number);
         let heartbeat = match is_due {
--- a/crates/gs-gateway/src/stages.rs
+++ b/crates/gs-gateway/src/stages.rs
@@ -32,6 +32,9 @@
 /// How much longer than it says an engine may take to change, with the work that it ends before.
 const SWITCH_SLACK: Duration = Duration::from_secs(1);
 
+/// How long nothing is claimed after a claim that failed; each one leaves a server that is not ordered again.
+const CLAIM_PAUSE: Duration = Duration::from_secs(5);
+
 /// Where the right to order a server is claimed.
 pub trait OrderDesk {
     /// Why a claim failed.
@@ -49,6 +52,7 @@
         while let Some((service, order)) = gateway.next_stage_move() {
             let decided = Instant::now();
             let claimed = desk.claim(&order).await;
+            let is_failed = claimed.is_err();
             let may_change = match claimed {
                 Ok(Some(fence)) if decided.elapsed() < DECISION_LIFE => {
                     send_order(&gateway, &service, &order, fence).await
@@ -66,9 +70,14 @@
                     false
                 }
             };
-            let mut state = gateway.state.borrow_mut();
             let stage = may_change.then_some(order.stage);
-            state.ordered.insert(order.server, stage);
+            {
+                let mut state = gateway.state.borrow_mut();
+                state.ordered.insert(order.server, stage);
+            }
+            if is_failed {
+                tokio::time::sleep(CLAIM_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/gs-gateway/tests/gateway/stages.rs
+++ b/crates/gs-gateway/tests/gateway/stages.rs
@@ -144,3 +144,13 @@
     servers.dedup();
     assert_eq!(servers.len(), count, "no server is claimed twice");
 }
+
+/// Each claim that fails leaves a server that this entry does not order any more, so an outage of the store must
+/// not use them all up.
+#[actix_rt::test]
+async fn claims_pause_after_one_that_failed() {
+    let (_engine, claims, _deployment) = play(Claim::Unanswered).await;
+    wait_until(|| !claims.borrow().is_empty()).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(claims.borrow().len(), 1);
+}
