Build the view of a choice in one place in the tests of loads

Cause: read as a newcomer: the same PlacementView was spelled five times. Change: view_of; assertions and figures are as they were. Only a test file changes.

--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -7,7 +7,7 @@
     PlacementView, ServerDirectory, ServerLoad, ServerStage, ServerWork, StreamShape,
     WaitingCounts, choose_decode, choose_prefill, choose_server,
 };
-use gs_protocol::ids::ServerName;
+use gs_protocol::ids::{DataCentreName, ServerName};
 use test_case::test_case;
 
 use super::support::{milliseconds, server, start};
@@ -36,27 +36,31 @@
     directory
 }
 
-fn choose(book: &LoadBook, directory: &ServerDirectory) -> Option<ServerName> {
-    let data_centre = "north".into();
-    let view = PlacementView {
+/// What is known when servers are chosen, with the draw of one decision.
+fn view_of<'a>(
+    data_centre: &'a DataCentreName,
+    directory: &'a ServerDirectory,
+    loads: &'a LoadBook,
+    salt: u64,
+) -> PlacementView<'a> {
+    PlacementView {
         now: start(),
-        salt: 1,
-        data_centre: &data_centre,
+        salt,
+        data_centre,
         directory,
-        loads: book,
-    };
+        loads,
+    }
+}
+
+fn choose(book: &LoadBook, directory: &ServerDirectory) -> Option<ServerName> {
+    let data_centre = "north".into();
+    let view = view_of(&data_centre, directory, book, 1);
     choose_server(&view, &"notes".into(), &[])
 }
 
 fn choose_engine(book: &LoadBook, directory: &ServerDirectory, part: f64) -> Option<ServerName> {
     let data_centre = "north".into();
-    let view = PlacementView {
-        now: start(),
-        salt: 1,
-        data_centre: &data_centre,
-        directory,
-        loads: book,
-    };
+    let view = view_of(&data_centre, directory, book, 1);
     let demand = DecodeDemand {
         shape: STREAM,
         memory_part: part,
@@ -181,13 +185,7 @@
     };
     let chosen: std::collections::BTreeSet<ServerName> = (0..40)
         .filter_map(|salt| {
-            let view = PlacementView {
-                now: start(),
-                salt,
-                data_centre: &data_centre,
-                directory: &directory,
-                loads: &book,
-            };
+            let view = view_of(&data_centre, &directory, &book, salt);
             choose_decode(&view, &"notes".into(), &FACTS, demand, &[])
         })
         .collect();
@@ -203,13 +201,7 @@
     let mut taken: std::collections::BTreeMap<ServerName, u32> = Default::default();
     let turns = 200;
     for salt in 0..turns * 10 {
-        let view = PlacementView {
-            now: start(),
-            salt,
-            data_centre: &data_centre,
-            directory: &directory,
-            loads: &book,
-        };
+        let view = view_of(&data_centre, &directory, &book, salt);
         let demand = DecodeDemand {
             shape: STREAM,
             memory_part: 0.95,
@@ -271,13 +263,7 @@
     };
     book.add(&name(1), load);
     let data_centre = "north".into();
-    let view = PlacementView {
-        now: start(),
-        salt: 1,
-        data_centre: &data_centre,
-        directory: &directory,
-        loads: &book,
-    };
+    let view = view_of(&data_centre, &directory, &book, 1);
     let chosen = choose_prefill(&view, &"notes".into(), &name(1), &[]);
     assert_eq!(chosen, Some(name(2)));
 }
