Restart an answer whose engine stops before its first token

Cause: until its first token an attempt waited for the whole first-token deadline without looking at the engine. Besides, the limit on a silent stream started anew with every byte: an engine that sent a comment line every 50 ms was never given up.

Change: while an attempt has no token, a silence of engineSilentMs is followed by a load poll, and only an engine that answers it is waited for further. The limit now runs until a whole event, not until bytes.

Ruled out: giving up after half of the first-token time; it cut a slow but sound engine (a_stream_with_a_long_prompt_is_resumed failed 4 of 4).

Measured: a_stream_without_a_first_token_is_restarted_on_another_engine failed before (502) and passes; comments_do_not_keep_a_stalled_stream_open did not end within 60 s before and passes.

--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -13,6 +13,7 @@
 use super::attempt::{AttemptRunner, OpenAttempt, attempt_end, count_wasted_prefill, time_until};
 use super::params::GenerationParams;
 use crate::control::{ControlMessage, RequestDecision};
+use crate::engine::EngineFailure;
 use crate::telemetry;
 use crate::traffic::{CallerRefusal, RequestContext, TrafficState};
 
@@ -162,10 +163,19 @@
             return Ok(AnswerProgress::More);
         };
         let mut events = std::mem::take(&mut self.events);
-        let read = open_attempt
+        let mut read = open_attempt
             .reader
             .next_events(silence_limit, &mut events)
             .await;
+        // An engine may take long for the first token, but it answers load polls meanwhile.
+        if matches!(read, Err(EngineFailure::Silent { .. }))
+            && !open_attempt.has_token
+            && !time_until(open_attempt.first_token_deadline).is_zero()
+        {
+            let engine_silent = self.state.settings.timeouts.engine_silent;
+            let poll = self.state.engines.load(open_attempt.decode, engine_silent);
+            read = poll.await.map(drop);
+        }
         let stage = if self.last_token.is_some() {
             RequestStage::Stream
         } else {
@@ -280,14 +290,18 @@
         self.state.control.do_send(ControlMessage::Dispatch(event));
     }
 
-    /// Maximum time until the next event of the stream.
+    /// Maximum time until the next event of the stream, or until the engine is polled if the attempt
+    /// has no token yet.
     fn silence_limit(&self) -> Duration {
         let engine_silent = self.state.settings.timeouts.engine_silent;
-        match (&self.open_attempt, self.last_token) {
-            (Some(open_attempt), None) => time_until(open_attempt.first_token_deadline),
-            // A resumed stream recomputes the prompt before its first token.
-            (Some(open_attempt), Some(_)) if !open_attempt.has_token => {
-                time_until(open_attempt.first_token_deadline).max(engine_silent)
+        match &self.open_attempt {
+            Some(open_attempt) if !open_attempt.has_token => {
+                let left = time_until(open_attempt.first_token_deadline);
+                // A resumed stream recomputes the prompt before its first token.
+                match self.last_token {
+                    Some(_) if left.is_zero() => engine_silent,
+                    Some(_) | None => left.min(engine_silent),
+                }
             }
             _ => engine_silent,
         }
--- a/crates/gs-entry/src/completion/attempt.rs
+++ b/crates/gs-entry/src/completion/attempt.rs
@@ -49,6 +49,8 @@
     pub attempt: AttemptId,
     /// Reader of the stream's events.
     pub reader: EventReader,
+    /// Address of the decode engine.
+    pub decode: SocketAddr,
     /// Deadline for the first token.
     pub first_token_deadline: Instant,
     /// Prompt tokens that the prefill computed for this attempt, without cached ones.
@@ -119,6 +121,7 @@
         Ok(OpenAttempt {
             attempt,
             reader,
+            decode: placement.decode.address,
             first_token_deadline,
             computed_tokens,
             has_token: false,
--- a/crates/gs-entry/src/engine/events.rs
+++ b/crates/gs-entry/src/engine/events.rs
@@ -37,20 +37,27 @@
         }
     }
 
-    /// Waits for at least one event and fills `events` with all complete ones. Fails if no bytes
-    /// arrive within `silence_limit`.
+    /// Waits for at least one event and fills `events` with all complete ones. Fails if no event
+    /// arrives within `silence_limit`; bytes that complete no event do not extend it.
     pub async fn next_events(
         &mut self,
         silence_limit: Duration,
         events: &mut Vec<StreamEvent>,
     ) -> Result<(), EngineFailure> {
         events.clear();
+        let Ok(read) = timeout(silence_limit, self.read_until_event(events)).await else {
+            let waited_ms = u64::try_from(silence_limit.as_millis()).unwrap_or(u64::MAX);
+            return Err(EngineFailure::Silent { waited_ms });
+        };
+        read
+    }
+
+    async fn read_until_event(
+        &mut self,
+        events: &mut Vec<StreamEvent>,
+    ) -> Result<(), EngineFailure> {
         while events.is_empty() {
-            let Ok(chunk) = timeout(silence_limit, self.body.next()).await else {
-                let waited_ms = u64::try_from(silence_limit.as_millis()).unwrap_or(u64::MAX);
-                return Err(EngineFailure::Silent { waited_ms });
-            };
-            let Some(chunk) = chunk else {
+            let Some(chunk) = self.body.next().await else {
                 return Err(EngineFailure::Broken {
                     detail: "the stream ended early".to_owned(),
                 });
--- a/crates/gs-entry/tests/answers.rs
+++ b/crates/gs-entry/tests/answers.rs
@@ -107,6 +107,37 @@
         .expect("the answer is complete");
 }
 
+/// The engine accepts the stream and stops before its first token, so that nothing but the time left
+/// tells that it has failed.
+#[actix_rt::test]
+async fn a_stream_without_a_first_token_is_restarted_on_another_engine() -> TestResult {
+    let harness =
+        support::start_with(2, 1, &json!({ "timeouts": { "engineSilentMs": 500 } })).await?;
+    let expected = stream_completion(&harness, "wash notes").await?;
+    assert!(expected.complete, "before any fault: {:?}", expected.error);
+    for name in ["notes-decode-0", "notes-decode-1"] {
+        support::set_faults(&harness, name, &json!({ "slowFactor": 100_000.0 })).await?;
+    }
+    let (answer, paused) =
+        futures_util::future::join(stream_completion(&harness, "wash notes"), async {
+            harness
+                .wait_for("a stream", async || {
+                    find_busy_decoder(&harness).await.is_some()
+                })
+                .await?;
+            let index = find_busy_decoder(&harness)
+                .await
+                .expect("the stream has no token yet");
+            let other = harness.servers[3 - index].name.as_str();
+            support::set_faults(&harness, other, &json!({ "slowFactor": 1.0 })).await?;
+            harness.servers[index].process.signal(ProcessSignal::Stop)
+        })
+        .await;
+    paused?;
+    assert_eq!(answer?, expected, "no token is lost or repeated");
+    Ok(())
+}
+
 /// Guards against a resumed stream that times out: recomputing the prompt takes longer than an
 /// engine may be silent within a stream.
 #[actix_rt::test]
--- a/crates/gs-entry/tests/foreign_events.rs
+++ b/crates/gs-entry/tests/foreign_events.rs
@@ -1,25 +1,34 @@
-//! Events of other attempts on a stream are dropped, whatever their contents.
+//! What an engine sends on a stream besides the attempt's own events is dropped, and does not keep a
+//! stalled stream open.
 
 mod support;
 
+use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::mpsc;
+use std::time::Duration;
 
 use actix_web::web::{Json, get, post};
 use actix_web::{App, HttpResponse, HttpServer};
+use bytes::Bytes;
+use futures_util::StreamExt;
 use gs_protocol::engine::{
     CacheEvents, EngineReason, EngineRole, LoadReport, ReserveAnswer, ReserveRequest, StreamEvent,
     StreamRequest,
 };
 use gs_protocol::ids::{AttemptId, FenceNumber, ServerKindName, ServerName};
 use gs_protocol::vm::{VmState, VmWorkload};
-use gs_standin::harness::HarnessError;
+use gs_standin::harness::{HarnessError, StreamedText};
 use serde_json::json;
 use support::{CLERK, completion};
 
 /// Tokens of the answer.
 const TOKENS: u32 = 3;
 
+/// Interval between two comments of a stalled stream.
+const COMMENT_INTERVAL: Duration = Duration::from_millis(50);
+
 async fn reserve(request: Json<ReserveRequest>) -> HttpResponse {
     HttpResponse::Ok().json(ReserveAnswer {
         attempt: request.attempt,
@@ -88,15 +97,52 @@
         .body(lines.concat())
 }
 
-/// Starts a decode engine that inserts events of other attempts into its streams.
-fn start_engine() -> SocketAddr {
+/// A stream that has one token and then comments without end.
+async fn stalled_stream(request: Json<StreamRequest>) -> HttpResponse {
+    let token = StreamEvent::Token {
+        attempt: request.attempt,
+        index: 0,
+        text: "a".to_owned(),
+    };
+    let token = format!(
+        "data: {}\n\n",
+        serde_json::to_string(&token).expect("event")
+    );
+    let comments = futures_util::stream::unfold((), async |()| {
+        tokio::time::sleep(COMMENT_INTERVAL).await;
+        Some((
+            Ok::<_, Infallible>(Bytes::from_static(b": still here\n")),
+            (),
+        ))
+    });
+    let token = futures_util::stream::once(std::future::ready(Ok(Bytes::from(token))));
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(token.chain(comments))
+}
+
+/// What an engine sends on its streams.
+#[derive(Clone, Copy, Debug)]
+enum StreamFault {
+    /// Events of other attempts before each of its own.
+    ForeignEvents,
+    /// One token, then comments without end.
+    EndlessComments,
+}
+
+/// Starts a decode engine with a fault.
+fn start_engine(fault: StreamFault) -> SocketAddr {
     let (sender, receiver) = mpsc::channel();
     std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
-            let server = HttpServer::new(|| {
+            let server = HttpServer::new(move || {
+                let streams = match fault {
+                    StreamFault::ForeignEvents => post().to(stream),
+                    StreamFault::EndlessComments => post().to(stalled_stream),
+                };
                 App::new()
                     .route("/v1/reservations", post().to(reserve))
-                    .route("/v1/streams", post().to(stream))
+                    .route("/v1/streams", streams)
                     .route("/v1/cancels", post().to(HttpResponse::Ok))
                     .route("/v1/load", get().to(load))
                     .route(
@@ -118,33 +164,50 @@
     receiver.recv().expect("address")
 }
 
-#[actix_rt::test]
-async fn events_of_other_attempts_are_dropped() -> Result<(), HarnessError> {
-    let harness = support::start_with(0, 1, &json!({})).await?;
+/// Returns the first answer with a status of 200 from a deployment whose only decode engine has a
+/// fault.
+async fn answer_of(fault: StreamFault) -> Result<StreamedText, HarnessError> {
+    let timeouts = json!({ "timeouts": { "engineSilentMs": 500 } });
+    let harness = support::start_with(0, 1, &timeouts).await?;
     let workload = VmWorkload::Server {
         name: "crossing".into(),
         kind: ServerKindName::from("notes"),
     };
     harness
-        .publish_vm(workload, start_engine(), "north", VmState::Live)
+        .publish_vm(workload, start_engine(fault), "north", VmState::Live)
         .await?;
     let entry = harness.entries[0].process.address;
     let body = completion("label", TOKENS, true);
+    let text = RefCell::default();
     harness
         .wait_for("an answer", async || {
             let answer = harness
                 .client
                 .post_as(entry, "/v1/completions", CLERK, &body)
                 .await;
-            answer.is_ok_and(|answer| answer.status == 200)
+            let Some(answer) = answer.ok().filter(|answer| answer.status == 200) else {
+                return false;
+            };
+            text.replace(answer.parse_stream());
+            true
         })
         .await?;
-    let answer = harness
-        .client
-        .post_as(entry, "/v1/completions", CLERK, &body)
-        .await?
-        .parse_stream();
-    assert_eq!(answer.tokens, ["a", "b", "c"]);
-    assert!(answer.complete);
+    Ok(text.into_inner())
+}
+
+#[actix_rt::test]
+async fn events_of_other_attempts_are_dropped() -> Result<(), HarnessError> {
+    let text = answer_of(StreamFault::ForeignEvents).await?;
+    assert_eq!(text.tokens, ["a", "b", "c"]);
+    assert!(text.complete);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn comments_do_not_keep_a_stalled_stream_open() -> Result<(), HarnessError> {
+    let text = answer_of(StreamFault::EndlessComments).await?;
+    assert!(!text.complete);
+    let error = text.error.expect("the stream ends with an error event");
+    assert_eq!(error["outcome"], "unknown");
     Ok(())
 }
