Blame only attempts that reached a server, and count peers' suspects after their runs

Change: a loss while reserving is no run, since a reservation carries no prompt; the fingerprints that peers blame for the same death count as suspects there, also after their runs have ended. Attribution moved to deaths.rs.

Tests that failed before: a_request_that_did_not_reach_a_dead_server_is_not_blamed (dispatch), a_suspect_of_a_peer_is_blamed_alone_after_its_run_has_ended.

--- a/crates/gs-control/src/dispatch/suspects.rs
+++ b/crates/gs-control/src/dispatch/suspects.rs
@@ -7,7 +7,7 @@
 use gs_protocol::suspicion::{PromptFingerprint, ServerBoot};
 
 use super::attempt_end::stage_server;
-use super::messages::{AttemptEnd, DispatchEffect, DispatchEvent};
+use super::messages::{AttemptEnd, DispatchEffect, DispatchEvent, RequestStage};
 use super::placement::{PlacementChoice, PlacementError};
 use super::request_table::{AttemptRecord, RequestPhase, RequestRecord, RetryKey};
 use super::server_record::ServerId;
@@ -244,8 +244,15 @@
             AttemptEnd::Cancelled => RunEnd::Abandoned,
             AttemptEnd::Lost { stage, .. } => {
                 let attempt_record = self.table.attempts.get(&attempt)?;
-                let server = self.fleet.server(stage_server(attempt_record, stage))?;
-                RunEnd::ConnectionLost(server.name.clone())
+                let record = self.fleet.server(stage_server(attempt_record, stage))?;
+                let server = record.name.clone();
+                match stage {
+                    // A reservation does not carry the prompt.
+                    RequestStage::Reserve => RunEnd::NotReached(server),
+                    RequestStage::Prefill | RequestStage::Transfer | RequestStage::Stream => {
+                        RunEnd::ConnectionLost(server)
+                    }
+                }
             }
         })
     }
--- a/crates/gs-control/src/quarantine/blames.rs
+++ b/crates/gs-control/src/quarantine/blames.rs
@@ -121,6 +121,19 @@
         self.suspected.iter().copied()
     }
 
+    /// Iterates over the fingerprints that peers blame for a death.
+    pub fn blamed_by_peers(&self, death: &ServerBoot) -> impl Iterator<Item = PromptFingerprint> {
+        let is_blamed = move |blame: &Blame| {
+            blame.origin == BlameOrigin::Peer
+                && blame.state != BlameState::Cleared
+                && blame.death == *death
+        };
+        self.suspected().filter(move |fingerprint| {
+            let record = self.records.get(fingerprint);
+            record.is_some_and(|record| record.blames.values().any(is_blamed))
+        })
+    }
+
     /// Counts the deaths that a fingerprint is blamed for, except `excluded_death`. Blames that are
     /// not proven within `proof_timeout` do not count.
     pub fn count(
--- a/crates/gs-control/src/quarantine/mod.rs
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -8,6 +8,7 @@
 
 mod attribution;
 mod blames;
+mod deaths;
 mod liveness;
 mod messages;
 mod peers;
--- a/crates/gs-control/src/quarantine/peers.rs
+++ b/crates/gs-control/src/quarantine/peers.rs
@@ -63,10 +63,11 @@
         self.running().map(|run| &run.server)
     }
 
-    /// Counts the suspects that peers have started on a server.
-    pub fn count_started(&self, server: &ServerName) -> usize {
+    /// Iterates over the suspects that peers have started on a server.
+    pub fn started(&self, server: &ServerName) -> impl Iterator<Item = PromptFingerprint> {
         let started = self.running().filter(|run| run.has_started);
-        started.filter(|run| run.server == *server).count()
+        let started = started.filter(move |run| run.server == *server);
+        started.map(|run| run.fingerprint)
     }
 
     /// Returns the runs that peers have reserved but not started, for acknowledgement.
--- a/crates/gs-control/src/quarantine/state.rs
+++ b/crates/gs-control/src/quarantine/state.rs
@@ -8,7 +8,7 @@
     BlameRecord, BlameState, PromptFingerprint, ServerBoot, SuspectRun, SuspicionReport,
 };
 
-use super::attribution::{DeathCandidate, select_blamed};
+use super::attribution::select_blamed;
 use super::blames::{BlameOrigin, BlameTable};
 use super::liveness::{LivenessChange, LivenessTable};
 use super::messages::{QuarantineDecision, QuarantineEffect, QuarantineEvent, RunEnd};
@@ -31,11 +31,11 @@
 #[derive(Clone, Debug)]
 pub struct QuarantineState {
     own_entry: EntryName,
-    settings: QuarantineSettings,
-    blames: BlameTable,
-    runs: RunTable,
+    pub(super) settings: QuarantineSettings,
+    pub(super) blames: BlameTable,
+    pub(super) runs: RunTable,
     liveness: LivenessTable,
-    peers: PeerTable,
+    pub(super) peers: PeerTable,
     reservations: ReservationTable,
     /// The end of the probation of each attempt that streams.
     probation_ends: BTreeSet<(Instant, AttemptId)>,
@@ -246,6 +246,10 @@
                 }
             }
             RunEnd::Refused => self.runs.remove_attempt(attempt),
+            RunEnd::NotReached(server) => {
+                self.runs.remove_attempt(attempt);
+                self.liveness.mark_unverified(server);
+            }
             RunEnd::ConnectionLost(server) => {
                 self.handle_lost_connection(now, attempt, server, effects);
             }
@@ -283,7 +287,7 @@
             return;
         }
         self.liveness.mark_unverified(server);
-        let peer_suspects = self.peers.count_started(server);
+        let peer_suspects = self.count_peer_suspects(now, &death);
         let blamed = select_blamed(&self.death_candidates(now, &death), peer_suspects);
         if lost.phase == RunPhase::Probation && blamed.contains(&lost.fingerprint) {
             self.merge_blame(
@@ -312,62 +316,6 @@
         }
     }
 
-    /// Blames runs on a boot that died, among those that ended without the server's report. Runs
-    /// whose end is recorded later are handled by a later call.
-    fn attribute_death(
-        &mut self,
-        now: Instant,
-        death: &ServerBoot,
-        effects: &mut Vec<QuarantineEffect>,
-    ) {
-        let has_ended = |candidate: &DeathCandidate| candidate.run.unreported_end.is_some();
-        let mut candidates = self.death_candidates(now, death);
-        candidates.retain(has_ended);
-        let blamed = select_blamed(&candidates, self.peers.count_started(&death.server));
-        let is_unattributed = |candidate: &&DeathCandidate| candidate.run.was_suspect.is_none();
-        for candidate in candidates.iter().filter(is_unattributed) {
-            let fingerprint = candidate.run.fingerprint;
-            let attempt = candidate.attempt;
-            let state = self.blames.state(fingerprint, attempt);
-            let is_suspected = state == Some(BlameState::Suspected);
-            if !blamed.contains(&fingerprint) {
-                if is_suspected {
-                    self.merge_blame(now, attempt, fingerprint, death, BlameState::Cleared);
-                }
-            } else if self.merge_blame(now, attempt, fingerprint, death, BlameState::Proven) {
-                let death = death.clone();
-                effects.push(QuarantineEffect::Blamed { fingerprint, death });
-            }
-        }
-        self.record_suspects(&candidates, death);
-    }
-
-    /// Records which runs were suspects, so that later calls for the same death use the same
-    /// suspects.
-    fn record_suspects(&mut self, candidates: &[DeathCandidate], death: &ServerBoot) {
-        let suspects: BTreeSet<_> = candidates
-            .iter()
-            .filter(|candidate| candidate.is_suspect)
-            .map(|candidate| candidate.run.fingerprint)
-            .collect();
-        let runs = self.runs.on_boot_mut(death);
-        for run in runs.filter(|run| run.unreported_end.is_some()) {
-            run.was_suspect = Some(suspects.contains(&run.fingerprint));
-        }
-    }
-
-    fn death_candidates(&self, now: Instant, death: &ServerBoot) -> Vec<DeathCandidate> {
-        let runs = self.runs.on_boot(death);
-        runs.map(|(attempt, run)| DeathCandidate {
-            attempt,
-            run: *run,
-            is_suspect: run
-                .was_suspect
-                .unwrap_or_else(|| self.is_suspect(now, run.fingerprint, Some(death))),
-        })
-        .collect()
-    }
-
     /// Applies a peer's report; its blames are merged even if it is repeated or out of order. A
     /// server whose death is newly blamed is unverified until further load reports.
     fn apply_peer_report(&mut self, now: Instant, peer: &EntryIdentity, report: SuspicionReport) {
@@ -400,7 +348,7 @@
         self.blames.expire_old(now, &self.settings);
     }
 
-    fn merge_blame(
+    pub(super) fn merge_blame(
         &mut self,
         now: Instant,
         attempt: AttemptId,
@@ -418,7 +366,7 @@
             .merge(now, record, BlameOrigin::Own, &self.settings)
     }
 
-    fn is_suspect(
+    pub(super) fn is_suspect(
         &self,
         now: Instant,
         fingerprint: PromptFingerprint,
--- a/crates/gs-control/tests/dispatch/lifecycle.rs
+++ b/crates/gs-control/tests/dispatch/lifecycle.rs
@@ -64,6 +64,25 @@
     }
 }
 
+#[test]
+fn a_request_that_did_not_reach_a_dead_server_is_not_blamed() {
+    let mut harness = harness();
+    harness.send_request(1, "clerks", 500);
+    let first = take_only_start(&mut harness);
+    harness.send(DispatchEvent::PrefillDone {
+        attempt: first.attempt,
+        cached_tokens: 0,
+    });
+    harness.send(DispatchEvent::FirstToken(first.attempt));
+    harness.advance_ms(300);
+    let lost = |stage| AttemptEnd::Lost { stage, tokens: 6 };
+    harness.end_attempt(first.attempt, lost(RequestStage::Stream));
+    let second = take_only_start(&mut harness);
+    harness.end_attempt(second.attempt, lost(RequestStage::Reserve));
+    harness.send(DispatchEvent::ServerDown(second.decode));
+    assert_eq!(harness.state.count_suspects(harness.now), 0);
+}
+
 #[test]
 fn a_broken_stream_resumes_on_another_server() {
     let mut harness = harness();
--- a/crates/gs-control/tests/quarantine/main.rs
+++ b/crates/gs-control/tests/quarantine/main.rs
@@ -9,8 +9,10 @@
     QuarantineDecision, QuarantineEffect, QuarantineEvent, QuarantineSettings, QuarantineState,
     RunEnd,
 };
-use gs_protocol::ids::{AttemptId, EntryName, ServerName};
-use gs_protocol::suspicion::{PromptFingerprint, ServerBoot};
+use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, Incarnation, ServerName};
+use gs_protocol::suspicion::{
+    BlameRecord, BlameState, PromptFingerprint, ServerBoot, SuspectRun, SuspicionReport,
+};
 use proptest::prelude::any;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use simulation::{CrashStage, Simulation, SimulationSetup};
@@ -135,6 +137,22 @@
         self.send(QuarantineEvent::AttemptEnded { attempt, end });
     }
 
+    /// Receives a peer's report with its blames and running suspects.
+    fn receive_report(&mut self, number: u64, blames: Vec<BlameRecord>, running: Vec<SuspectRun>) {
+        let peer = EntryIdentity {
+            entry: EntryName::from("peer"),
+            incarnation: Incarnation(1),
+        };
+        let report = SuspicionReport {
+            number,
+            blames,
+            running,
+            pending_runs: Vec::new(),
+            requests_ack: false,
+        };
+        self.send(QuarantineEvent::PeerReported { peer, report });
+    }
+
     fn decide(&self, fingerprint: PromptFingerprint) -> QuarantineDecision {
         self.state.decide(self.now, fingerprint)
     }
@@ -155,6 +173,39 @@
     assert_eq!(harness.decide(harmless), QuarantineDecision::Unrestricted);
 }
 
+/// The entry that runs the suspect reports the end of its run and its blame before this entry learns
+/// of the death.
+#[test]
+fn a_suspect_of_a_peer_is_blamed_alone_after_its_run_has_ended() {
+    let mut harness = QuarantineHarness::new(QuarantineSettings::default());
+    let [suspect, harmless] = [PromptFingerprint(1), PromptFingerprint(2)];
+    harness.report_load(1, 1);
+    harness.report_load(2, 1);
+    let attempt = harness.start(harmless, 2);
+    let blame = |number, state| BlameRecord {
+        attempt: AttemptId(Uuid::from_u64_pair(1, number)),
+        fingerprint: suspect,
+        death: ServerBoot {
+            server: server(number),
+            boot: 1,
+        },
+        state,
+    };
+    let run = SuspectRun {
+        fingerprint: suspect,
+        server: server(2),
+        has_started: true,
+    };
+    harness.receive_report(1, vec![blame(1, BlameState::Proven)], vec![run]);
+    let end = RunEnd::ConnectionLost(server(2));
+    harness.send(QuarantineEvent::AttemptEnded { attempt, end });
+    harness.receive_report(2, vec![blame(2, BlameState::Suspected)], Vec::new());
+    harness.send(QuarantineEvent::ServerDown(server(2)));
+    assert_eq!(harness.decide(harmless), QuarantineDecision::Unrestricted);
+    harness.receive_report(3, vec![blame(2, BlameState::Proven)], Vec::new());
+    assert_eq!(harness.decide(suspect), QuarantineDecision::Refused);
+}
+
 #[test]
 fn runs_on_a_new_boot_are_not_blamed_for_the_death_of_the_old_boot() {
     let mut harness = QuarantineHarness::new(QuarantineSettings::default());
