Estimate prefill rates by the upper quartile instead of the highest rate

Cause: the split of the engines followed the highest recent prefill rate. A prompt that an engine had cached reads at ten times the rate and held the estimate up for dozens of prefills; the entry in charge then ordered nearly all prefill engines to the decode stage, and an engine gets one order only. After the last fault the opposite: three queued prefills showed a shortage, and decode engines were ordered to read prompts.

Change: the upper quartile of the last 32 rates, never the highest; prefills that are asked for again do not count; a shortage is believed from 16 prefills on.

The test there_is_no_estimate_before_enough_samples asserted that one fast prefill sets the rate, which is the fault; it now has two, and the new tests ask for the same rate beside cached prompts.

--- a/crates/gs-control/src/forwarding/stages.rs
+++ b/crates/gs-control/src/forwarding/stages.rs
@@ -5,7 +5,7 @@
 //! unavailable for seconds while it changes its stage, so the split follows the mean need of the
 //! streams, not the momentary load.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use gs_protocol::ids::{DataCentreName, ServerName};
@@ -20,9 +20,17 @@
 /// Number of streams, and of prefills, that must be recorded before there is an estimate.
 const MIN_SAMPLES: u32 = 3;
 
-/// Factor by which the highest prefill rate decays with each slower prefill, so that an outlier
-/// does not persist.
-const RATE_DECAY: f64 = 0.98;
+/// Number of prefills from which a shortage of prefill engines is believed. Time in an engine's
+/// queue makes few prefills look slower than the engine is.
+const MIN_SHORTAGE_SAMPLES: usize = 16;
+
+/// Number of latest prefills whose rates are kept.
+const MAX_RATES: usize = 32;
+
+/// Position of the rate that represents the engines among the kept ones, as a fraction of their
+/// number from the highest. The highest rates are of prompts that the engine had partly cached, the
+/// lower ones include time in its queue.
+const RATE_RANK_FRACTION: f64 = 0.25;
 
 /// Fraction of an engine's memory that streams fill under full load.
 const USABLE_MEMORY_FRACTION: f64 = 0.9;
@@ -43,6 +51,8 @@
     pub prefill_seconds: f64,
     /// Seconds for which it would fill the memory of a decode engine if it could use all of it.
     pub decode_seconds: f64,
+    /// Number of prefills that the estimate is based on.
+    pub prefill_samples: usize,
 }
 
 impl StageNeed {
@@ -56,16 +66,15 @@
     }
 }
 
-/// Moving averages of what the streams of a service have needed, and the highest prefill rate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// Moving averages of what the streams of a service have needed, and the latest prefill rates.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct StageEstimate {
     mean_prompt_tokens: f64,
     /// Tokens that a stream holds on average over its duration.
     mean_held_tokens: f64,
     streams: u32,
-    /// Highest recent prefill rate, in tokens per second.
-    prefill_rate: f64,
-    prefills: u32,
+    /// Rates of the latest prefills, in tokens per second, oldest first.
+    prefill_rates: VecDeque<f64>,
 }
 
 impl StageEstimate {
@@ -82,22 +91,35 @@
     /// Records how long an engine took for the prefill of `tokens` tokens, including its time in
     /// the engine's queue.
     pub fn record_prefill(&mut self, tokens: u64, duration: Duration) {
-        self.prefills = self.prefills.saturating_add(1);
         let rate = tokens as f64 / duration.as_secs_f64().max(1e-6);
-        self.prefill_rate = rate.max(self.prefill_rate * RATE_DECAY);
+        self.prefill_rates.push_back(rate);
+        if self.prefill_rates.len() > MAX_RATES {
+            self.prefill_rates.pop_front();
+        }
+    }
+
+    /// Returns the rate at which an engine processes a prompt that it has neither cached nor queued,
+    /// in tokens per second. A single outlier does not change it.
+    fn prefill_rate(&self) -> Option<f64> {
+        let mut rates: Vec<f64> = self.prefill_rates.iter().copied().collect();
+        rates.sort_by(|left, right| right.total_cmp(left));
+        let rank = (rates.len() as f64 * RATE_RANK_FRACTION) as usize;
+        rates.get(rank.max(1)).copied()
     }
 
     /// Estimates the need of one stream, once enough streams and prefills are recorded.
     /// `memory_tokens` is the memory of one decode engine, and `stream_seconds` the mean duration
     /// of a stream.
     pub fn need(&self, memory_tokens: u64, stream_seconds: f64) -> Option<StageNeed> {
-        if self.streams < MIN_SAMPLES || self.prefills < MIN_SAMPLES {
+        let prefill_samples = self.prefill_rates.len();
+        if self.streams < MIN_SAMPLES || prefill_samples < MIN_SAMPLES as usize {
             return None;
         }
         let memory = memory_tokens.max(1) as f64 * USABLE_MEMORY_FRACTION;
         Some(StageNeed {
-            prefill_seconds: self.mean_prompt_tokens / self.prefill_rate,
+            prefill_seconds: self.mean_prompt_tokens / self.prefill_rate()?,
             decode_seconds: stream_seconds * self.mean_held_tokens / memory,
+            prefill_samples,
         })
     }
 }
@@ -131,7 +153,9 @@
     let target = need.target_prefill_engines(prefills + decodes);
     let (from, stage) = if prefills > target {
         (ServerStage::Prefill, ServerStage::Decode)
-    } else if (prefills as f64) < target as f64 * MIN_PREFILL_FRACTION {
+    } else if (prefills as f64) < target as f64 * MIN_PREFILL_FRACTION
+        && need.prefill_samples >= MIN_SHORTAGE_SAMPLES
+    {
         (ServerStage::Decode, ServerStage::Prefill)
     } else {
         return None;
--- a/crates/gs-control/tests/forwarding/stages.rs
+++ b/crates/gs-control/tests/forwarding/stages.rs
@@ -22,6 +22,7 @@
     StageNeed {
         prefill_seconds,
         decode_seconds,
+        prefill_samples: 32,
     }
 }
 
@@ -120,10 +121,11 @@
     assert_eq!(estimate.need(66_117, 4.0), None);
     for _ in 0..3 {
         estimate.record_stream(shape);
-        // Includes time in the engine's queue, unlike the last prefill.
+        // Includes time in the engine's queue, unlike the last prefills.
         estimate.record_prefill(5_200, Duration::from_millis(280));
     }
     estimate.record_prefill(5_200, milliseconds(94));
+    estimate.record_prefill(5_200, milliseconds(94));
     let need = estimate
         .need(66_117, 4.0)
         .expect("enough streams were recorded");
@@ -131,6 +133,42 @@
     assert!((need.decode_seconds - 0.488).abs() < 0.005, "{need:?}");
 }
 
+/// Prompts that an engine has cached are read within a few milliseconds.
+#[test_case(3, 1; "one of four")]
+#[test_case(26, 6; "six of thirty-two")]
+fn cached_prompts_do_not_make_engines_look_fast(uncached: u32, cached: u32) {
+    let mut estimate = StageEstimate::default();
+    let shape = StreamShape {
+        held_tokens: 5_200,
+        remaining_tokens: 4_130,
+    };
+    for number in 0..uncached {
+        estimate.record_stream(shape);
+        estimate.record_prefill(5_200, milliseconds(94));
+        if number < cached {
+            estimate.record_prefill(5_200, milliseconds(5));
+        }
+    }
+    let need = estimate
+        .need(66_117, 4.0)
+        .expect("enough streams were recorded");
+    assert!((need.prefill_seconds - 0.094).abs() < 0.001, "{need:?}");
+}
+
+#[test]
+fn a_few_queued_prefills_do_not_show_a_shortage() {
+    let engines = engines(3, 8);
+    let settled: Vec<&ListedServer> = engines.iter().collect();
+    let need = StageNeed {
+        prefill_samples: 3,
+        ..need(0.45, 0.4)
+    };
+    assert_eq!(
+        next_stage_change(need, &settled, |_| true, &BTreeMap::new()),
+        None
+    );
+}
+
 proptest! {
     /// For any need and any initial split, both stages keep an engine, no engine changes back and
     /// forth, and the split is stable once it is reached.
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -108,7 +108,10 @@
         match try_prefill(gateway, generation, &server).await {
             Ok(result) => {
                 gateway.record_answer(&server, false);
-                gateway.update_prefill_estimate(service, load.prompt_tokens, started.elapsed());
+                // An engine that is asked again may have cached the prompt.
+                if !is_retry {
+                    gateway.update_prefill_estimate(service, load.prompt_tokens, started.elapsed());
+                }
                 return Ok(Some(result));
             }
             Err(error) => {
