Pass reports between data centres through relays in large fleets

Cause: every entry sent each start and end of a stream to every other entry.

Change: gs_control::relay decides where reports go (topology), and what a relay passes on (queue); the gateway only sends. Regular reports carry the number of ended outages.

--- a/crates/gs-control/src/lib.rs
+++ b/crates/gs-control/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod membership;
 pub mod quarantine;
 pub mod reclaim;
+pub mod relay;
--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use gs_protocol::ids::{EntryName, Incarnation};
+use gs_protocol::ids::{DataCentreName, EntryName, Incarnation};
 use gs_protocol::peer::{PeerIdentity, PeerState};
 
+use crate::relay::RelayMember;
+
 use super::messages::{
     MemberCandidate, MemberRecord, MemberStatus, MembershipEffect, MembershipEvent,
     MembershipSettings,
@@ -93,6 +95,38 @@
         addresses.into_iter().collect()
     }
 
+    /// Returns all other entries, listed or heard, for the choice of relays. Those that are alive can
+    /// be relays, except one of `own_centre` that was silent for `max_silence`.
+    pub fn relay_members(
+        &self,
+        now: Instant,
+        own_centre: &DataCentreName,
+        max_silence: Duration,
+    ) -> Vec<RelayMember> {
+        let heard = self.members.values().map(|member| {
+            let peer = &member.record.peer;
+            let silence = now.saturating_duration_since(member.last_heartbeat);
+            let is_silent = peer.data_centre == *own_centre && silence > max_silence;
+            RelayMember {
+                name: peer.identity.entry.clone(),
+                data_centre: peer.data_centre.clone(),
+                peer_address: peer.peer_address,
+                can_relay: member.record.status == MemberStatus::Alive && !is_silent,
+            }
+        });
+        let unheard = self
+            .candidates
+            .values()
+            .filter(|candidate| !self.members.contains_key(&candidate.name));
+        let unheard = unheard.map(|candidate| RelayMember {
+            name: candidate.name.clone(),
+            data_centre: candidate.data_centre.clone(),
+            peer_address: candidate.peer_address,
+            can_relay: false,
+        });
+        heard.chain(unheard).collect()
+    }
+
     /// Returns the record of a member.
     pub fn member(&self, name: &EntryName) -> Option<&MemberRecord> {
         self.members.get(name).map(|member| &member.record)
--- /dev/null
+++ b/crates/gs-control/src/relay/queue.rs
@@ -0,0 +1,130 @@
+//! The reports that a relay has yet to pass on to other data centres.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use gs_protocol::ids::{EntryName, Incarnation};
+
+use super::messages::{EntryReport, LoadFrame};
+
+/// Time limits of a relay.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelaySettings {
+    /// Minimum time between two reports of the presence of an entry that bring nothing new.
+    pub presence_interval: Duration,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            presence_interval: Duration::from_millis(800),
+        }
+    }
+}
+
+/// The newest report of an entry that was passed on.
+#[derive(Clone, Debug)]
+struct ForwardedReport {
+    version: (Incarnation, u64),
+    load: LoadFrame,
+    is_leaving: bool,
+    presence_at: Option<Instant>,
+}
+
+/// The newest report of each entry that is not passed on yet; at most one for each entry.
+#[derive(Clone, Debug, Default)]
+pub struct RelayQueue {
+    settings: RelaySettings,
+    pending: BTreeMap<EntryName, EntryReport>,
+    forwarded: BTreeMap<EntryName, ForwardedReport>,
+    /// Newest progress that was passed on, of any entry.
+    progress: [u64; 3],
+}
+
+impl RelayQueue {
+    /// Creates an empty queue.
+    pub fn new(settings: RelaySettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a report, unless other data centres know all that it tells. Returns whether it was added.
+    pub fn push(&mut self, now: Instant, mut report: EntryReport) -> bool {
+        let forwarded = self.forwarded.get(&report.0);
+        let pending = self.pending.get(&report.0);
+        let is_old = |version| version >= report.version();
+        if forwarded.is_some_and(|forwarded| is_old(forwarded.version))
+            || pending.is_some_and(|pending| is_old(pending.version()))
+        {
+            return false;
+        }
+        let has_new_presence = self.has_new_presence(now, &report);
+        if !has_new_presence {
+            report.3 = None;
+        }
+        if let Some(earlier) = self.pending.get_mut(&report.0) {
+            let is_same_start = earlier.1 == report.1;
+            report.3 = report.3.or(earlier.3.take().filter(|_| is_same_start));
+            *earlier = report;
+            return true;
+        }
+        let has_new_load = forwarded.is_none_or(|forwarded| forwarded.load != report.4);
+        if !has_new_presence && !has_new_load {
+            return false;
+        }
+        self.pending.insert(report.0.clone(), report);
+        true
+    }
+
+    /// Removes and returns all reports.
+    pub fn take_all(&mut self, now: Instant) -> Vec<EntryReport> {
+        let pending = std::mem::take(&mut self.pending);
+        let reports: Vec<EntryReport> = pending.into_values().collect();
+        for report in &reports {
+            let known = self.forwarded.get(&report.0);
+            let known = known.filter(|known| known.version.0 == report.1);
+            let mut forwarded = ForwardedReport {
+                version: report.version(),
+                load: report.4.clone(),
+                is_leaving: known.is_some_and(|known| known.is_leaving),
+                presence_at: known.and_then(|known| known.presence_at),
+            };
+            if let Some(presence) = &report.3 {
+                forwarded.is_leaving = presence.3;
+                forwarded.presence_at = Some(now);
+                for (known, new) in self.progress.iter_mut().zip(presence.progress()) {
+                    *known = new.max(*known);
+                }
+            }
+            self.forwarded.insert(report.0.clone(), forwarded);
+        }
+        reports
+    }
+
+    /// Forgets the entries that do not satisfy a predicate.
+    pub fn retain(&mut self, predicate: impl Fn(&EntryName) -> bool) {
+        self.forwarded.retain(|entry, _| predicate(entry));
+        self.pending.retain(|entry, _| predicate(entry));
+    }
+
+    /// Returns whether a report has a presence that is due, or that differs from what is known
+    /// elsewhere. Progress counts once for the whole data centre.
+    fn has_new_presence(&self, now: Instant, report: &EntryReport) -> bool {
+        let Some(presence) = &report.3 else {
+            return false;
+        };
+        let Some(forwarded) = self.forwarded.get(&report.0) else {
+            return true;
+        };
+        let is_due = forwarded
+            .presence_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.settings.presence_interval);
+        let mut progress = presence.progress().into_iter().zip(self.progress);
+        is_due
+            || forwarded.version.0 != report.1
+            || forwarded.is_leaving != presence.3
+            || progress.any(|(new, known)| new > known)
+    }
+}
--- /dev/null
+++ b/crates/gs-control/tests/relay/queue.rs
@@ -0,0 +1,130 @@
+//! What a relay passes on, and what it leaves out.
+
+use std::time::{Duration, Instant};
+
+use gs_control::relay::{EntryReport, RelayQueue, RelaySettings};
+use gs_protocol::ids::Incarnation;
+
+use super::fleet::{members, report};
+
+const ENTRIES: usize = 3;
+
+fn reports(number: u64, load: u32) -> Vec<EntryReport> {
+    let members = members(&[ENTRIES]);
+    let reports = members.iter().map(|member| report(member, number, load));
+    reports.collect()
+}
+
+struct QueueHarness {
+    queue: RelayQueue,
+    now: Instant,
+}
+
+impl QueueHarness {
+    /// Creates a queue that has passed on one report of each entry.
+    fn new() -> Self {
+        let mut harness = Self {
+            queue: RelayQueue::new(RelaySettings::default()),
+            now: Instant::now(),
+        };
+        assert_eq!(harness.pass_on(reports(1, 1)).len(), ENTRIES);
+        harness
+    }
+
+    fn pass_on(&mut self, reports: Vec<EntryReport>) -> Vec<EntryReport> {
+        for report in reports {
+            self.queue.push(self.now, report);
+        }
+        self.queue.take_all(self.now)
+    }
+}
+
+#[test]
+fn reports_that_bring_nothing_new_are_left_out() {
+    let mut harness = QueueHarness::new();
+    assert_eq!(harness.pass_on(reports(2, 1)), Vec::new());
+    harness.now += RelaySettings::default().presence_interval;
+    assert_eq!(harness.pass_on(reports(3, 1)).len(), ENTRIES);
+}
+
+#[test]
+fn a_new_load_is_passed_on_without_the_presence() {
+    let mut harness = QueueHarness::new();
+    let passed = harness.pass_on(reports(2, 5));
+    assert_eq!(passed.len(), ENTRIES);
+    assert!(
+        passed
+            .iter()
+            .all(|report| report.3.is_none() && report.4.0 == 5)
+    );
+}
+
+#[test]
+fn of_several_reports_the_newest_is_passed_on() {
+    let mut harness = QueueHarness::new();
+    let mut all = reports(3, 7);
+    all.extend(reports(2, 5));
+    let passed = harness.pass_on(all);
+    assert_eq!(passed.len(), ENTRIES);
+    assert!(passed.iter().all(|report| report.2 == 3 && report.4.0 == 7));
+    assert_eq!(harness.pass_on(reports(2, 5)), Vec::new());
+}
+
+#[test]
+fn an_entry_that_leaves_is_reported_at_once() {
+    let mut harness = QueueHarness::new();
+    let mut leaving = reports(2, 1);
+    leaving[0].3.as_mut().expect("a presence").3 = true;
+    let passed = harness.pass_on(leaving);
+    assert_eq!(passed.len(), 1);
+    assert!(passed[0].3.is_some());
+}
+
+#[test]
+fn a_new_start_is_reported_at_once() {
+    let mut harness = QueueHarness::new();
+    let mut restarted = reports(1, 1);
+    restarted[0].1 = Incarnation(2);
+    assert_eq!(harness.pass_on(restarted).len(), 1);
+}
+
+/// All entries read a new version of the configuration at about the same time.
+#[test]
+fn a_new_version_is_reported_once_for_the_data_centre() {
+    let mut harness = QueueHarness::new();
+    let with_version = |number| {
+        let mut reports = reports(number, 1);
+        for report in &mut reports {
+            report.3.as_mut().expect("a presence").4 = 2;
+        }
+        reports
+    };
+    let first = with_version(2).swap_remove(0);
+    assert_eq!(harness.pass_on(vec![first]).len(), 1);
+    assert_eq!(harness.pass_on(with_version(3)), Vec::new());
+}
+
+#[test]
+fn a_presence_is_not_lost_to_a_load_report_that_follows_it() {
+    let mut harness = QueueHarness::new();
+    harness.now += Duration::from_secs(2);
+    let mut all = reports(2, 1);
+    let mut loads = reports(3, 4);
+    for report in &mut loads {
+        report.3 = None;
+    }
+    all.extend(loads);
+    let passed = harness.pass_on(all);
+    assert!(
+        passed
+            .iter()
+            .all(|report| report.3.is_some() && report.4.0 == 4)
+    );
+}
+
+#[test]
+fn entries_that_are_gone_are_forgotten() {
+    let mut harness = QueueHarness::new();
+    harness.queue.retain(|_| false);
+    assert_eq!(harness.pass_on(reports(1, 1)).len(), ENTRIES);
+}
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
     StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
+use gs_control::relay::{RelayQueue, RelaySettings, RelayTopology};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use gs_protocol::peer::PeerIdentity;
 use rand::{Rng, SeedableRng};
@@ -97,6 +99,13 @@
     pub stage_orders: BTreeMap<ServerName, Option<ServerStage>>,
     pub view_versions: BTreeMap<RegistryView, ViewVersions>,
     pub membership: MembershipState,
+    pub relay_queue: RelayQueue,
+    /// Where reports are sent, and when that was decided.
+    pub topology: Option<(Instant, Rc<RelayTopology>)>,
+    /// Number of decisions where reports are sent.
+    pub topology_round: u64,
+    /// Number of outages of the registry that have ended for this entry.
+    pub ended_outages: u64,
     pub rng: Pcg64Mcg,
 }
 
@@ -109,6 +118,8 @@
     /// Notified when the load report for peers changes (own streams, their queue, a failing server, an engine
     /// that was ordered to another stage) or the shutdown begins.
     pub(crate) report_changed: Notify,
+    /// Notified when this entry has reports to pass on as a relay.
+    pub(crate) relay_changed: Notify,
     /// Notified when engine capacity may have become free or a stream has joined the admission queue.
     pub(crate) capacity_changed: Notify,
     stop_requested_at: Cell<Option<Instant>>,
@@ -136,6 +147,10 @@
             stage_orders: BTreeMap::new(),
             view_versions: BTreeMap::new(),
             membership: MembershipState::new(own, settings.membership),
+            relay_queue: RelayQueue::new(RelaySettings::default()),
+            topology: None,
+            topology_round: 0,
+            ended_outages: 0,
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -144,6 +159,7 @@
             wire,
             state: RefCell::new(state),
             report_changed: Notify::new(),
+            relay_changed: Notify::new(),
             capacity_changed: Notify::new(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
@@ -219,6 +235,7 @@
     pub fn mark_registry_reachable(&self) {
         let mut state = self.state.borrow_mut();
         if state.directory.mark_registry_reachable(Instant::now()) {
+            state.ended_outages += 1;
             log::info!(target: "servers", "the registry is reachable again");
         }
     }
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -1,130 +1,96 @@
-//! Heartbeats between entries, sent as datagrams with each entry's state and its load at the servers.
+//! Reports between entries, sent as datagrams with each entry's state and its load at the servers.
 //!
-//! Datagrams suffice: the next heartbeat replaces a lost one, and no guarantee depends on heartbeats, since
-//! engines are the authority over their memory.
+//! Datagrams suffice: the next report replaces a lost one, and no guarantee depends on reports, since
+//! engines are the authority over their memory. `gs_control::relay` decides where reports go.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{
-    IssueReport, LoadDigest, RegistryView, ServerLoad, ServerWork, StreamShape, WaitingCounts,
-};
+use gs_control::forwarding::RegistryView;
 use gs_control::membership::{MemberCandidate, MembershipEvent};
-use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber, ServerName};
-use gs_protocol::peer::{PeerIdentity, PeerState};
+use gs_control::relay::{
+    EntryPresence, EntryReport, LoadFrame, RelayMember, RelaySettings, RelayTopology,
+    TopologySettings,
+};
+use gs_protocol::ids::{EntryName, Incarnation, SequenceNumber};
+use gs_protocol::peer::PeerState;
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
 
-/// Base interval between two regular heartbeats; [`HEARTBEAT_INTERVAL_PER_ENTRY`] is added.
-const BASE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Base interval between two regular reports; [`REPORT_INTERVAL_PER_PEER`] is added.
+const BASE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time added to the heartbeat interval for each entry of the fleet.
-const HEARTBEAT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(10);
+/// Time added to the interval between regular reports for each entry that they are sent to.
+const REPORT_INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
 
-/// Base of the minimum time between two heartbeats; [`REPORT_GAP_PER_ENTRY`] is added.
+/// Base of the minimum time between two reports; [`REPORT_GAP_PER_PEER`] is added.
 const BASE_REPORT_GAP: Duration = Duration::from_millis(4);
 
-/// Time added to the minimum time between heartbeats for each entry of the fleet.
-const REPORT_GAP_PER_ENTRY: Duration = Duration::from_micros(150);
+/// Time added to the minimum time between reports for each entry that they are sent to.
+const REPORT_GAP_PER_PEER: Duration = Duration::from_micros(150);
+
+/// Time for which a relay collects reports before it passes them on.
+const RELAY_DELAY: Duration = Duration::from_millis(20);
+
+/// How long a decision where to send reports is kept.
+const TOPOLOGY_LIFETIME: Duration = Duration::from_millis(250);
 
-/// Maximum size of a heartbeat, in bytes.
+/// Silence, in regular intervals, after which another entry of the data centre takes over as relay.
+const MAX_RELAY_SILENCE: f64 = 2.2;
+
+/// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 
-/// Message from an entry to its peers. Encoded with arrays instead of maps to keep datagrams small, because
-/// traffic between data centres is expensive.
-#[derive(Debug, Deserialize, Serialize)]
-enum Heartbeat {
-    /// Sent at regular intervals.
-    #[serde(rename = "e")]
-    Entry(PeerIdentity, PeerState, ServerVersion, LoadFrame),
-    /// Sent between regular heartbeats, when the streams or the issues of the entry change.
-    #[serde(rename = "l")]
-    Load(EntryIdentity, LoadFrame),
+/// Size of the reports in one datagram of a relay, in bytes, from which no further one is added.
+const MAX_BATCH_BYTES: usize = 1_200;
+
+/// Who a datagram is for; its first byte.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+enum DatagramKind {
+    /// From an entry to another; a relay of the same data centre passes it on to other data centres.
+    Direct = 0,
+    /// From a relay to one of another data centre, which passes it on to its data centre.
+    BetweenRelays = 1,
+    /// From a relay to an entry of its data centre.
+    Relayed = 2,
 }
 
-/// Newest version of the server list that an entry has read; that of the routes is in [`PeerState`].
-#[derive(Debug, Deserialize, Serialize)]
-struct ServerVersion(u64);
-
-/// Load report of an entry.
-#[derive(Debug, Deserialize, Serialize)]
-struct LoadFrame(
-    /// Number of the heartbeat since the start of the entry.
-    u64,
-    /// Streams in the entry's admission queue that can still meet their latency target.
-    u32,
-    /// Streams in the entry's admission queue that will miss their latency target.
-    u32,
-    Vec<ServerFrame>,
-    /// Servers that the entry avoids, each with its issue.
-    IssueReport,
-);
-
-/// Load of an entry at one server.
-#[derive(Debug, Deserialize, Serialize)]
-struct ServerFrame(
-    ServerName,
-    /// Requests in progress, without streams.
-    u32,
-    /// Prompt tokens that are not processed yet.
-    u64,
-    /// For each stream, the tokens it holds in memory and the tokens it is expected to add.
-    Vec<(u32, u32)>,
-);
-
-impl LoadFrame {
-    fn new(number: u64, waiting: WaitingCounts, digest: LoadDigest, issues: IssueReport) -> Self {
-        let servers = digest.into_iter().map(|(server, work)| {
-            let streams = work
-                .streams
-                .iter()
-                .map(|shape| (shape.held_tokens, shape.remaining_tokens));
-            let load = work.load;
-            ServerFrame(server, load.requests, load.prompt_tokens, streams.collect())
-        });
-        Self(
-            number,
-            waiting.on_time,
-            waiting.late,
-            servers.collect(),
-            issues,
-        )
+impl DatagramKind {
+    fn from_byte(byte: u8) -> Option<Self> {
+        [Self::Direct, Self::BetweenRelays, Self::Relayed]
+            .into_iter()
+            .find(|kind| *kind as u8 == byte)
     }
+}
 
-    fn into_digest(self) -> LoadDigest {
-        let servers = self.3.into_iter();
-        servers
-            .map(|ServerFrame(server, requests, prompt_tokens, streams)| {
-                let shapes = streams.into_iter();
-                let work = ServerWork {
-                    load: ServerLoad {
-                        requests,
-                        prompt_tokens,
-                    },
-                    streams: shapes
-                        .map(|(held_tokens, remaining_tokens)| StreamShape {
-                            held_tokens,
-                            remaining_tokens,
-                        })
-                        .collect(),
-                };
-                (server, work)
-            })
-            .collect()
-    }
+/// Encodes a datagram.
+fn encode(
+    kind: DatagramKind,
+    reports: &[EntryReport],
+) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
+    let mut bytes = vec![kind as u8];
+    ciborium::into_writer(&reports, &mut bytes)?;
+    Ok(bytes)
 }
 
-/// Socket for heartbeats, with the latest heartbeat number of each peer.
+/// Decodes a datagram; `None` if it is invalid.
+fn decode(bytes: &[u8]) -> Option<(DatagramKind, Vec<EntryReport>)> {
+    let (kind, body) = bytes.split_first()?;
+    let reports = ciborium::from_reader(body).ok()?;
+    Some((DatagramKind::from_byte(*kind)?, reports))
+}
+
+/// Socket for reports, with the version of the latest report of each peer.
 pub struct HeartbeatSocket {
     udp: UdpSocket,
-    latest: RefCell<BTreeMap<EntryName, (EntryIdentity, u64)>>,
+    latest: RefCell<BTreeMap<EntryName, (Incarnation, u64)>>,
 }
 
 impl HeartbeatSocket {
@@ -139,16 +105,23 @@
         })
     }
 
-    /// Records a heartbeat as the latest of its entry if it is newer than all before; returns whether it is.
-    fn record_if_newer(&self, identity: &EntryIdentity, number: u64) -> bool {
+    /// Records a report as the latest of its entry if it is newer than all before; returns whether it is.
+    fn record_if_newer(&self, report: &EntryReport) -> bool {
         let mut latest = self.latest.borrow_mut();
-        let is_old = latest.get(&identity.entry).is_some_and(|(known, last)| {
-            (known.incarnation, *last) >= (identity.incarnation, number)
-        });
-        if !is_old {
-            latest.insert(identity.entry.clone(), (identity.clone(), number));
+        let known = latest.get(&report.0);
+        let is_newer = known.is_none_or(|known| *known < report.version());
+        if is_newer {
+            latest.insert(report.0.clone(), report.version());
+        }
+        is_newer
+    }
+
+    async fn send(&self, bytes: &[u8], addresses: &[SocketAddr]) {
+        for address in addresses {
+            if let Err(error) = self.udp.send_to(bytes, address).await {
+                log::debug!(target: "peers", "cannot send a report to {address}: {error}");
+            }
         }
-        !is_old
     }
 }
 
@@ -184,41 +157,99 @@
         usable.choose(rng).map(|member| member.peer_address)
     }
 
-    /// Returns the addresses of all other entries, from the registry or from their heartbeats.
-    fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.state.borrow().membership.peer_addresses()
+    /// Returns where reports are sent.
+    fn topology(&self) -> Rc<RelayTopology> {
+        let now = Instant::now();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        if let Some((decided_at, topology)) = &state.topology
+            && now.saturating_duration_since(*decided_at) < TOPOLOGY_LIFETIME
+        {
+            return Rc::clone(topology);
+        }
+        let own = &self.settings.own;
+        let previous = state.topology.take();
+        let direct_count = previous.map_or(0, |(_, topology)| topology.direct.len());
+        let max_silence = report_interval(direct_count).mul_f64(MAX_RELAY_SILENCE);
+        let others = state
+            .membership
+            .relay_members(now, &own.data_centre, max_silence);
+        let own = RelayMember {
+            name: own.identity.entry.clone(),
+            data_centre: own.data_centre.clone(),
+            peer_address: own.peer_address,
+            can_relay: true,
+        };
+        state.topology_round += 1;
+        let topology = Rc::new(RelayTopology::new(
+            &own,
+            &others,
+            state.topology_round,
+            &TopologySettings::default(),
+        ));
+        let known: BTreeSet<&EntryName> = others.iter().map(|other| &other.name).collect();
+        state
+            .relay_queue
+            .retain(|entry| known.contains(entry) || *entry == own.name);
+        state.topology = Some((now, Rc::clone(&topology)));
+        topology
+    }
+
+    /// Queues a report of this entry's data centre for other data centres, if this entry is a relay.
+    fn relay_report(&self, report: EntryReport) {
+        if self.topology().foreign_relays.is_empty() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        if state.relay_queue.push(Instant::now(), report) {
+            self.relay_changed.notify_one();
+        }
+    }
+
+    /// Whether an entry runs in the data centre of this one.
+    fn is_local(&self, entry: &EntryName) -> bool {
+        let state = self.state.borrow();
+        let member = state.membership.member(entry);
+        member.is_some_and(|member| member.peer.data_centre == self.settings.own.data_centre)
     }
 }
 
-/// Sends heartbeats until the process ends. `incarnation` must be larger than in earlier starts of the entry.
+/// Returns the interval between regular reports that are sent to a number of entries.
+fn report_interval(direct_count: usize) -> Duration {
+    BASE_REPORT_INTERVAL + REPORT_INTERVAL_PER_PEER * (direct_count as u32 + 1)
+}
+
+/// Sends reports until the process ends. `incarnation` must be larger than in earlier starts of the entry.
 pub async fn send_heartbeats(
     gateway: Rc<Gateway>,
     socket: Rc<HeartbeatSocket>,
     incarnation: Incarnation,
 ) {
-    let mut own = gateway.settings.own.clone();
-    own.identity.incarnation = incarnation;
+    actix_rt::spawn(send_relayed(Rc::clone(&gateway), Rc::clone(&socket)));
     let mut number = 0;
     let mut last_full: Option<Instant> = None;
     loop {
         number += 1;
-        let entries = gateway.entry_count();
-        let interval = BASE_HEARTBEAT_INTERVAL + HEARTBEAT_INTERVAL_PER_ENTRY * entries;
-        gateway.set_heartbeat_interval(interval);
+        let topology = gateway.topology();
+        let interval = report_interval(topology.direct.len());
+        let relay_delay = match topology.is_relayed {
+            true => RelaySettings::default().presence_interval,
+            false => Duration::ZERO,
+        };
+        gateway.set_heartbeat_interval(interval + relay_delay);
         let is_due = last_full.is_none_or(|last_full| last_full.elapsed() >= interval)
             || gateway.is_stopping();
-        let frame = load_frame(&gateway, number);
-        let heartbeat = match is_due {
-            true => {
-                last_full = Some(Instant::now());
-                let servers = ServerVersion(gateway.own_version(RegistryView::Servers));
-                Heartbeat::Entry(own.clone(), own_state(&gateway), servers, frame)
-            }
-            false => Heartbeat::Load(own.identity.clone(), frame),
-        };
-        send_heartbeat(&gateway, &socket, &heartbeat).await;
+        if is_due {
+            last_full = Some(Instant::now());
+        }
+        let report = own_report(&gateway, incarnation, number, is_due);
+        match encode(DatagramKind::Direct, std::slice::from_ref(&report)) {
+            Ok(bytes) => socket.send(&bytes, &topology.direct).await,
+            Err(error) => log::warn!(target: "peers", error:%; "cannot encode the report"),
+        }
+        gateway.relay_report(report);
         gateway.handle_membership(MembershipEvent::Tick);
-        let gap = BASE_REPORT_GAP + REPORT_GAP_PER_ENTRY * entries;
+        let gap = BASE_REPORT_GAP + REPORT_GAP_PER_PEER * (topology.direct.len() as u32 + 1);
         tokio::time::sleep(gap).await;
         let since = last_full.map_or(Duration::ZERO, |last_full| last_full.elapsed());
         tokio::select! {
@@ -228,40 +259,72 @@
     }
 }
 
-fn own_state(gateway: &Gateway) -> PeerState {
-    PeerState {
-        leaving: !gateway.is_ready(),
-        sequence: SequenceNumber(gateway.table().map_or(0, |table| table.version)),
+/// Passes the reports of this entry's data centre on to other data centres until the process ends.
+async fn send_relayed(gateway: Rc<Gateway>, socket: Rc<HeartbeatSocket>) {
+    loop {
+        gateway.relay_changed.notified().await;
+        tokio::time::sleep(RELAY_DELAY).await;
+        let topology = gateway.topology();
+        let reports = gateway
+            .state
+            .borrow_mut()
+            .relay_queue
+            .take_all(Instant::now());
+        for bytes in encode_batches(&reports) {
+            socket.send(&bytes, &topology.foreign_relays).await;
+        }
     }
 }
 
-fn load_frame(gateway: &Gateway, number: u64) -> LoadFrame {
+/// Encodes reports into datagrams of at most [`MAX_BATCH_BYTES`], or of a single report.
+fn encode_batches(reports: &[EntryReport]) -> Vec<Vec<u8>> {
+    let mut batches = Vec::new();
+    let mut open: Vec<&[EntryReport]> = vec![reports];
+    while let Some(batch) = open.pop() {
+        if batch.is_empty() {
+            continue;
+        }
+        match encode(DatagramKind::BetweenRelays, batch) {
+            Ok(bytes) if bytes.len() <= MAX_BATCH_BYTES || batch.len() == 1 => batches.push(bytes),
+            Ok(_) => {
+                let (first, second) = batch.split_at(batch.len() / 2);
+                open.extend([first, second]);
+            }
+            Err(error) => log::warn!(target: "peers", error:%; "cannot encode the reports"),
+        }
+    }
+    batches
+}
+
+fn own_report(
+    gateway: &Gateway,
+    incarnation: Incarnation,
+    number: u64,
+    with_presence: bool,
+) -> EntryReport {
     let now = Instant::now();
+    let entry_state = PeerState {
+        leaving: !gateway.is_ready(),
+        sequence: SequenceNumber(gateway.table().map_or(0, |table| table.version)),
+    };
+    let servers_version = gateway.own_version(RegistryView::Servers);
+    let own = &gateway.settings.own;
     let state = gateway.state.borrow();
     let mut issues = state.loads.own_issues(now);
     issues.extend(state.directory.own_issues(now));
-    LoadFrame::new(
+    let presence = with_presence
+        .then(|| EntryPresence::new(own, entry_state, servers_version, state.ended_outages));
+    let load = LoadFrame::new(state.queue.waiting(), state.loads.own_digest(), issues);
+    EntryReport(
+        own.identity.entry.clone(),
+        incarnation,
         number,
-        state.queue.waiting(),
-        state.loads.own_digest(),
-        issues,
+        presence,
+        load,
     )
 }
 
-async fn send_heartbeat(gateway: &Gateway, socket: &HeartbeatSocket, heartbeat: &Heartbeat) {
-    let mut bytes = Vec::new();
-    if let Err(error) = ciborium::into_writer(heartbeat, &mut bytes) {
-        log::warn!(target: "peers", error:%; "cannot encode the heartbeat");
-        return;
-    }
-    for address in gateway.peer_addresses() {
-        if let Err(error) = socket.udp.send_to(&bytes, address).await {
-            log::debug!(target: "peers", "cannot send a heartbeat to {address}: {error}");
-        }
-    }
-}
-
-/// Receives heartbeats and applies them until the process ends.
+/// Receives reports and applies them until the process ends.
 pub async fn receive_heartbeats(gateway: Rc<Gateway>, socket: Rc<HeartbeatSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -273,41 +336,59 @@
                 continue;
             }
         };
-        match ciborium::from_reader::<Heartbeat, _>(&buffer[..length]) {
-            Ok(heartbeat) => handle_heartbeat(&gateway, &socket, heartbeat),
-            Err(error) => log::info!(target: "peers", error:%; "invalid datagram ignored"),
+        let datagram = &mut buffer[..length];
+        let Some((kind, reports)) = decode(datagram) else {
+            log::info!(target: "peers", length; "invalid datagram ignored");
+            continue;
+        };
+        let has_news = handle_reports(&gateway, &socket, kind, reports);
+        // The other relays of this data centre receive the same reports; the first one passes them on.
+        if kind == DatagramKind::BetweenRelays && has_news {
+            datagram[0] = DatagramKind::Relayed as u8;
+            socket.send(datagram, &gateway.topology().direct).await;
         }
     }
 }
 
-fn handle_heartbeat(gateway: &Gateway, socket: &HeartbeatSocket, heartbeat: Heartbeat) {
-    let (identity, mut frame, entry_state) = match heartbeat {
-        Heartbeat::Entry(peer, state, servers, frame) => {
-            (peer.identity.clone(), frame, Some((peer, state, servers)))
+/// Applies reports; returns whether one of them was newer than the known one of its entry.
+fn handle_reports(
+    gateway: &Gateway,
+    socket: &HeartbeatSocket,
+    kind: DatagramKind,
+    reports: Vec<EntryReport>,
+) -> bool {
+    let mut has_news = false;
+    for report in reports {
+        if report.0 == gateway.settings.own.identity.entry || !socket.record_if_newer(&report) {
+            continue;
+        }
+        has_news = true;
+        gateway.apply_report(&report);
+        if kind == DatagramKind::Direct && gateway.is_local(&report.0) {
+            gateway.relay_report(report);
         }
-        Heartbeat::Load(identity, frame) => (identity, frame, None),
-    };
-    if identity.entry == gateway.settings.own.identity.entry
-        || !socket.record_if_newer(&identity, frame.0)
-    {
-        return;
     }
-    if let Some((peer, state, ServerVersion(servers))) = entry_state {
-        gateway.record_peer_version(RegistryView::Routes, state.sequence.0);
-        gateway.record_peer_version(RegistryView::Servers, servers);
-        gateway.handle_membership(MembershipEvent::HeartbeatReceived { peer, state });
+    if has_news {
+        gateway.capacity_changed.notify_one();
+    }
+    has_news
+}
+
+impl Gateway {
+    fn apply_report(&self, report: &EntryReport) {
+        if let (Some(presence), Some((peer, state))) = (&report.3, report.peer()) {
+            let [_, servers_version, _] = presence.progress();
+            self.record_peer_version(RegistryView::Routes, state.sequence.0);
+            self.record_peer_version(RegistryView::Servers, servers_version);
+            self.handle_membership(MembershipEvent::HeartbeatReceived { peer, state });
+        }
+        let now = Instant::now();
+        let waiting = report.4.waiting();
+        let (digest, issues) = report.4.clone().into_parts();
+        let mut state = self.state.borrow_mut();
+        state.loads.apply_peer_issues(now, &report.0, issues);
+        state
+            .loads
+            .apply_peer_digest(now, &report.0, digest, waiting);
     }
-    let waiting = WaitingCounts {
-        on_time: frame.1,
-        late: frame.2,
-    };
-    let now = Instant::now();
-    let issues = std::mem::take(&mut frame.4);
-    let mut state = gateway.state.borrow_mut();
-    state.loads.apply_peer_issues(now, &identity.entry, issues);
-    state
-        .loads
-        .apply_peer_digest(now, &identity.entry, frame.into_digest(), waiting);
-    drop(state);
-    gateway.capacity_changed.notify_one();
 }
