Probe a registry that does not answer with one reader an entry, less often in large fleets

Cause: during an outage each of an entry's three readers called again every 0.25 to 0.5 s, and an entry that was not registered yet every 0.3 s.

Change: gs_control::forwarding::outage decides. The reader that fails first probes, the others and the registration wait for its answer; entries of large fleets probe every 10 ms for each entry, 2 s at the most, exact readers as before. Probes wait 0.4 s for changes instead of seconds, so that the end of an outage is noticed. Regular reports carry the number of ended outages, and a new one wakes the probers; no entry depends on it.

--- a/crates/gs-control/src/forwarding/freshness.rs
+++ b/crates/gs-control/src/forwarding/freshness.rs
@@ -10,13 +10,15 @@
 use gs_protocol::ids::EntryName;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A set of registry objects that entries follow and whose version they report to each other.
+/// A set of registry objects that entries follow.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum RegistryView {
     /// The configuration of routes and services.
     Routes,
     /// The backend servers.
     Servers,
+    /// The entries, whose version is not reported to peers.
+    Entries,
 }
 
 /// The consistency of a read.
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod lengths;
 mod loads;
 mod memory;
+mod outage;
 mod placement;
 mod retries;
 mod routes;
@@ -31,6 +32,7 @@
 pub use lengths::LengthEstimate;
 pub use loads::{LoadDigest, LoadSettings, LoadTracker, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
+pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
 pub use placement::{
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
 };
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod issues;
 mod loads;
 mod memory;
+mod outage;
 mod repeats;
 mod routes;
 mod shutdown;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,13 +9,13 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, ListedServer, LoadSettings, LoadTracker, PlacementView, RegistryView,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions,
+    LengthEstimate, ListedServer, LoadSettings, LoadTracker, OutageSettings, OutageTracker,
+    PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory, ServerStage,
+    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::relay::{RelayQueue, RelaySettings, RelayTopology};
-use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
+use gs_protocol::ids::{DataCentreName, EntryName, Incarnation, ServerName, ServiceName};
 use gs_protocol::peer::PeerIdentity;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -98,6 +98,7 @@
     /// order was not sent or was rejected.
     pub stage_orders: BTreeMap<ServerName, Option<ServerStage>>,
     pub view_versions: BTreeMap<RegistryView, ViewVersions>,
+    pub outage: OutageTracker,
     pub membership: MembershipState,
     pub relay_queue: RelayQueue,
     /// Where reports are sent, and when that was decided.
@@ -106,6 +107,10 @@
     pub topology_round: u64,
     /// Number of outages of the registry that have ended for this entry.
     pub ended_outages: u64,
+    /// The number of ended outages of each peer, with the incarnation that reported it.
+    pub peer_outages: BTreeMap<EntryName, (Incarnation, u64)>,
+    /// When the registry was last called because an outage had ended for a peer.
+    pub registry_retried_at: Option<Instant>,
     pub rng: Pcg64Mcg,
 }
 
@@ -118,6 +123,10 @@
     /// Notified when the load report for peers changes (own streams, their queue, a failing server, an engine
     /// that was ordered to another stage) or the shutdown begins.
     pub(crate) report_changed: Notify,
+    /// Notified when the registry answers this entry after failed calls.
+    pub(crate) registry_answered: Notify,
+    /// Notified when an outage of the registry has ended for a peer.
+    pub(crate) registry_retry: Notify,
     /// Notified when this entry has reports to pass on as a relay.
     pub(crate) relay_changed: Notify,
     /// Notified when engine capacity may have become free or a stream has joined the admission queue.
@@ -146,11 +155,14 @@
             stage_estimates: BTreeMap::new(),
             stage_orders: BTreeMap::new(),
             view_versions: BTreeMap::new(),
+            outage: OutageTracker::new(OutageSettings::default()),
             membership: MembershipState::new(own, settings.membership),
             relay_queue: RelayQueue::new(RelaySettings::default()),
             topology: None,
             topology_round: 0,
             ended_outages: 0,
+            registry_retried_at: None,
+            peer_outages: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -158,6 +170,8 @@
             settings,
             wire,
             state: RefCell::new(state),
+            registry_answered: Notify::new(),
+            registry_retry: Notify::new(),
             report_changed: Notify::new(),
             relay_changed: Notify::new(),
             capacity_changed: Notify::new(),
@@ -223,23 +237,6 @@
         state.directory.remove(Instant::now(), server);
     }
 
-    /// Marks the registry as unreachable.
-    pub fn mark_registry_unreachable(&self) {
-        self.state
-            .borrow_mut()
-            .directory
-            .mark_registry_unreachable();
-    }
-
-    /// Marks the registry as reachable.
-    pub fn mark_registry_reachable(&self) {
-        let mut state = self.state.borrow_mut();
-        if state.directory.mark_registry_reachable(Instant::now()) {
-            state.ended_outages += 1;
-            log::info!(target: "servers", "the registry is reachable again");
-        }
-    }
-
     /// Whether this entry accepts clients: routes and servers are known and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -15,7 +15,7 @@
     EntryPresence, EntryReport, LoadFrame, RelayMember, RelaySettings, RelayTopology,
     TopologySettings,
 };
-use gs_protocol::ids::{EntryName, Incarnation, SequenceNumber};
+use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, SequenceNumber};
 use gs_protocol::peer::PeerState;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -188,6 +188,7 @@
             &TopologySettings::default(),
         ));
         let known: BTreeSet<&EntryName> = others.iter().map(|other| &other.name).collect();
+        state.peer_outages.retain(|entry, _| known.contains(entry));
         state
             .relay_queue
             .retain(|entry| known.contains(entry) || *entry == own.name);
@@ -375,11 +376,27 @@
 }
 
 impl Gateway {
+    /// Wakes the readers of the registry if an outage has ended for a peer since its report before.
+    fn record_peer_outages(&self, peer: &EntryIdentity, ended_outages: u64) {
+        let mut state = self.state.borrow_mut();
+        let known = state
+            .peer_outages
+            .insert(peer.entry.clone(), (peer.incarnation, ended_outages));
+        let has_ended = known.is_some_and(|(incarnation, known)| {
+            incarnation == peer.incarnation && known < ended_outages
+        });
+        drop(state);
+        if has_ended {
+            self.retry_registry();
+        }
+    }
+
     fn apply_report(&self, report: &EntryReport) {
         if let (Some(presence), Some((peer, state))) = (&report.3, report.peer()) {
-            let [_, servers_version, _] = presence.progress();
+            let [_, servers_version, ended_outages] = presence.progress();
             self.record_peer_version(RegistryView::Routes, state.sequence.0);
             self.record_peer_version(RegistryView::Servers, servers_version);
+            self.record_peer_outages(&report.identity(), ended_outages);
             self.handle_membership(MembershipEvent::HeartbeatReceived { peer, state });
         }
         let now = Instant::now();
