--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod generation;
 mod logs;
 mod plain;
+mod relays;
 mod soak;
 mod stages;
 mod support;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -113,9 +113,16 @@
     }
 
     pub async fn start_named(name: &str, servers: Vec<ListedServer>) -> Self {
+        Self::start_in("north", name, servers).await
+    }
+
+    pub async fn start_in(data_centre: &str, name: &str, servers: Vec<ListedServer>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let gateway = Rc::new(Gateway::new(settings(name, address), Box::new(TestWire)));
+        let gateway = Rc::new(Gateway::new(
+            settings(data_centre, name, address),
+            Box::new(TestWire),
+        ));
         let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
         let rules = routes.map(Route::rule).into();
         gateway.apply_table(RouteTable::new(
@@ -132,6 +139,15 @@
 
     /// Starts the exchange of heartbeats between entries.
     pub async fn join(entries: &[Self]) {
+        Self::join_knowing(entries, |_, _| true).await;
+    }
+
+    /// Starts the exchange of heartbeats between entries. `is_listed` returns whether the second entry is
+    /// listed for the first.
+    pub async fn join_knowing(
+        entries: &[Self],
+        is_listed: impl Fn(&MemberCandidate, &MemberCandidate) -> bool,
+    ) {
         let candidates: Vec<MemberCandidate> = entries
             .iter()
             .map(|entry| {
@@ -145,11 +161,12 @@
                 }
             })
             .collect();
-        for entry in entries {
+        for (entry, own) in entries.iter().zip(&candidates) {
             let gateway = Rc::clone(&entry.gateway);
             let socket = HeartbeatSocket::open(gateway.settings.own.peer_address).await;
             let socket = Rc::new(socket.expect("the client port is free for UDP"));
-            gateway.apply_entries(candidates.clone());
+            let listed = candidates.iter().filter(|other| is_listed(own, other));
+            gateway.apply_entries(listed.cloned().collect());
             actix_rt::spawn(receive_heartbeats(Rc::clone(&gateway), Rc::clone(&socket)));
             actix_rt::spawn(send_heartbeats(gateway, socket, Incarnation(1)));
         }
@@ -193,14 +210,14 @@
     BTreeMap::from([("desk".into(), plain), ("notes".into(), engines)])
 }
 
-fn settings(name: &str, address: SocketAddr) -> GatewaySettings {
+fn settings(data_centre: &str, name: &str, address: SocketAddr) -> GatewaySettings {
     GatewaySettings {
         own: PeerIdentity {
             identity: EntryIdentity {
                 entry: name.into(),
                 incarnation: Incarnation(1),
             },
-            data_centre: "north".into(),
+            data_centre: data_centre.into(),
             address,
             peer_address: address,
         },
