Bound what answers without end make an entry keep

Cause, shown by tests: a server that sends an event without an end, or plain answers that go on for long, made an entry keep 1 MB, 4 MB and about 0.4 MB of a head for each connection; 200 of them are more than the 88 MB of a small entry.

--- a/crates/gs-gateway/src/connection.rs
+++ b/crates/gs-gateway/src/connection.rs
@@ -22,6 +22,9 @@
 /// Number of unanswered probes after which a connection is closed.
 const PROBE_RETRIES: u32 = 2;
 
+/// Maximum size of the bytes that a connection buffers, among them the head of an answer.
+const MAX_BUFFERED_BYTES: usize = 65_536;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -83,6 +86,7 @@
             log::debug!(target: "call", "cannot set the socket options: {error}");
         }
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(CallError::NotSent)?;
--- a/crates/gs-gateway/src/event_stream.rs
+++ b/crates/gs-gateway/src/event_stream.rs
@@ -5,7 +5,7 @@
 use crate::wire::ResumePoint;
 
 /// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1_048_576;
+const MAX_EVENT_BYTES: usize = 65_536;
 
 /// A complete event with its closing blank line.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, oneshot};
 
+use crate::answer_reader::AnswerBudget;
 use crate::reservation::StreamReservation;
 use crate::wire::ServerWire;
 
@@ -56,6 +57,8 @@
     pub max_connections: usize,
     /// Maximum total size of buffered request bodies, in bytes.
     pub max_kept_bytes: usize,
+    /// Maximum total size of answers that are being read, in bytes, besides a small part of each.
+    pub max_answer_bytes: usize,
     /// Timeouts after which a silent entry is suspected or considered dead.
     pub membership: MembershipSettings,
 }
@@ -135,6 +138,7 @@
     shutdown_plan: ShutdownPlan,
     pub(crate) active_requests: Cell<usize>,
     pub(crate) kept_bytes: Cell<usize>,
+    pub(crate) answer_budget: AnswerBudget,
 }
 
 impl Gateway {
@@ -167,6 +171,7 @@
         };
         Self {
             shutdown_plan: ShutdownPlan::new(settings.stop_grace),
+            answer_budget: AnswerBudget::new(settings.max_answer_bytes),
             settings,
             wire,
             state: RefCell::new(state),
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod logs;
 
 mod answer;
+mod answer_reader;
 mod connection;
 mod error;
 mod event_stream;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -28,9 +28,6 @@
 /// Time before the client's deadline at which the final answer is sent.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
-/// Maximum size of an answer, in bytes; it is buffered completely before it is forwarded.
-const MAX_ANSWER_BYTES: usize = 4_194_304;
-
 /// Maximum number of servers tried for one request, including those that rejected it without running it.
 const MAX_SERVER_ATTEMPTS: u32 = 4;
 
@@ -243,7 +240,7 @@
     let request = job.build_server_request(gateway, &options);
     *is_sent = true;
     let (head, body) = connection.send(request).await?.into_parts();
-    let body = ServerConnection::read_body(body, MAX_ANSWER_BYTES).await?;
+    let body = gateway.answer_budget.read_answer(body).await?;
     Ok((head, body))
 }
 
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -228,6 +228,7 @@
         retry_window: Duration::from_secs(10),
         max_connections: 100,
         max_kept_bytes: 1_000_000,
+        max_answer_bytes: 1_000_000,
         membership: MembershipSettings {
             suspect_after: Duration::from_secs(2),
             dead_after: Duration::from_secs(5),
--- a/crates/gs-gateway/tests/gateway/support/server.rs
+++ b/crates/gs-gateway/tests/gateway/support/server.rs
@@ -18,6 +18,8 @@
     Reset(String),
     /// Sends bytes and leaves the connection open.
     Hold(String),
+    /// Sends the first string, then the second one again and again until the connection closes.
+    Endless(String, String),
     /// Sends each string after a pause, then closes the connection.
     Chunks(Vec<String>, Duration),
 }
@@ -106,6 +108,12 @@
                 while !matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {}
                 *self.closed_connections.borrow_mut() += 1;
             }
+            Script::Endless(start, repeated) => {
+                let _ = stream.write_all(&filled(&start)).await;
+                let repeated = filled(&repeated.repeat(1 + 4_096 / repeated.len()));
+                while stream.write_all(&repeated).await.is_ok() {}
+                *self.closed_connections.borrow_mut() += 1;
+            }
             Script::Chunks(chunks, pause) => {
                 for chunk in chunks {
                     tokio::time::sleep(pause).await;
