--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub use gateway::{EntryEndpoint, Gateway, GatewaySettings};
 pub use ingress::{serve_bodiless, serve_clients};
 pub use lifecycle::{run_admission, run_shutdown};
-pub use peers::{HeartbeatSocket, receive_heartbeats, send_heartbeats};
+pub use peers::{ReportSocket, receive_reports, send_reports};
 pub use stages::{ClaimStore, run_stage_balancer};
 pub use wire::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, KvSource, PrefillResult,
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -87,12 +87,12 @@
 }
 
 /// Socket for reports, with the version of the latest report of each peer.
-pub struct HeartbeatSocket {
+pub struct ReportSocket {
     udp: UdpSocket,
     latest: RefCell<BTreeMap<EntryName, (Incarnation, u64)>>,
 }
 
-impl HeartbeatSocket {
+impl ReportSocket {
     /// Binds the socket. Fails with [`GatewayError::Listen`] if the address is not available.
     pub async fn open(address: SocketAddr) -> Result<Self, GatewayError> {
         let udp = UdpSocket::bind(address)
@@ -220,9 +220,9 @@
 }
 
 /// Sends reports until the process ends. `incarnation` must be larger than in earlier starts of the entry.
-pub async fn send_heartbeats(
+pub async fn send_reports(
     gateway: Rc<Gateway>,
-    socket: Rc<HeartbeatSocket>,
+    socket: Rc<ReportSocket>,
     incarnation: Incarnation,
 ) {
     actix_rt::spawn(send_relayed(Rc::clone(&gateway), Rc::clone(&socket)));
@@ -260,7 +260,7 @@
 }
 
 /// Passes the reports of this entry's data centre on to other data centres until the process ends.
-async fn send_relayed(gateway: Rc<Gateway>, socket: Rc<HeartbeatSocket>) {
+async fn send_relayed(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
     loop {
         gateway.relay_changed.notified().await;
         tokio::time::sleep(RELAY_DELAY).await;
@@ -333,7 +333,7 @@
 }
 
 /// Receives reports and applies them until the process ends.
-pub async fn receive_heartbeats(gateway: Rc<Gateway>, socket: Rc<HeartbeatSocket>) {
+pub async fn receive_reports(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let length = match socket.udp.recv_from(&mut buffer).await {
@@ -361,7 +361,7 @@
 /// Applies reports; returns whether one of them was newer than the known one of its entry.
 fn handle_reports(
     gateway: &Gateway,
-    socket: &HeartbeatSocket,
+    socket: &ReportSocket,
     kind: DatagramKind,
     reports: Vec<EntryReport>,
 ) -> bool {
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -11,7 +11,7 @@
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
-    Gateway, GatewaySettings, HeartbeatSocket, receive_heartbeats, run_admission, send_heartbeats,
+    Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, send_reports,
     serve_clients,
 };
 use gs_protocol::ids::{EntryIdentity, Incarnation};
@@ -163,12 +163,12 @@
             .collect();
         for (entry, own) in entries.iter().zip(&candidates) {
             let gateway = Rc::clone(&entry.gateway);
-            let socket = HeartbeatSocket::open(gateway.settings.own.peer_address).await;
+            let socket = ReportSocket::open(gateway.settings.own.peer_address).await;
             let socket = Rc::new(socket.expect("the client port is free for UDP"));
             let listed = candidates.iter().filter(|other| is_listed(own, other));
             gateway.apply_entries(listed.cloned().collect());
-            actix_rt::spawn(receive_heartbeats(Rc::clone(&gateway), Rc::clone(&socket)));
-            actix_rt::spawn(send_heartbeats(gateway, socket, Incarnation(1)));
+            actix_rt::spawn(receive_reports(Rc::clone(&gateway), Rc::clone(&socket)));
+            actix_rt::spawn(send_reports(gateway, socket, Incarnation(1)));
         }
     }
 
