Merge what relays pass on to their data centres, and use relays at every size above 16

An entry that knew of fewer entries than the others sent to all and, as a relay, passed nothing on.

Change: what arrives is collected for 15 ms, newest report of each entry only, and what the other relay has passed on meanwhile is left out (relay/arrivals.rs). A datagram tells whether it needs relays; being a relay no longer depends on one's own way of sending. The limit of 128 entries is gone.

For the reader: peers.rs is split into datagrams, relaying and the exchange, views.rs into versions and outages; NotReached is PromptNotSent, as a time-out is meant too; can_relay is is_alive.

Tests: relays_that_send_their_own_reports_to_all_pass_on_those_of_others and reports_reach_all_entries fail with the earlier choice of relays; a_relay_sends_one_datagram_to_each_entry_for_all_data_centres; registry.rs of gs-gateway for readers that wait for the prober, which had no test. The check for repeated reports in reports_reach_all_entries is gone: it counted within one datagram, where reports are one for each entry, and could not fail.

--- a/crates/gs-control/src/dispatch/suspects.rs
+++ b/crates/gs-control/src/dispatch/suspects.rs
@@ -248,7 +248,7 @@
                 let server = record.name.clone();
                 match stage {
                     // A reservation does not carry the prompt.
-                    RequestStage::Reserve => RunEnd::NotReached(server),
+                    RequestStage::Reserve => RunEnd::PromptNotSent(server),
                     RequestStage::Prefill | RequestStage::Transfer | RequestStage::Stream => {
                         RunEnd::ConnectionLost(server)
                     }
--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -95,8 +95,8 @@
         addresses.into_iter().collect()
     }
 
-    /// Returns all other entries, listed or heard, for the choice of relays. Those that are alive can
-    /// be relays, except one of `own_centre` that was silent for `max_silence`.
+    /// Returns all other entries, listed or heard, for the choice of relays. One of `own_centre` that
+    /// was silent for `max_silence` does not count as alive there, so that it is replaced early.
     pub fn relay_members(
         &self,
         now: Instant,
@@ -111,7 +111,7 @@
                 name: peer.identity.entry.clone(),
                 data_centre: peer.data_centre.clone(),
                 peer_address: peer.peer_address,
-                can_relay: member.record.status == MemberStatus::Alive && !is_silent,
+                is_alive: member.record.status == MemberStatus::Alive && !is_silent,
             }
         });
         let unheard = self
@@ -122,7 +122,7 @@
             name: candidate.name.clone(),
             data_centre: candidate.data_centre.clone(),
             peer_address: candidate.peer_address,
-            can_relay: false,
+            is_alive: false,
         });
         heard.chain(unheard).collect()
     }
--- a/crates/gs-control/src/quarantine/messages.rs
+++ b/crates/gs-control/src/quarantine/messages.rs
@@ -12,8 +12,8 @@
     Refused,
     /// The connection to this server broke or timed out.
     ConnectionLost(ServerName),
-    /// This server could not be reached and has not received the prompt.
-    NotReached(ServerName),
+    /// The exchange with this server failed before the prompt was sent to it.
+    PromptNotSent(ServerName),
     /// The attempt was cancelled or expired; its servers may run it for a while longer.
     Abandoned,
 }
--- a/crates/gs-control/src/quarantine/state.rs
+++ b/crates/gs-control/src/quarantine/state.rs
@@ -246,7 +246,7 @@
                 }
             }
             RunEnd::Refused => self.runs.remove_attempt(attempt),
-            RunEnd::NotReached(server) => {
+            RunEnd::PromptNotSent(server) => {
                 self.runs.remove_attempt(attempt);
                 self.liveness.mark_unverified(server);
             }
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Adds the presence of an earlier report of the same start, unless this report has one itself.
+    pub fn with_presence_of(mut self, earlier: Self) -> Self {
+        let is_same_start = earlier.incarnation == self.incarnation;
+        let earlier_presence = earlier.presence.filter(|_| is_same_start);
+        self.presence = self.presence.or(earlier_presence);
+        self
+    }
+
     /// Returns what orders the reports of an entry.
     pub fn version(&self) -> (Incarnation, u64) {
         (self.incarnation, self.number)
--- a/crates/gs-control/src/relay/queue.rs
+++ b/crates/gs-control/src/relay/queue.rs
@@ -64,12 +64,9 @@
         if !has_new_presence {
             report.presence = None;
         }
-        if let Some(earlier) = self.pending.get_mut(&report.entry) {
-            let is_same_start = earlier.incarnation == report.incarnation;
-            report.presence = report
-                .presence
-                .or(earlier.presence.take().filter(|_| is_same_start));
-            *earlier = report;
+        if let Some(earlier) = self.pending.remove(&report.entry) {
+            let report = report.with_presence_of(earlier);
+            self.pending.insert(report.entry.clone(), report);
             return true;
         }
         let has_new_load = forwarded.is_none_or(|forwarded| forwarded.load != report.load);
--- a/crates/gs-control/src/relay/topology.rs
+++ b/crates/gs-control/src/relay/topology.rs
@@ -14,9 +14,6 @@
     pub relays: usize,
     /// Number of entries up to which every entry sends to all others.
     pub max_direct_entries: usize,
-    /// Number of entries from which every entry sends to all others again: relays pass on each
-    /// datagram by itself, and their number grows with the square of the data centres.
-    pub max_relayed_entries: usize,
 }
 
 impl Default for TopologySettings {
@@ -24,7 +21,6 @@
         Self {
             relays: 2,
             max_direct_entries: 16,
-            max_relayed_entries: 128,
         }
     }
 }
@@ -38,20 +34,24 @@
     pub data_centre: DataCentreName,
     /// Address that peers send to.
     pub peer_address: SocketAddr,
-    /// Whether it is known to be alive.
-    pub can_relay: bool,
+    /// Whether it was heard lately.
+    pub is_alive: bool,
 }
 
 /// The addresses that an entry sends reports to.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RelayTopology {
-    /// Addresses for the entry's own reports: its data centre, or all entries of a small fleet.
+    /// Addresses of the other entries of its data centre.
+    pub local: Vec<SocketAddr>,
+    /// Addresses for the entry's own reports: those of its data centre, or of all entries of a small
+    /// fleet.
     pub direct: Vec<SocketAddr>,
+    /// Whether the entry's own reports reach other data centres through relays.
+    pub is_relayed: bool,
     /// Addresses of relays in other data centres, for the reports of the entry's data centre; empty
-    /// if the entry is no relay.
+    /// if the entry is no relay. Entries may differ in whether their reports are relayed, as they
+    /// differ in the entries that they know.
     pub foreign_relays: Vec<SocketAddr>,
-    /// Whether reports between data centres pass through relays.
-    pub is_relayed: bool,
 }
 
 impl RelayTopology {
@@ -66,13 +66,6 @@
         round: u64,
         settings: &TopologySettings,
     ) -> Self {
-        let relayed = settings.max_direct_entries..settings.max_relayed_entries;
-        if !relayed.contains(&others.len()) {
-            return Self {
-                direct: others.iter().map(|other| other.peer_address).collect(),
-                ..Self::default()
-            };
-        }
         let mut data_centres: BTreeMap<&DataCentreName, Vec<&RelayMember>> = BTreeMap::new();
         for other in others {
             data_centres
@@ -84,32 +77,47 @@
         let rank = |member: &RelayMember| (hash_name(&member.name, 0), member.name.clone());
         let lower = local
             .iter()
-            .filter(|other| other.can_relay && rank(other) < rank(own));
-        let mut foreign_relays = Vec::new();
-        if lower.count() < settings.relays {
-            for candidates in data_centres.values() {
-                let alive: Vec<&RelayMember> = candidates
-                    .iter()
-                    .copied()
-                    .filter(|candidate| candidate.can_relay)
-                    .collect();
-                let (mut relays, salt) = match alive.is_empty() {
-                    true => (candidates.clone(), round),
-                    false => (alive, 0),
-                };
-                relays.sort_by_cached_key(|relay| (hash_name(&relay.name, salt), &relay.name));
-                let relays = relays.iter().take(settings.relays);
-                foreign_relays.extend(relays.map(|relay| relay.peer_address));
-            }
-        }
+            .filter(|other| other.is_alive && rank(other) < rank(own));
+        let foreign_relays = match lower.count() < settings.relays {
+            true => data_centres
+                .values()
+                .flat_map(|candidates| choose_relays(candidates, round, settings))
+                .collect(),
+            false => Vec::new(),
+        };
+        let local: Vec<SocketAddr> = local.iter().map(|member| member.peer_address).collect();
+        let is_relayed = others.len() >= settings.max_direct_entries;
+        let direct = match is_relayed {
+            true => local.clone(),
+            false => others.iter().map(|other| other.peer_address).collect(),
+        };
         Self {
-            direct: local.iter().map(|other| other.peer_address).collect(),
+            local,
+            direct,
+            is_relayed,
             foreign_relays,
-            is_relayed: true,
         }
     }
 }
 
+/// Returns the addresses of the relays of another data centre.
+fn choose_relays(
+    candidates: &[&RelayMember],
+    round: u64,
+    settings: &TopologySettings,
+) -> Vec<SocketAddr> {
+    let is_alive = |candidate: &&RelayMember| candidate.is_alive;
+    let mut relays: Vec<&RelayMember> = candidates.iter().copied().filter(is_alive).collect();
+    let mut salt = 0;
+    if relays.is_empty() {
+        relays = candidates.to_vec();
+        salt = round;
+    }
+    relays.sort_by_cached_key(|relay| (hash_name(&relay.name, salt), &relay.name));
+    let relays = relays.iter().take(settings.relays);
+    relays.map(|relay| relay.peer_address).collect()
+}
+
 fn hash_name(name: &EntryName, salt: u64) -> u64 {
     xxh3_64_with_seed(name.as_str().as_bytes(), salt)
 }
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -3,25 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, ListedServer, LoadSettings, LoadTracker, OutageSettings, OutageTracker,
-    PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory, ServerStage,
-    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
+    LengthEstimate, ListedServer, LoadSettings, LoadTracker, PlacementView, RegistryView,
+    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
+    StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
-use gs_control::relay::{RelayQueue, RelaySettings, RelayTopology};
-use gs_protocol::ids::{DataCentreName, EntryName, Incarnation, ServerName, ServiceName};
+use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use gs_protocol::peer::PeerIdentity;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, oneshot};
 
 use crate::answer_reader::AnswerBudget;
+use crate::registry::RegistryState;
+use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
 use crate::wire::ServerWire;
 
@@ -101,19 +101,9 @@
     /// order was not sent or was rejected.
     pub stage_orders: BTreeMap<ServerName, Option<ServerStage>>,
     pub view_versions: BTreeMap<RegistryView, ViewVersions>,
-    pub outage: OutageTracker,
+    pub registry: RegistryState,
     pub membership: MembershipState,
-    pub relay_queue: RelayQueue,
-    /// Where reports are sent, and when that was decided.
-    pub topology: Option<(Instant, Rc<RelayTopology>)>,
-    /// Number of decisions where reports are sent.
-    pub topology_round: u64,
-    /// Number of outages of the registry that have ended for this entry.
-    pub ended_outages: u64,
-    /// The number of ended outages of each peer, with the incarnation that reported it.
-    pub peer_outages: BTreeMap<EntryName, (Incarnation, u64)>,
-    /// When the registry was last called because an outage had ended for a peer.
-    pub registry_retried_at: Option<Instant>,
+    pub relays: RelayState,
     pub rng: Pcg64Mcg,
 }
 
@@ -159,14 +149,9 @@
             stage_estimates: BTreeMap::new(),
             stage_orders: BTreeMap::new(),
             view_versions: BTreeMap::new(),
-            outage: OutageTracker::new(OutageSettings::default()),
+            registry: RegistryState::default(),
             membership: MembershipState::new(own, settings.membership),
-            relay_queue: RelayQueue::new(RelaySettings::default()),
-            topology: None,
-            topology_round: 0,
-            ended_outages: 0,
-            registry_retried_at: None,
-            peer_outages: BTreeMap::new(),
+            relays: RelayState::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -4,23 +4,22 @@
 //! engines are the authority over their memory. `gs_control::relay` decides where reports go.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::RegistryView;
 use gs_control::membership::{MemberCandidate, MembershipEvent};
-use gs_control::relay::{
-    EntryLoad, EntryPresence, EntryReport, RelayMember, RelaySettings, RelayTopology,
-    TopologySettings,
-};
-use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation};
+use gs_control::relay::{EntryLoad, EntryPresence, EntryReport, RelaySettings};
+use gs_protocol::ids::{EntryName, Incarnation};
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 
+use crate::datagram::{DatagramKind, MAX_DATAGRAM_BYTES, decode_reports, encode_reports};
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
+use crate::relays::send_relayed;
 
 /// Base interval between two regular reports; [`REPORT_INTERVAL_PER_PEER`] is added.
 const BASE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -34,58 +33,6 @@
 /// Time added to the minimum time between reports for each entry that they are sent to.
 const REPORT_GAP_PER_PEER: Duration = Duration::from_micros(150);
 
-/// Time for which a relay collects reports before it passes them on.
-const RELAY_DELAY: Duration = Duration::from_millis(20);
-
-/// How long a decision where to send reports is kept.
-const TOPOLOGY_LIFETIME: Duration = Duration::from_millis(250);
-
-/// Silence, in regular intervals, after which another entry of the data centre takes over as relay.
-const MAX_RELAY_SILENCE: f64 = 2.2;
-
-/// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8_192;
-
-/// Size of the reports in one datagram of a relay, in bytes, from which no further one is added.
-const MAX_BATCH_BYTES: usize = 1_200;
-
-/// Who a datagram is for; its first byte.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[repr(u8)]
-enum DatagramKind {
-    /// From an entry to another; a relay of the same data centre passes it on to other data centres.
-    Direct = 0,
-    /// From a relay to one of another data centre, which passes it on to its data centre.
-    BetweenRelays = 1,
-    /// From a relay to an entry of its data centre.
-    Relayed = 2,
-}
-
-impl DatagramKind {
-    fn from_byte(byte: u8) -> Option<Self> {
-        [Self::Direct, Self::BetweenRelays, Self::Relayed]
-            .into_iter()
-            .find(|kind| *kind as u8 == byte)
-    }
-}
-
-/// Encodes a datagram.
-fn encode(
-    kind: DatagramKind,
-    reports: &[EntryReport],
-) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
-    let mut bytes = vec![kind as u8];
-    ciborium::into_writer(&reports, &mut bytes)?;
-    Ok(bytes)
-}
-
-/// Decodes a datagram; `None` if it is invalid.
-fn decode(bytes: &[u8]) -> Option<(DatagramKind, Vec<EntryReport>)> {
-    let (kind, body) = bytes.split_first()?;
-    let reports = ciborium::from_reader(body).ok()?;
-    Some((DatagramKind::from_byte(*kind)?, reports))
-}
-
 /// Socket for reports, with the version of the latest report of each peer.
 pub struct ReportSocket {
     udp: UdpSocket,
@@ -115,10 +62,18 @@
         is_newer
     }
 
-    async fn send(&self, bytes: &[u8], addresses: &[SocketAddr]) {
-        for address in addresses {
-            if let Err(error) = self.udp.send_to(bytes, address).await {
-                log::debug!(target: "peers", "cannot send a report to {address}: {error}");
+    /// Sends reports to addresses. What cannot be sent is lost.
+    pub(crate) async fn send(
+        &self,
+        kind: DatagramKind,
+        reports: &[EntryReport],
+        addresses: &[SocketAddr],
+    ) {
+        for bytes in encode_reports(kind, reports) {
+            for address in addresses {
+                if let Err(error) = self.udp.send_to(&bytes, address).await {
+                    log::debug!(target: "peers", "cannot send reports to {address}: {error}");
+                }
             }
         }
     }
@@ -155,67 +110,10 @@
         let usable = membership.usable_entries();
         usable.choose(rng).map(|member| member.peer_address)
     }
-
-    /// Returns where reports are sent.
-    fn topology(&self) -> Rc<RelayTopology> {
-        let now = Instant::now();
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        if let Some((decided_at, topology)) = &state.topology
-            && now.saturating_duration_since(*decided_at) < TOPOLOGY_LIFETIME
-        {
-            return Rc::clone(topology);
-        }
-        let own = &self.settings.own;
-        let previous = state.topology.take();
-        let direct_count = previous.map_or(0, |(_, topology)| topology.direct.len());
-        let max_silence = report_interval(direct_count).mul_f64(MAX_RELAY_SILENCE);
-        let others = state
-            .membership
-            .relay_members(now, &own.data_centre, max_silence);
-        let own = RelayMember {
-            name: own.identity.entry.clone(),
-            data_centre: own.data_centre.clone(),
-            peer_address: own.peer_address,
-            can_relay: true,
-        };
-        state.topology_round += 1;
-        let topology = Rc::new(RelayTopology::new(
-            &own,
-            &others,
-            state.topology_round,
-            &TopologySettings::default(),
-        ));
-        let known: BTreeSet<&EntryName> = others.iter().map(|other| &other.name).collect();
-        state.peer_outages.retain(|entry, _| known.contains(entry));
-        state
-            .relay_queue
-            .retain(|entry| known.contains(entry) || *entry == own.name);
-        state.topology = Some((now, Rc::clone(&topology)));
-        topology
-    }
-
-    /// Queues a report of this entry's data centre for other data centres, if this entry is a relay.
-    fn relay_report(&self, report: EntryReport) {
-        if self.topology().foreign_relays.is_empty() {
-            return;
-        }
-        let mut state = self.state.borrow_mut();
-        if state.relay_queue.push(Instant::now(), report) {
-            self.relay_changed.notify_one();
-        }
-    }
-
-    /// Whether an entry runs in the data centre of this one.
-    fn is_local(&self, entry: &EntryName) -> bool {
-        let state = self.state.borrow();
-        let member = state.membership.member(entry);
-        member.is_some_and(|member| member.peer.data_centre == self.settings.own.data_centre)
-    }
 }
 
 /// Returns the interval between regular reports that are sent to a number of entries.
-fn report_interval(direct_count: usize) -> Duration {
+pub(crate) fn report_interval(direct_count: usize) -> Duration {
     BASE_REPORT_INTERVAL + REPORT_INTERVAL_PER_PEER * (direct_count as u32 + 1)
 }
 
@@ -243,11 +141,16 @@
             last_full = Some(Instant::now());
         }
         let report = own_report(&gateway, incarnation, number, is_due);
-        match encode(DatagramKind::Direct, std::slice::from_ref(&report)) {
-            Ok(bytes) => socket.send(&bytes, &topology.direct).await,
-            Err(error) => log::warn!(target: "peers", error:%; "cannot encode the report"),
+        let kind = match topology.is_relayed {
+            true => DatagramKind::Local,
+            false => DatagramKind::Direct,
+        };
+        socket
+            .send(kind, std::slice::from_ref(&report), &topology.direct)
+            .await;
+        if topology.is_relayed {
+            gateway.relay_report(report);
         }
-        gateway.relay_report(report);
         gateway.handle_membership(MembershipEvent::Tick);
         let gap = BASE_REPORT_GAP + REPORT_GAP_PER_PEER * (topology.direct.len() as u32 + 1);
         tokio::time::sleep(gap).await;
@@ -259,43 +162,6 @@
     }
 }
 
-/// Passes the reports of this entry's data centre on to other data centres until the process ends.
-async fn send_relayed(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
-    loop {
-        gateway.relay_changed.notified().await;
-        tokio::time::sleep(RELAY_DELAY).await;
-        let topology = gateway.topology();
-        let reports = gateway
-            .state
-            .borrow_mut()
-            .relay_queue
-            .take_all(Instant::now());
-        for bytes in encode_batches(&reports) {
-            socket.send(&bytes, &topology.foreign_relays).await;
-        }
-    }
-}
-
-/// Encodes reports into datagrams of at most [`MAX_BATCH_BYTES`], or of a single report.
-fn encode_batches(reports: &[EntryReport]) -> Vec<Vec<u8>> {
-    let mut batches = Vec::new();
-    let mut open: Vec<&[EntryReport]> = vec![reports];
-    while let Some(batch) = open.pop() {
-        if batch.is_empty() {
-            continue;
-        }
-        match encode(DatagramKind::BetweenRelays, batch) {
-            Ok(bytes) if bytes.len() <= MAX_BATCH_BYTES || batch.len() == 1 => batches.push(bytes),
-            Ok(_) => {
-                let (first, second) = batch.split_at(batch.len() / 2);
-                open.extend([first, second]);
-            }
-            Err(error) => log::warn!(target: "peers", error:%; "cannot encode the reports"),
-        }
-    }
-    batches
-}
-
 fn own_report(
     gateway: &Gateway,
     incarnation: Incarnation,
@@ -317,7 +183,7 @@
         is_leaving,
         routes_version,
         servers_version,
-        ended_outages: state.ended_outages,
+        ended_outages: state.registry.ended_outages(),
     });
     EntryReport {
         entry: own.identity.entry.clone(),
@@ -344,60 +210,41 @@
                 continue;
             }
         };
-        let datagram = &mut buffer[..length];
-        let Some((kind, reports)) = decode(datagram) else {
-            log::info!(target: "peers", length; "invalid datagram ignored");
-            continue;
-        };
-        let has_news = handle_reports(&gateway, &socket, kind, reports);
-        // The other relays of this data centre receive the same reports; the first one passes them on.
-        if kind == DatagramKind::BetweenRelays && has_news {
-            datagram[0] = DatagramKind::Relayed as u8;
-            socket.send(datagram, &gateway.topology().direct).await;
+        match decode_reports(&buffer[..length]) {
+            Some((kind, reports)) => handle_reports(&gateway, &socket, kind, reports),
+            None => log::info!(target: "peers", length; "invalid datagram ignored"),
         }
     }
 }
 
-/// Applies reports; returns whether one of them was newer than the known one of its entry.
 fn handle_reports(
     gateway: &Gateway,
     socket: &ReportSocket,
     kind: DatagramKind,
     reports: Vec<EntryReport>,
-) -> bool {
+) {
     let mut has_news = false;
     for report in reports {
+        if kind == DatagramKind::Relayed {
+            gateway.forget_arrival(&report);
+        }
         if report.entry == gateway.settings.own.identity.entry || !socket.record_if_newer(&report) {
             continue;
         }
         has_news = true;
         gateway.apply_report(&report);
-        if kind == DatagramKind::Direct && gateway.is_local(&report.entry) {
-            gateway.relay_report(report);
+        match kind {
+            DatagramKind::Local if gateway.is_local(&report.entry) => gateway.relay_report(report),
+            DatagramKind::BetweenRelays => gateway.relay_arrival(report),
+            DatagramKind::Direct | DatagramKind::Local | DatagramKind::Relayed => {}
         }
     }
     if has_news {
         gateway.capacity_changed.notify_one();
     }
-    has_news
 }
 
 impl Gateway {
-    /// Wakes the readers of the registry if an outage has ended for a peer since its report before.
-    fn record_peer_outages(&self, peer: &EntryIdentity, ended_outages: u64) {
-        let mut state = self.state.borrow_mut();
-        let known = state
-            .peer_outages
-            .insert(peer.entry.clone(), (peer.incarnation, ended_outages));
-        let has_ended = known.is_some_and(|(incarnation, known)| {
-            incarnation == peer.incarnation && known < ended_outages
-        });
-        drop(state);
-        if has_ended {
-            self.retry_registry();
-        }
-    }
-
     fn apply_report(&self, report: &EntryReport) {
         if let (Some(presence), Some((peer, state))) = (&report.presence, report.peer()) {
             self.record_peer_version(RegistryView::Routes, presence.routes_version);
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod generation;
 mod logs;
 mod plain;
+mod registry;
 mod relays;
 mod soak;
 mod stages;
