Name the content of lost requests in the logs, and whether their server has crashed

The logs of a crash could not tell a request that is sent again from different requests with a common part, nor a crash from a lost connection. Requests now have content hashes: the shared parts of the prompt (the last part is the request's own) and the whole request. After a connection that is lost before an answer the server is connected to once more; refusing means that it crashed. Decisions are unchanged.

--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -286,8 +286,9 @@
             return DecodeOutcome::Failed(AttemptFailure::NotSent, None);
         }
         Ok(Err(error)) => {
-            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, error:%; "connection failed before the head of the answer");
+            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, error:%, contents = job.contents_text(); "connection failed before the head of the answer");
             gateway.record_answer(server, true);
+            gateway.check_liveness(server);
             return DecodeOutcome::Failed(AttemptFailure::Unknown, None);
         }
         Err(_) => return DecodeOutcome::Failed(AttemptFailure::Unknown, None),
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use gs_control::forwarding::{RouteKind, ShutdownPhase};
+use gs_protocol::suspicion::ContentHash;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
@@ -194,6 +195,9 @@
         .path_and_query()
         .map(|path| path.as_str())
         .unwrap_or("/");
+    let mut contents = metadata.shared_parts.clone();
+    let whole = [head.method.as_str().as_bytes(), path.as_bytes(), &body];
+    contents.push(ContentHash::new(whole));
     let Ok(path) = path.parse() else {
         return Err(local_answer(StatusCode::BAD_REQUEST, "not a proper path\n"));
     };
@@ -212,6 +216,7 @@
         rule,
         service,
         arrived,
+        contents,
         _kept_bytes: kept_bytes,
     })
 }
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod answer_reader;
 mod connection;
+mod crashes;
 mod datagram;
 mod error;
 mod event_stream;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -11,6 +11,7 @@
     choose_server, next_step,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
+use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -48,11 +49,20 @@
     pub rule: Arc<RouteRule>,
     pub service: ServiceName,
     pub arrived: Instant,
+    /// Content that other requests may have in common with this one: the shared parts of its prompt, and last
+    /// the whole request.
+    pub contents: Vec<ContentHash>,
     /// Accounts for the buffered body until the job is dropped.
     pub _kept_bytes: KeptBytes,
 }
 
 impl ForwardJob {
+    /// Returns the content hashes for logs, separated by commas.
+    pub fn contents_text(&self) -> String {
+        let contents: Vec<String> = self.contents.iter().map(ToString::to_string).collect();
+        contents.join(",")
+    }
+
     /// Returns the time at which the final answer must be sent.
     pub fn answer_due(&self) -> Instant {
         let time_limit = self.metadata.deadline.unwrap_or(self.rule.timeout);
@@ -210,12 +220,15 @@
             classify_attempt(gateway, job, server, Response::from_parts(head, body))
         }
         Err(error) => {
-            log::info!(target: "request", id:% = job.metadata.request_id, server:%, error:%; "attempt failed");
+            log::info!(target: "request", id:% = job.metadata.request_id, server:%, error:%, contents = job.contents_text(); "attempt failed");
             if error.is_not_sent() {
                 gateway.record_unreachable(server);
                 return AttemptOutcome::Failed(AttemptFailure::NotSent, None);
             }
             gateway.record_answer(server, true);
+            if matches!(error, CallError::Broken(_)) {
+                gateway.check_liveness(server);
+            }
             AttemptOutcome::Failed(AttemptFailure::Unknown, None)
         }
     }
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -115,7 +115,10 @@
                 return Ok(Some(result));
             }
             Err(error) => {
-                log::info!(target: "generation", id:% = generation.job.metadata.request_id, prefill:% = server, error:%; "prefill failed");
+                log::info!(target: "generation", id:% = generation.job.metadata.request_id, prefill:% = server, error:%, contents = generation.job.contents_text(); "prefill failed");
+                if matches!(error, CallError::Broken(_)) {
+                    gateway.check_liveness(&server);
+                }
                 match error.is_not_sent() {
                     true => gateway.record_unreachable(&server),
                     false => gateway.record_answer(&server, true),
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -13,7 +13,7 @@
 
 use crate::answer::{AnswerBody, ClientAnswer, IncompleteAnswer};
 use crate::connection::ServerConnection;
-use crate::event_stream::EventSplitter;
+use crate::event_stream::{EventSplitter, OversizedEvent};
 use crate::gateway::Gateway;
 use crate::generation::{
     DecodeRequest, GenerationJob, connect_decode, reserve_decode, send_decode,
@@ -38,7 +38,21 @@
     /// The client closed its connection.
     ClientDisconnected,
     /// The stream ended early or an event was too long.
-    Broken,
+    Broken(StreamBreak),
+}
+
+/// Why a stream of an engine broke.
+#[derive(Debug, thiserror::Error)]
+enum StreamBreak {
+    /// The connection failed.
+    #[error("the connection failed: {0}")]
+    Connection(hyper::Error),
+    /// The stream ended within an event.
+    #[error("the stream ended within an event")]
+    CutEvent,
+    /// An event was too long.
+    #[error(transparent)]
+    Oversized(OversizedEvent),
 }
 
 /// Events forwarded to the client so far.
@@ -116,10 +130,14 @@
                     log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_complete, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
                     break;
                 }
-                StreamEnd::Broken => {}
+                StreamEnd::Broken(error) => {
+                    log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, error:%, contents = job.contents_text(); "stream interrupted");
+                }
             }
             self.gateway.record_answer(&server, true);
-            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events; "stream interrupted");
+            if self.progress.events == 0 {
+                self.gateway.check_liveness(&server);
+            }
             excluded.push(server);
             let resumed = match runs < job.rule.max_attempts {
                 true => self.resume(&excluded).await,
@@ -208,10 +226,11 @@
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 None if splitter.is_empty() => break StreamEnd::Complete,
-                Some(Err(_)) | None => break StreamEnd::Broken,
+                None => break StreamEnd::Broken(StreamBreak::CutEvent),
+                Some(Err(error)) => break StreamEnd::Broken(StreamBreak::Connection(error)),
             };
-            if splitter.push(&data).is_err() {
-                break StreamEnd::Broken;
+            if let Err(error) = splitter.push(&data) {
+                break StreamEnd::Broken(StreamBreak::Oversized(error));
             }
             if !self.send_events(&mut splitter, &reservation).await {
                 break StreamEnd::ClientDisconnected;
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use gs_control::forwarding::ServerStage;
 use gs_protocol::ids::{EntryName, ServerName};
+use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, http};
@@ -51,6 +52,8 @@
     pub generation: Option<GenerationParams>,
     /// Last event that the client has received, if it resumes a stream.
     pub resume: Option<ResumePoint>,
+    /// Parts of the prompt that other requests may share, in their order.
+    pub shared_parts: Vec<ContentHash>,
 }
 
 /// ID of the last event that was delivered.
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -7,6 +7,7 @@
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, PrefillResult, RequestError,
     RequestMetadata, ResumePoint, ServerTask, ServerWire, StageOrder,
 };
+use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{request, response};
@@ -36,6 +37,11 @@
                 length_hint: None,
             }),
             resume: None,
+            shared_parts: text(headers, "t-parts")
+                .into_iter()
+                .flat_map(|parts| parts.split(','))
+                .map(|part| ContentHash::new([part.as_bytes()]))
+                .collect(),
         })
     }
 
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -26,6 +26,25 @@
     }
 }
 
+/// A hash of content that requests may have in common: one part of a prompt, or a whole request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct ContentHash(pub u64);
+
+impl ContentHash {
+    /// Hashes fields in their order.
+    pub fn new<'f>(fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
+        let fields = fields.into_iter();
+        Self(fields.fold(0, |seed, field| xxh3_64_with_seed(field, seed)))
+    }
+}
+
+impl fmt::Display for ContentHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// One boot of a backend server, from its start to its crash or shutdown.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ServerBoot {
