--- /dev/null
+++ b/crates/gs-gateway/tests/gateway/crashes.rs
@@ -0,0 +1,118 @@
+//! Requests that crash the servers that begin to answer them.
+
+use std::time::Duration;
+
+use super::support::{
+    Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, header,
+    plain_server, prefill_server, request,
+};
+
+/// Time until a crashed server is back.
+const DOWN_TIME: Duration = Duration::from_millis(40);
+
+/// Time between two requests, in which crashed servers come back and entries exchange reports.
+const REQUEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Requests that crash servers, in each test.
+const HARMFUL_REQUESTS: usize = 20;
+
+fn crash(head: String) -> Script {
+    Script::Crash(head, DOWN_TIME)
+}
+
+/// A decode engine that crashes when it begins to answer a prompt with the part `harmful`.
+async fn decode_engine() -> StubServer {
+    StubServer::start(|_, text| {
+        let parts = header(text, "t-parts").unwrap_or_default();
+        if parts.split(',').any(|part| part == "harmful") {
+            return crash(Script::chunked_head());
+        }
+        let chunks = vec![
+            Script::chunked_head(),
+            Script::chunk("id: 0\ndata: event 0\n\n"),
+            "0\r\n\r\n".to_owned(),
+        ];
+        Script::Chunks(chunks, Duration::from_millis(1))
+    })
+    .await
+}
+
+async fn start_entries(servers: &[gs_control::forwarding::ListedServer]) -> Vec<Deployment> {
+    let mut entries = Vec::new();
+    for name in ["entry-1", "entry-2", "entry-3"] {
+        entries.push(Deployment::start_named(name, servers.to_vec()).await);
+    }
+    Deployment::join(&entries).await;
+    tokio::time::sleep(REQUEST_PAUSE).await;
+    entries
+}
+
+/// Sends a request whose query is `query`, and waits for [`REQUEST_PAUSE`] after its answer.
+async fn send(entry: &Deployment, route: Route, id: &str, query: &str, headers: &str) -> RawAnswer {
+    let mut client = RawClient::connect(entry.address).await;
+    let headers = format!("connection: close\r\n{headers}");
+    let bytes = request(route, id, &headers).replace("?y=1", &format!("?y={query}"));
+    client.send(&bytes).await;
+    let answer = client.read_all().await;
+    tokio::time::sleep(REQUEST_PAUSE).await;
+    answer
+}
+
+#[actix_rt::test]
+async fn different_requests_with_a_harmful_prompt_part_crash_few_engines() {
+    let prefill =
+        StubServer::start(|number, _| Script::complete(200, "", &format!("handle h{number}")))
+            .await;
+    let mut decodes = Vec::new();
+    let mut listed = vec![prefill_server("p0", prefill.address)];
+    for number in 0..4 {
+        let decode = decode_engine().await;
+        listed.push(decode_server(&format!("d{number}"), decode.address));
+        decodes.push(decode);
+    }
+    let entries = start_entries(&listed).await;
+    let mut refused = 0;
+    for number in 0..HARMFUL_REQUESTS {
+        let entry = &entries[number % entries.len()];
+        let (harmful, sound) = (format!("h{number}"), format!("s{number}"));
+        let parts = "t-parts: shared,harmful\r\n";
+        let answer = send(entry, Route::Stream, &harmful, &harmful, parts).await;
+        refused += usize::from(answer.status() == 503);
+        let parts = format!("t-parts: shared,common-{}\r\n", number % 2);
+        let answer = send(entry, Route::Stream, &sound, &sound, &parts).await;
+        assert!(
+            answer.has_last_chunk(),
+            "sound request {number}: {answer:?}"
+        );
+    }
+    let crashes: usize = decodes.iter().map(StubServer::crashes).sum();
+    // Five crashes, and three more requests that reach engines.
+    assert!(crashes <= 8, "{crashes} crashes");
+    assert_eq!(refused + crashes, HARMFUL_REQUESTS);
+}
+
+#[actix_rt::test]
+async fn a_plain_request_that_crashes_servers_and_comes_again_is_refused() {
+    let mut servers = Vec::new();
+    let mut listed = Vec::new();
+    for number in 0..3 {
+        let server = StubServer::start(|_, text| match text.contains("?y=harmful") {
+            true => crash(String::new()),
+            false => Script::complete(200, "", "whole"),
+        })
+        .await;
+        listed.push(plain_server(&format!("s{number}"), server.address));
+        servers.push(server);
+    }
+    let entries = start_entries(&listed).await;
+    for number in 0..HARMFUL_REQUESTS {
+        let entry = &entries[number % entries.len()];
+        let (harmful, sound) = (format!("h{number}"), format!("s{number}"));
+        send(entry, Route::Safe, &harmful, "harmful", "").await;
+        let answer = send(entry, Route::Safe, &sound, &sound, "").await;
+        assert_eq!(answer.body(), "whole", "sound request {number}");
+    }
+    let crashes: usize = servers.iter().map(StubServer::crashes).sum();
+    // Three crashes, and three more requests that reach servers.
+    assert!(crashes <= 6, "{crashes} crashes");
+}
--- a/crates/gs-gateway/tests/gateway/support/server.rs
+++ b/crates/gs-gateway/tests/gateway/support/server.rs
@@ -1,6 +1,6 @@
 //! Servers that answer with the exact bytes that a test scripts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +8,8 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
 
 /// What a server does with one request; `{id}` in the bytes is replaced by the request ID.
 #[derive(Clone, Debug)]
@@ -22,6 +24,8 @@
     Endless(String, String),
     /// Sends each string after a pause, then closes the connection.
     Chunks(Vec<String>, Duration),
+    /// Sends bytes and crashes: cuts all connections and refuses new ones for a while.
+    Crash(String, Duration),
 }
 
 impl Script {
@@ -52,6 +56,9 @@
     pub address: SocketAddr,
     requests: Rc<RefCell<Vec<String>>>,
     closed_connections: Rc<RefCell<usize>>,
+    crashes: Rc<Cell<usize>>,
+    crashed: Rc<Notify>,
+    down_time: Rc<Cell<Duration>>,
 }
 
 impl StubServer {
@@ -62,18 +69,45 @@
             address: listener.local_addr().expect("an address"),
             requests: Rc::default(),
             closed_connections: Rc::default(),
+            crashes: Rc::default(),
+            crashed: Rc::default(),
+            down_time: Rc::default(),
         };
         let shared = server.clone();
-        let script: Rc<ScriptFn> = Rc::new(script);
-        actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (shared, script) = (shared.clone(), Rc::clone(&script));
-                actix_rt::spawn(async move { shared.serve(stream, &*script).await });
-            }
-        });
+        actix_rt::spawn(async move { shared.run(listener, Rc::new(script)).await });
         server
     }
 
+    /// Serves connections. A crash ends all of them and the listener, which is opened again later.
+    async fn run(&self, first: TcpListener, script: Rc<ScriptFn>) {
+        let mut listener = first;
+        loop {
+            let connections = LocalSet::new();
+            let accepting = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (shared, script) = (self.clone(), Rc::clone(&script));
+                    spawn_local(async move { shared.serve(stream, &*script).await });
+                }
+            };
+            let crashed = async {
+                tokio::select! {
+                    () = accepting => {}
+                    () = self.crashed.notified() => {}
+                }
+            };
+            connections.run_until(crashed).await;
+            drop(connections);
+            drop(listener);
+            tokio::time::sleep(self.down_time.get()).await;
+            listener = TcpListener::bind(self.address).await.expect("the port");
+        }
+    }
+
+    /// Returns how often the server has crashed.
+    pub fn crashes(&self) -> usize {
+        self.crashes.get()
+    }
+
     /// Returns the received requests with heads and bodies.
     pub fn requests(&self) -> Vec<String> {
         self.requests.borrow().clone()
@@ -114,6 +148,13 @@
                 while stream.write_all(&repeated).await.is_ok() {}
                 *self.closed_connections.borrow_mut() += 1;
             }
+            Script::Crash(text, down_time) => {
+                let _ = stream.write_all(&filled(&text)).await;
+                self.crashes.set(self.crashes.get() + 1);
+                self.down_time.set(down_time);
+                self.crashed.notify_one();
+                std::future::pending::<()>().await;
+            }
             Script::Chunks(chunks, pause) => {
                 for chunk in chunks {
                     tokio::time::sleep(pause).await;
