--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
-use crate::wire::ServerWire;
+use crate::wire::{AnswerClass, ServerWire};
 
 /// Minimum number of endpoints returned to a client, provided that many entries are known.
 const MIN_ENTRY_ENDPOINTS: usize = 3;
@@ -437,6 +437,17 @@
             .record_answer(Instant::now(), server, is_failure);
     }
 
+    /// Records the class of a server's answer, for its failure rate and for what runs at its address.
+    pub(crate) fn record_class(&self, server: &ServerName, class: AnswerClass) {
+        match class {
+            AnswerClass::Success => self.record_answer(server, false),
+            AnswerClass::ServerFailure | AnswerClass::NotExecuted | AnswerClass::Foreign => {
+                self.record_answer(server, true);
+            }
+            AnswerClass::Misdirected => self.record_misdirected(server),
+        }
+    }
+
     /// Records a failed connection; the server gets no new work for a while.
     pub(crate) fn record_unreachable(&self, server: &ServerName) {
         let mut state = self.state.borrow_mut();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -11,6 +11,7 @@
 use gs_protocol::ids::ServerName;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use tokio::sync::oneshot;
 
 use crate::answer::ClientAnswer;
@@ -199,19 +200,16 @@
             break;
         };
         result = fresh;
-        if let Some(retry_after) = gateway.content_refusal(job) {
-            return job.refusal_answer(gateway, retry_after);
-        }
-        if is_retry && !gateway.spend_budget(&job.service) {
+        let is_refused = gateway.content_refusal(job).is_some();
+        if is_refused || (is_retry && !gateway.spend_budget(&job.service)) {
             break;
         }
         is_retry = true;
         let source = result.as_ref().and_then(|result| result.source.as_ref());
-        let resume = job.metadata.resume.as_ref();
         let decode_request = DecodeRequest {
             server: reservation.server(),
             task: ServerTask::Decode(source),
-            resume,
+            resume: job.metadata.resume.as_ref(),
         };
         let outcome = start_decode(gateway, &generation, connection, decode_request).await;
         let (failure, answer) = match outcome {
@@ -304,44 +302,44 @@
         Err(_) => return DecodeOutcome::Failed(AttemptFailure::Unknown, None),
     };
     let (head, body) = answer.into_parts();
-    match gateway
+    let class = gateway
         .wire
-        .classify_answer(&head, &job.metadata.request_id)
-    {
+        .classify_answer(&head, &job.metadata.request_id);
+    gateway.record_class(server, class);
+    match class {
         AnswerClass::Success => {
-            gateway.record_answer(server, false);
             DecodeOutcome::Started(Response::from_parts(head, body), connection, run)
         }
-        AnswerClass::NotExecuted => {
-            run.discard();
-            gateway.record_answer(server, true);
-            DecodeOutcome::Failed(AttemptFailure::NotExecuted, None)
-        }
-        AnswerClass::Misdirected => {
+        AnswerClass::NotExecuted | AnswerClass::Misdirected => {
             run.discard();
-            gateway.record_misdirected(server);
             DecodeOutcome::Failed(AttemptFailure::NotExecuted, None)
         }
         AnswerClass::Foreign => {
             run.discard();
-            gateway.record_answer(server, true);
             DecodeOutcome::Failed(AttemptFailure::Unknown, None)
         }
         AnswerClass::ServerFailure => {
             run.complete();
-            gateway.record_answer(server, true);
-            let limit = job.answer_due().saturating_duration_since(Instant::now());
-            let reading = ServerConnection::read_body(body, MAX_PREFILL_ANSWER_BYTES);
-            let complete_body = match tokio::time::timeout(limit, reading).await {
-                Ok(Ok(complete_body)) if !is_not_run_status(head.status) => complete_body,
-                _ => return DecodeOutcome::Failed(AttemptFailure::ServerError, None),
-            };
-            let answer = forwarded_answer(gateway, &head, complete_body);
-            DecodeOutcome::Failed(AttemptFailure::ServerError, Some(answer))
+            let answer = read_failure(gateway, job, &head, body).await;
+            DecodeOutcome::Failed(AttemptFailure::ServerError, answer)
         }
     }
 }
 
+/// Reads a decode engine's error answer; `None` if it is incomplete or would tell the client that the request has
+/// not run.
+async fn read_failure(
+    gateway: &Gateway,
+    job: &ForwardJob,
+    head: &Parts,
+    body: Incoming,
+) -> Option<ClientAnswer> {
+    let limit = job.answer_due().saturating_duration_since(Instant::now());
+    let reading = ServerConnection::read_body(body, MAX_PREFILL_ANSWER_BYTES);
+    let complete_body = tokio::time::timeout(limit, reading).await.ok()?.ok()?;
+    (!is_not_run_status(head.status)).then(|| forwarded_answer(gateway, head, complete_body))
+}
+
 /// Connects to a decode engine; `None` if it is unreachable.
 pub(crate) async fn connect_decode(
     gateway: &Gateway,
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -16,7 +16,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -25,6 +25,7 @@
 use crate::generation::forward_generation;
 use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob, forward_plain};
 use crate::reservation::{ActiveRequest, KeptBytes};
+use crate::wire::RequestMetadata;
 
 /// Interval at which an idle connection checks whether the process is stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -190,14 +191,9 @@
         log::warn!(target: "request", id:% = metadata.request_id; "refused: the limit of buffered request bytes is reached");
         return Err(refused(StatusCode::SERVICE_UNAVAILABLE, "not run\n"));
     };
-    let path = head
-        .uri
-        .path_and_query()
-        .map(|path| path.as_str())
-        .unwrap_or("/");
-    let mut contents = metadata.shared_parts.clone();
-    let whole = [head.method.as_str().as_bytes(), path.as_bytes(), &body];
-    contents.push(ContentHash::new(whole));
+    let path = head.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    let contents = request_contents(&metadata, &head.method, path, &body);
     let Ok(path) = path.parse() else {
         return Err(local_answer(StatusCode::BAD_REQUEST, "not a proper path\n"));
     };
@@ -221,6 +217,18 @@
     })
 }
 
+/// Returns the content that a request may share with others, from the most shared to the most specific.
+fn request_contents(
+    metadata: &RequestMetadata,
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> Vec<ContentHash> {
+    let whole = ContentHash::new([method.as_str().as_bytes(), path.as_bytes(), body]);
+    let shared = metadata.shared_parts.iter().copied();
+    shared.chain([whole]).collect()
+}
+
 async fn read_body(body: Incoming, limit: usize, request_id: &str) -> Result<Bytes, ClientAnswer> {
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -293,29 +293,20 @@
         .wire
         .classify_answer(&head, &job.metadata.request_id);
     log::debug!(target: "request", id:% = job.metadata.request_id, server:%, status = head.status.as_u16(), verdict:? = class; "answered");
+    gateway.record_class(server, class);
     match class {
-        AnswerClass::Success => {
-            gateway.record_answer(server, false);
-            AttemptOutcome::Answered(forwarded_answer(gateway, &head, body))
-        }
+        AnswerClass::Success => AttemptOutcome::Answered(forwarded_answer(gateway, &head, body)),
         AnswerClass::ServerFailure => {
-            gateway.record_answer(server, true);
             // The server did not mark the request as not run, so a status that claims this is not forwarded.
             let answer =
                 (!is_not_run_status(head.status)).then(|| forwarded_answer(gateway, &head, body));
             AttemptOutcome::Failed(AttemptFailure::ServerError, answer)
         }
-        AnswerClass::NotExecuted => {
-            gateway.record_answer(server, true);
-            AttemptOutcome::Failed(AttemptFailure::NotExecuted, None)
-        }
-        AnswerClass::Misdirected => {
-            gateway.record_misdirected(server);
+        AnswerClass::NotExecuted | AnswerClass::Misdirected => {
             AttemptOutcome::Failed(AttemptFailure::NotExecuted, None)
         }
         AnswerClass::Foreign => {
             log::warn!(target: "request", id:% = job.metadata.request_id, server:%, status = head.status.as_u16(); "the answer belongs to another request or to none");
-            gateway.record_answer(server, true);
             AttemptOutcome::Failed(AttemptFailure::Unknown, None)
         }
     }
--- a/crates/gs-gateway/tests/gateway/generation.rs
+++ b/crates/gs-gateway/tests/gateway/generation.rs
@@ -118,6 +118,25 @@
     );
 }
 
+/// Sends events with neither a length nor chunks; the stream ends with its connection.
+fn unframed(last: &str) -> Script {
+    let head = "HTTP/1.1 200 OK\r\nt-id: {id}\r\n\r\n".to_owned();
+    Script::Chunks(vec![head, event(0), event(1), last.to_owned()], EVENT_PAUSE)
+}
+
+#[test_case("", true; "after an event")]
+#[test_case("id: 2\ndata: ev", false; "within an event")]
+#[actix_rt::test]
+async fn a_stream_without_length_or_chunks_is_complete_if_it_ends(last: &str, is_complete: bool) {
+    let prefill = prefill_engine().await;
+    let script = unframed(last);
+    let decode = StubServer::start(move |_, _| script.clone()).await;
+    let deployment = deploy(&[&prefill], &[&decode]).await;
+    let answer = deployment.send_request(Route::Stream, "r1").await;
+    assert_eq!(answer.has_last_chunk(), is_complete, "{answer:?}");
+    assert_events(answer.body(), 2);
+}
+
 #[actix_rt::test]
 async fn a_stream_rejected_by_a_decode_engine_is_retried_with_the_same_prefill_result() {
     let prefill = prefill_engine().await;
