Read the limits that servers name, and log their changes

The logs said nothing of limits, so they could not tell whether none is read, each entry keeps its own, or limits are lost. Decisions are unchanged.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod issues;
 mod lengths;
+mod limits;
 mod loads;
 mod memory;
 mod outage;
@@ -30,6 +31,7 @@
 };
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
+pub use limits::{LimitChange, LimitTracker};
 pub use loads::{LoadDigest, LoadSettings, LoadTracker, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
 pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,15 +8,16 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, ListedServer, LoadSettings, LoadTracker, PlacementView, RegistryView,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions,
+    LengthEstimate, LimitChange, LimitTracker, ListedServer, LoadSettings, LoadTracker,
+    PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory, ServerStage,
+    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use gs_protocol::peer::PeerIdentity;
 use gs_protocol::suspicion::ServerBoot;
+use hyper::http::response::Parts;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, oneshot};
@@ -89,6 +90,7 @@
     pub directory: ServerDirectory,
     pub is_server_list_known: bool,
     pub loads: LoadTracker,
+    pub limits: LimitTracker,
     pub queue: AdmissionQueue,
     pub waiters: BTreeMap<TicketId, oneshot::Sender<AdmissionOutcome>>,
     pub retry_budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -160,6 +162,7 @@
             directory: ServerDirectory::new(DirectorySettings::default()),
             is_server_list_known: false,
             loads: LoadTracker::new(LoadSettings::default()),
+            limits: LimitTracker::default(),
             queue: AdmissionQueue::new(AdmissionSettings::default()),
             waiters: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -437,6 +440,17 @@
             .record_answer(Instant::now(), server, is_failure);
     }
 
+    /// Records the limit that a server's answer names to a request that was sent at `sent_at`, if it names one.
+    pub(crate) fn record_limit(&self, server: &ServerName, sent_at: Instant, head: &Parts) {
+        let limit = self.wire.request_limit(head);
+        let mut state = self.state.borrow_mut();
+        let limits = &mut state.limits;
+        let change = limits.record_answer(Instant::now(), server, sent_at, limit);
+        if let Some(LimitChange { server, limit }) = change {
+            log::info!(target: "servers", server:%, limit:?; "request limit changed");
+        }
+    }
+
     /// Records the class of a server's answer, for its failure rate and for what runs at its address.
     pub(crate) fn record_class(&self, server: &ServerName, class: AnswerClass) {
         match class {
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -283,7 +283,8 @@
 ) -> DecodeOutcome {
     let job = &generation.job;
     let server = decode_request.server;
-    let left = job.answer_due().saturating_duration_since(Instant::now());
+    let sent_at = Instant::now();
+    let left = job.answer_due().saturating_duration_since(sent_at);
     let run = ServerRun::start(gateway, job, server);
     let sent = send_decode(gateway, generation, connection, decode_request);
     let (answer, connection) = match tokio::time::timeout(left, sent).await {
@@ -302,6 +303,7 @@
         Err(_) => return DecodeOutcome::Failed(AttemptFailure::Unknown, None),
     };
     let (head, body) = answer.into_parts();
+    gateway.record_limit(server, sent_at, &head);
     let class = gateway
         .wire
         .classify_answer(&head, &job.metadata.request_id);
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -276,7 +276,9 @@
     };
     let request = job.build_server_request(gateway, &options);
     *is_sent = true;
+    let sent_at = Instant::now();
     let (head, body) = connection.send(request).await?.into_parts();
+    gateway.record_limit(server, sent_at, &head);
     let body = gateway.answer_budget.read_answer(body).await?;
     Ok((head, body))
 }
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -190,6 +190,7 @@
             resume: last,
         };
         let run = ServerRun::start(&self.gateway, job, &server);
+        let sent_at = Instant::now();
         let sent = send_decode(&self.gateway, &self.generation, connection, decode_request);
         let sent = tokio::time::timeout(left, sent).await.ok()?;
         let (answer, connection) = match sent {
@@ -204,6 +205,7 @@
             }
         };
         let (head, body) = answer.into_parts();
+        self.gateway.record_limit(&server, sent_at, &head);
         let class = self
             .gateway
             .wire
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -152,6 +152,10 @@
     /// Classifies the answer to the request with the ID `request_id`, by its head.
     fn classify_answer(&self, head: &http::response::Parts, request_id: &str) -> AnswerClass;
 
+    /// Returns the requests a second that the server takes from all entries, if the head of its answer names a limit.
+    /// Invalid limits are ignored.
+    fn request_limit(&self, head: &http::response::Parts) -> Option<f64>;
+
     /// Classifies the answer to a prefill, by its head.
     fn classify_prefill(&self, head: &http::response::Parts) -> AnswerClass;
 
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -87,6 +87,10 @@
         }
     }
 
+    fn request_limit(&self, head: &response::Parts) -> Option<f64> {
+        text(&head.headers, "t-limit")?.parse().ok()
+    }
+
     fn classify_prefill(&self, head: &response::Parts) -> AnswerClass {
         match head.status.as_u16() {
             200 => AnswerClass::Success,
