Keep the limits of requests that servers name, for all entries together

Callers' servers in need got far more than the requests a second that they had named: no entry read Server-Limit, and a limit for each entry by itself would not have helped, as an entry sends a server one or two requests in 4 s. The class of fault is a signal of back-pressure that reaches the data plane and no decision; besides it, a bound on the fleet that nobody in the fleet counts.

gs_control::forwarding::LimitTracker counts the requests of all entries to a limited server in a leaky bucket that drains by the limit. Entries report limits (a version, the value) and how many requests they have sent, at once after each; what several send at the same moment is paid back before more is sent. A server that has reached its limit is no candidate for prefills, streams and plain requests, also where there is no other: streams wait in the admission queue, plain requests for at most half their latency target, and are then refused with the time until the first server may get one.

--- a/crates/gs-control/src/forwarding/limits.rs
+++ b/crates/gs-control/src/forwarding/limits.rs
@@ -1,9 +1,36 @@
 //! Limits of requests a second that servers name in their answers.
+//!
+//! A limit holds for all entries together, so entries report to each other how many requests they have
+//! sent to a limited server. Each entry counts all of them in a leaky bucket that drains by the limit:
+//! what entries send at the same moment without knowing of each other is paid back before more is sent.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use gs_protocol::ids::ServerName;
+use gs_protocol::ids::{EntryName, ServerName};
+use serde::{Deserialize, Serialize};
+
+/// Bounds of the limits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// Requests that may be sent at once after a pause, as the time in which the limit allows them;
+    /// one at least.
+    pub burst: Duration,
+    /// Maximum excess that is paid back, as the time in which the limit allows as much.
+    pub max_excess: Duration,
+    /// How long a withdrawn limit is reported to peers.
+    pub report_period: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            burst: Duration::from_millis(500),
+            max_excess: Duration::from_secs(8),
+            report_period: Duration::from_secs(3),
+        }
+    }
+}
 
 /// A limit that a server has named, changed or withdrawn.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,21 +41,127 @@
     pub limit: Option<f64>,
 }
 
-/// The limit of one server.
-#[derive(Clone, Copy, Debug)]
+/// The limit of one server as an entry reports it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "(u32, Option<f64>, u64)", into = "(u32, Option<f64>, u64)")]
+pub struct LimitReport {
+    /// How often the limit has changed; of two reports the larger version holds.
+    pub version: u32,
+    /// Requests a second; `None` if the limit was withdrawn.
+    pub limit: Option<f64>,
+    /// Requests that the entry has sent to the server while it was limited.
+    pub sent: u64,
+}
+
+impl From<(u32, Option<f64>, u64)> for LimitReport {
+    fn from((version, limit, sent): (u32, Option<f64>, u64)) -> Self {
+        Self {
+            version,
+            limit,
+            sent,
+        }
+    }
+}
+
+impl From<LimitReport> for (u32, Option<f64>, u64) {
+    fn from(report: LimitReport) -> Self {
+        (report.version, report.limit, report.sent)
+    }
+}
+
+/// The limits that an entry reports to its peers.
+pub type LimitDigest = Vec<(ServerName, LimitReport)>;
+
+/// The limit of one server and the requests that count toward it.
+#[derive(Clone, Debug)]
 struct ServerLimit {
-    limit: f64,
+    version: u32,
+    limit: Option<f64>,
+    changed_at: Instant,
     /// When an answer last named a limit.
     named_at: Instant,
+    /// Requests that are not drained yet, as of `level_at`.
+    level: f64,
+    level_at: Instant,
+    own_sent: u64,
+    peers_sent: BTreeMap<EntryName, u64>,
+}
+
+impl ServerLimit {
+    fn new(now: Instant) -> Self {
+        Self {
+            version: 0,
+            limit: None,
+            changed_at: now,
+            named_at: now,
+            level: 0.0,
+            level_at: now,
+            own_sent: 0,
+            peers_sent: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the limit as of a version.
+    fn change(&mut self, now: Instant, version: u32, limit: Option<f64>) {
+        self.level = self.drained_level(now);
+        self.level_at = now;
+        self.version = version;
+        self.limit = limit;
+        self.changed_at = now;
+    }
+
+    fn drained_level(&self, now: Instant) -> f64 {
+        let Some(limit) = self.limit else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(self.level_at);
+        (self.level - limit * age.as_secs_f64()).max(0.0)
+    }
+
+    /// Counts requests that were sent to the server.
+    fn add(&mut self, now: Instant, sent: u64, settings: &LimitSettings) {
+        let Some(limit) = self.limit else {
+            return;
+        };
+        let max_level = burst(limit, settings) + limit * settings.max_excess.as_secs_f64();
+        self.level = (self.drained_level(now) + sent as f64).min(max_level);
+        self.level_at = now;
+    }
+
+    /// Returns how long no request may be sent to the server.
+    fn wait(&self, now: Instant, settings: &LimitSettings) -> Duration {
+        let Some(limit) = self.limit else {
+            return Duration::ZERO;
+        };
+        let excess = self.drained_level(now) + 1.0 - burst(limit, settings);
+        match excess > 0.0 {
+            true => Duration::try_from_secs_f64(excess / limit).unwrap_or(Duration::MAX),
+            false => Duration::ZERO,
+        }
+    }
+}
+
+/// Returns the requests that a limit allows at once after a pause.
+fn burst(limit: f64, settings: &LimitSettings) -> f64 {
+    (limit * settings.burst.as_secs_f64()).max(1.0)
 }
 
 /// The limits of all servers that name one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LimitTracker {
+    settings: LimitSettings,
     servers: BTreeMap<ServerName, ServerLimit>,
 }
 
 impl LimitTracker {
+    /// Creates a tracker without any limit.
+    pub fn new(settings: LimitSettings) -> Self {
+        Self {
+            settings,
+            servers: BTreeMap::new(),
+        }
+    }
+
     /// Records the limit that an answer names, if it names one; `sent_at` is when its request was
     /// sent. An answer without a limit withdraws it, unless the request was sent before an answer
     /// that named it: answers may overtake each other.
@@ -39,23 +172,100 @@
         sent_at: Instant,
         limit: Option<f64>,
     ) -> Option<LimitChange> {
-        let known = self.servers.get(server).copied();
-        match (known, limit) {
-            (None, None) => return None,
-            (Some(known), None) if sent_at <= known.named_at => return None,
-            (_, None) => drop(self.servers.remove(server)),
-            (_, Some(limit)) => {
-                let named = ServerLimit {
-                    limit,
-                    named_at: now,
-                };
-                self.servers.insert(server.clone(), named);
-            }
+        if limit.is_none() && !self.servers.contains_key(server) {
+            return None;
+        }
+        let known = self.servers.entry(server.clone());
+        let known = known.or_insert_with(|| ServerLimit::new(now));
+        if limit.is_none() && sent_at <= known.named_at {
+            return None;
         }
-        let is_changed = known.map(|known| known.limit) != limit;
-        is_changed.then(|| LimitChange {
+        if limit.is_some() {
+            known.named_at = now;
+        }
+        if known.limit == limit {
+            return None;
+        }
+        known.change(now, known.version + 1, limit);
+        Some(LimitChange {
             server: server.clone(),
             limit,
         })
     }
+
+    /// Counts a request that this entry sends to a server. Returns whether the server is limited.
+    pub fn record_sent(&mut self, now: Instant, server: &ServerName) -> bool {
+        let known = self.servers.get_mut(server);
+        let Some(known) = known.filter(|known| known.limit.is_some()) else {
+            return false;
+        };
+        known.own_sent += 1;
+        known.add(now, 1, &self.settings);
+        true
+    }
+
+    /// Returns how long no request may be sent to a server; zero if one may be sent now.
+    pub fn wait(&self, now: Instant, server: &ServerName) -> Duration {
+        let known = self.servers.get(server);
+        known.map_or(Duration::ZERO, |known| known.wait(now, &self.settings))
+    }
+
+    /// Returns the limits to report to peers: those in force and those withdrawn recently.
+    pub fn digest(&self, now: Instant) -> LimitDigest {
+        let period = self.settings.report_period;
+        let servers = self.servers.iter();
+        servers
+            .filter(|(_, known)| {
+                known.limit.is_some() || now.saturating_duration_since(known.changed_at) < period
+            })
+            .map(|(server, known)| {
+                let report = LimitReport {
+                    version: known.version,
+                    limit: known.limit,
+                    sent: known.own_sent,
+                };
+                (server.clone(), report)
+            })
+            .collect()
+    }
+
+    /// Applies the report of a peer; returns the limits that were new.
+    pub fn apply_digest(
+        &mut self,
+        now: Instant,
+        peer: &EntryName,
+        digest: &LimitDigest,
+    ) -> Vec<LimitChange> {
+        let mut changes = Vec::new();
+        for (server, report) in digest {
+            let known = self.servers.entry(server.clone());
+            let known = known.or_insert_with(|| ServerLimit::new(now));
+            if report.version > known.version {
+                let is_changed = known.limit != report.limit;
+                known.change(now, report.version, report.limit);
+                known.named_at = now;
+                changes.extend(is_changed.then(|| LimitChange {
+                    server: server.clone(),
+                    limit: report.limit,
+                }));
+            } else if report.version < known.version && known.limit.is_none() {
+                // The peer has missed that the limit was withdrawn.
+                known.changed_at = now;
+            }
+            let before = known.peers_sent.insert(peer.clone(), report.sent);
+            // A first report counts all requests since the limit was named, which may be long ago.
+            let new = match before {
+                Some(before) if report.sent >= before => report.sent - before,
+                Some(_) => report.sent,
+                None => report.sent.min(1),
+            };
+            known.add(now, new, &self.settings);
+        }
+        changes
+    }
+
+    /// Forgets the servers for which `is_listed` is false.
+    pub fn retain_servers(&mut self, mut is_listed: impl FnMut(&ServerName) -> bool) {
+        self.servers.retain(|server, _| is_listed(server));
+    }
 }
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -31,12 +31,13 @@
 };
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
-pub use limits::{LimitChange, LimitTracker};
+pub use limits::{LimitChange, LimitDigest, LimitReport, LimitSettings, LimitTracker};
 pub use loads::{LoadDigest, LoadSettings, LoadTracker, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
 pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
 pub use placement::{
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
+    limit_wait,
 };
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -1,11 +1,12 @@
 //! Chooses the server of a plain request, and the prefill and decode engines of a stream.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::directory::{ListedServer, ServerDirectory, ServerStage};
+use super::limits::LimitTracker;
 use super::loads::LoadTracker;
 use super::memory::{StreamShape, projected_peak};
 use super::routes::EngineSpec;
@@ -44,12 +45,26 @@
     pub directory: &'a ServerDirectory,
     /// The load and health of the servers.
     pub loads: &'a LoadTracker,
+    /// The limits that servers have named.
+    pub limits: &'a LimitTracker,
 }
 
 impl PlacementView<'_> {
+    /// Returns the usable servers that are not excluded and have not reached their limit.
+    fn candidates<'v>(
+        &'v self,
+        service: &'v ServiceName,
+        stage: Option<ServerStage>,
+        excluded: &[ServerName],
+    ) -> Vec<&'v ListedServer> {
+        let mut servers = self.reachable_servers(service, stage, excluded);
+        servers.retain(|server| self.limits.wait(self.now, &server.name).is_zero());
+        servers
+    }
+
     /// Returns the usable servers that are not excluded. Unavailable ones are returned only if
     /// there is no other.
-    fn candidates<'v>(
+    fn reachable_servers<'v>(
         &'v self,
         service: &'v ServiceName,
         stage: Option<ServerStage>,
@@ -116,6 +131,18 @@
     }))
 }
 
+/// Returns how long all servers of a plain service that are not excluded have reached their limits;
+/// `None` if there is no such server.
+pub fn limit_wait(
+    view: &PlacementView<'_>,
+    service: &ServiceName,
+    excluded: &[ServerName],
+) -> Option<Duration> {
+    let servers = view.reachable_servers(service, None, excluded).into_iter();
+    let waits = servers.map(|server| view.limits.wait(view.now, &server.name));
+    waits.min()
+}
+
 /// What a stream requires of a decode engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DecodeDemand {
--- a/crates/gs-control/src/forwarding/retries.rs
+++ b/crates/gs-control/src/forwarding/retries.rs
@@ -40,6 +40,16 @@
     pub sends: u32,
 }
 
+impl AttemptHistory {
+    /// Returns what is known of a request that no server answered.
+    pub fn outcome(self) -> FinalAnswer {
+        match self.runs {
+            0 => FinalAnswer::NotRun,
+            _ => FinalAnswer::Unknown,
+        }
+    }
+}
+
 /// The answer to a request that failed and is not retried.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FinalAnswer {
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts,
+    IssueReport, LimitDigest, LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -62,6 +62,8 @@
     pub issues: IssueReport,
     /// Content that is suspected of crashing servers, or was cleared recently.
     pub suspicions: SuspicionDigest,
+    /// Limits of servers, and how many requests the entry has sent there.
+    pub limits: LimitDigest,
 }
 
 type ReportFields = (
@@ -74,8 +76,15 @@
 
 type PresenceFields = (DataCentreName, SocketAddr, SocketAddr, bool, u64, u64, u64);
 
-/// Waiting streams that are on time and late, work at each server, issues, and suspicions.
-type LoadFields = (u32, u32, Vec<WorkFields>, IssueReport, SuspicionDigest);
+/// Waiting streams that are on time and late, work at each server, issues, suspicions, and limits.
+type LoadFields = (
+    u32,
+    u32,
+    Vec<WorkFields>,
+    IssueReport,
+    SuspicionDigest,
+    LimitDigest,
+);
 
 /// Server, open requests, prompt tokens, and for each stream the held and the remaining tokens.
 type WorkFields = (ServerName, u32, u64, Vec<(u32, u32)>);
@@ -185,7 +194,7 @@
 }
 
 impl From<LoadFields> for EntryLoad {
-    fn from((on_time, late, works, issues, suspicions): LoadFields) -> Self {
+    fn from((on_time, late, works, issues, suspicions, limits): LoadFields) -> Self {
         let digest = works
             .into_iter()
             .map(|(server, requests, prompt_tokens, streams)| {
@@ -209,6 +218,7 @@
             digest: digest.collect(),
             issues,
             suspicions,
+            limits,
         }
     }
 }
@@ -225,6 +235,13 @@
             (server, requests, prompt_tokens, streams.collect())
         });
         let WaitingCounts { on_time, late } = load.waiting;
-        (on_time, late, works.collect(), load.issues, load.suspicions)
+        (
+            on_time,
+            late,
+            works.collect(),
+            load.issues,
+            load.suspicions,
+            load.limits,
+        )
     }
 }
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -1,11 +1,12 @@
 //! Tests of server selection by load and health.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LoadSettings, LoadTracker,
-    PlacementView, ServerDirectory, ServerLoad, ServerStage, ServerWork, StreamShape,
-    WaitingCounts, choose_decode, choose_prefill, choose_server,
+    DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitSettings, LimitTracker,
+    LoadSettings, LoadTracker, PlacementView, ServerDirectory, ServerLoad, ServerStage, ServerWork,
+    StreamShape, WaitingCounts, choose_decode, choose_prefill, choose_server,
 };
 use gs_protocol::ids::{DataCentreName, ServerName};
 use test_case::test_case;
@@ -36,6 +37,9 @@
     directory
 }
 
+static NO_LIMITS: LazyLock<LimitTracker> =
+    LazyLock::new(|| LimitTracker::new(LimitSettings::default()));
+
 /// Returns the view of one decision, with the given salt.
 fn view_of<'a>(
     data_centre: &'a DataCentreName,
@@ -49,6 +53,7 @@
         data_centre,
         directory,
         loads,
+        limits: &NO_LIMITS,
     }
 }
 
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod freshness;
 mod issues;
+mod limits;
 mod loads;
 mod memory;
 mod outage;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitChange, LimitTracker, ListedServer, LoadSettings, LoadTracker,
-    PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory, ServerStage,
-    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
+    LengthEstimate, LimitChange, LimitSettings, LimitTracker, ListedServer, LoadSettings,
+    LoadTracker, PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory,
+    ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -162,7 +162,7 @@
             directory: ServerDirectory::new(DirectorySettings::default()),
             is_server_list_known: false,
             loads: LoadTracker::new(LoadSettings::default()),
-            limits: LimitTracker::default(),
+            limits: LimitTracker::new(LimitSettings::default()),
             queue: AdmissionQueue::new(AdmissionSettings::default()),
             waiters: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -229,6 +229,9 @@
         state
             .loads
             .retain_servers(|server| directory.get(server).is_some());
+        state
+            .limits
+            .retain_servers(|server| directory.get(server).is_some());
         let stage_orders = &mut state.stage_orders;
         stage_orders.retain(|server, _| directory.get(server).is_some());
         drop(guard);
@@ -423,6 +426,7 @@
             data_centre: &self.settings.own.data_centre,
             directory: &state.directory,
             loads: &state.loads,
+            limits: &state.limits,
         })
     }
 
@@ -447,7 +451,9 @@
         let limits = &mut state.limits;
         let change = limits.record_answer(Instant::now(), server, sent_at, limit);
         if let Some(LimitChange { server, limit }) = change {
-            log::info!(target: "servers", server:%, limit:?; "request limit changed");
+            let source = self.settings.own.identity.entry.as_str();
+            log::info!(target: "servers", server:%, limit:?, source; "request limit changed");
+            self.report_changed.notify_one();
         }
     }
 
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -106,6 +106,7 @@
         table,
         directory,
         loads,
+        limits,
         queue,
         rng,
         ..
@@ -128,6 +129,7 @@
                 data_centre,
                 directory,
                 loads,
+                limits,
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
@@ -135,6 +137,7 @@
                 subset: EngineSubset::new(subset_salt, own.count(class), peers.count(class)),
             };
             let server = choose_decode(&view, &demand.service, engine, needs, &[])?;
+            limits.record_sent(now, &server);
             let key = loads.add_stream(&server, demand.shape);
             Some((server, key))
         },
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::RegistryView;
+use gs_control::forwarding::{LimitChange, RegistryView};
 use gs_control::membership::{MemberCandidate, MembershipEffect, MembershipEvent};
 use gs_control::relay::{EntryLoad, EntryPresence, EntryReport};
 use gs_protocol::ids::{EntryName, Incarnation};
@@ -198,6 +198,7 @@
             digest: state.loads.own_digest(),
             issues,
             suspicions: state.quarantine.digest(now),
+            limits: state.limits.digest(now),
         },
     }
 }
@@ -262,6 +263,7 @@
             digest,
             issues,
             suspicions,
+            limits,
         } = report.load.clone();
         let changes = {
             let mut state = self.state.borrow_mut();
@@ -269,6 +271,10 @@
         };
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
+        for change in state.limits.apply_digest(now, &report.entry, &limits) {
+            let LimitChange { server, limit } = change;
+            log::info!(target: "servers", server:%, limit:?, source:% = report.entry; "request limit changed");
+        }
         state.loads.apply_peer_issues(now, &report.entry, issues);
         state
             .loads
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use gs_control::forwarding::{
     AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RouteKind, RouteRule, ServerLoad,
-    choose_server, next_step,
+    choose_server, limit_wait, next_step,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
 use gs_protocol::suspicion::ContentHash;
@@ -36,6 +36,12 @@
 /// Fraction of the latency target after which a safe request is sent to another server.
 const FAILOVER_FRACTION: f64 = 0.75;
 
+/// Part of the latency target that a request may wait for a server's limit.
+const LIMIT_WAIT_FRACTION: f64 = 0.5;
+
+/// Minimum wait for a server's limit.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(1);
+
 /// Retry delay given to a refused client when there is no estimate of free capacity.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -138,17 +144,17 @@
         }
         let chosen = gateway.with_placement_view(|view| choose_server(view, &job.service, &tried));
         let Some(server) = chosen else {
-            let may_have_run = history.runs > 0;
-            return final_answer(
-                gateway,
-                job,
-                failure_answer,
-                if may_have_run {
-                    FinalAnswer::Unknown
-                } else {
-                    FinalAnswer::NotRun
-                },
-            );
+            match wait_for_limit(gateway, job, &tried).await {
+                LimitWait::Over => continue,
+                LimitWait::TooLong(retry_after) if history.runs == 0 => {
+                    log::info!(target: "request", id:% = job.metadata.request_id, retry_ms = retry_after.as_millis() as u64; "refused: all servers have reached their limits");
+                    return job.refusal_answer(gateway, retry_after);
+                }
+                LimitWait::TooLong(_) | LimitWait::NoServer => {
+                    let kind = history.outcome();
+                    return final_answer(gateway, job, failure_answer, kind);
+                }
+            }
         };
         let sent_before = history.sends;
         let outcome = attempt_server(gateway, job, &server, &history).await;
@@ -168,12 +174,7 @@
                     && tried.len() < MAX_SERVER_ATTEMPTS as usize
                     && (!needs_budget || gateway.spend_budget(&job.service));
                 if !is_allowed {
-                    let kind = if history.runs > 0 {
-                        FinalAnswer::Unknown
-                    } else {
-                        FinalAnswer::NotRun
-                    };
-                    return final_answer(gateway, job, failure_answer, kind);
+                    return final_answer(gateway, job, failure_answer, history.outcome());
                 }
                 log::info!(target: "request", id:% = job.metadata.request_id, sends = sent_before + 1, failure:?; "retrying at another server");
             }
@@ -181,6 +182,32 @@
     }
 }
 
+/// Result of waiting until a server may get another request within its limit.
+enum LimitWait {
+    /// A server may get a request.
+    Over,
+    /// The wait would take too long; all servers have reached their limits for this time.
+    TooLong(Duration),
+    /// No server is left that the request could be sent to.
+    NoServer,
+}
+
+/// Waits until a server that was not tried may get another request within its limit, if the request
+/// can then still be on time.
+async fn wait_for_limit(gateway: &Gateway, job: &ForwardJob, tried: &[ServerName]) -> LimitWait {
+    let wait = gateway.with_placement_view(|view| limit_wait(view, &job.service, tried));
+    let Some(wait) = wait else {
+        return LimitWait::NoServer;
+    };
+    let until = job.arrived + job.rule.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
+    if Instant::now() + wait > until.min(job.answer_due()) {
+        return LimitWait::TooLong(wait);
+    }
+    // Entries that wait for the same server must not send at the same moment.
+    tokio::time::sleep(wait.mul_f64(1.0 + gateway.random_fraction()) + MIN_LIMIT_WAIT).await;
+    LimitWait::Over
+}
+
 /// Returns the answer to a request that no server answered successfully.
 fn final_answer(
     gateway: &Gateway,
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -1,6 +1,7 @@
 //! Guards that count work at a server, buffered bytes and active requests until they are dropped.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use gs_control::forwarding::{ServerLoad, StreamKey, StreamShape};
 use gs_protocol::ids::ServerName;
@@ -25,9 +26,14 @@
 }
 
 impl Reservation {
-    /// Counts work at a server.
+    /// Counts work at a server, and a request toward its limit.
     pub fn acquire(gateway: &Rc<Gateway>, server: &ServerName, load: ServerLoad) -> Self {
-        gateway.state.borrow_mut().loads.add(server, load);
+        let mut state = gateway.state.borrow_mut();
+        state.loads.add(server, load);
+        if state.limits.record_sent(Instant::now(), server) {
+            gateway.report_changed.notify_one();
+        }
+        drop(state);
         Self::from_counted(gateway, server, load)
     }
 
@@ -66,9 +72,12 @@
 }
 
 impl StreamReservation {
-    /// Counts a stream at an engine.
+    /// Counts a stream at an engine, and a request toward its limit.
     pub fn acquire(gateway: &Rc<Gateway>, server: &ServerName, shape: StreamShape) -> Self {
-        let key = gateway.state.borrow_mut().loads.add_stream(server, shape);
+        let mut state = gateway.state.borrow_mut();
+        let key = state.loads.add_stream(server, shape);
+        state.limits.record_sent(Instant::now(), server);
+        drop(state);
         Self::from_counted(gateway, server, key)
     }
 
