Ask a server with a limit of zero again every ten seconds

Only an answer withdraws a limit, and a server that takes no requests gives no answer: it would have been lost for good, and for the whole fleet.

--- a/crates/gs-control/src/forwarding/limits.rs
+++ b/crates/gs-control/src/forwarding/limits.rs
@@ -18,6 +18,8 @@
     pub burst: Duration,
     /// Maximum excess that is paid back, as the time in which the limit allows as much.
     pub max_excess: Duration,
+    /// Minimum rate at which requests are sent, in requests a second: only an answer withdraws a limit.
+    pub min_rate: f64,
     /// How long a withdrawn limit is reported to peers.
     pub report_period: Duration,
 }
@@ -27,6 +29,7 @@
         Self {
             burst: Duration::from_millis(500),
             max_excess: Duration::from_secs(8),
+            min_rate: 0.1,
             report_period: Duration::from_secs(3),
         }
     }
@@ -101,49 +104,51 @@
         }
     }
 
+    /// Returns the rate at which requests may be sent; `None` if it is not limited.
+    fn rate(&self, settings: &LimitSettings) -> Option<f64> {
+        self.limit.map(|limit| limit.max(settings.min_rate))
+    }
+
     /// Sets the limit as of a version.
-    fn change(&mut self, now: Instant, version: u32, limit: Option<f64>) {
-        self.level = self.drained_level(now);
+    fn change(&mut self, now: Instant, version: u32, limit: Option<f64>, settings: &LimitSettings) {
+        self.level = self.drained_level(now, settings);
         self.level_at = now;
         self.version = version;
         self.limit = limit;
         self.changed_at = now;
     }
 
-    fn drained_level(&self, now: Instant) -> f64 {
-        let Some(limit) = self.limit else {
+    fn drained_level(&self, now: Instant, settings: &LimitSettings) -> f64 {
+        let Some(rate) = self.rate(settings) else {
             return 0.0;
         };
         let age = now.saturating_duration_since(self.level_at);
-        (self.level - limit * age.as_secs_f64()).max(0.0)
+        (self.level - rate * age.as_secs_f64()).max(0.0)
     }
 
     /// Counts requests that were sent to the server.
     fn add(&mut self, now: Instant, sent: u64, settings: &LimitSettings) {
-        let Some(limit) = self.limit else {
+        let Some(rate) = self.rate(settings) else {
             return;
         };
-        let max_level = burst(limit, settings) + limit * settings.max_excess.as_secs_f64();
-        self.level = (self.drained_level(now) + sent as f64).min(max_level);
+        let max_level = burst(rate, settings) + rate * settings.max_excess.as_secs_f64();
+        self.level = (self.drained_level(now, settings) + sent as f64).min(max_level);
         self.level_at = now;
     }
 
     /// Returns how long no request may be sent to the server.
     fn wait(&self, now: Instant, settings: &LimitSettings) -> Duration {
-        let Some(limit) = self.limit else {
+        let Some(rate) = self.rate(settings) else {
             return Duration::ZERO;
         };
-        let excess = self.drained_level(now) + 1.0 - burst(limit, settings);
-        match excess > 0.0 {
-            true => Duration::try_from_secs_f64(excess / limit).unwrap_or(Duration::MAX),
-            false => Duration::ZERO,
-        }
+        let excess = self.drained_level(now, settings) + 1.0 - burst(rate, settings);
+        Duration::from_secs_f64(excess.max(0.0) / rate)
     }
 }
 
-/// Returns the requests that a limit allows at once after a pause.
-fn burst(limit: f64, settings: &LimitSettings) -> f64 {
-    (limit * settings.burst.as_secs_f64()).max(1.0)
+/// Returns the requests that a rate allows at once after a pause.
+fn burst(rate: f64, settings: &LimitSettings) -> f64 {
+    (rate * settings.burst.as_secs_f64()).max(1.0)
 }
 
 /// The limits of all servers that name one.
@@ -186,7 +191,7 @@
         if known.limit == limit {
             return None;
         }
-        known.change(now, known.version + 1, limit);
+        known.change(now, known.version + 1, limit, &self.settings);
         Some(LimitChange {
             server: server.clone(),
             limit,
@@ -242,7 +247,7 @@
             let known = known.or_insert_with(|| ServerLimit::new(now));
             if report.version > known.version {
                 let is_changed = known.limit != report.limit;
-                known.change(now, report.version, report.limit);
+                known.change(now, report.version, report.limit, &self.settings);
                 known.named_at = now;
                 changes.extend(is_changed.then(|| LimitChange {
                     server: server.clone(),
