Tell the eras of the registry apart, so that no revision is taken for an earlier one

Cause: revisions of the store were taken to grow without end. A watch went on from a revision that the store had given out again and missed what was written up to it.

Change: RegistryVersion holds the era (Store-Era) and the revision.

--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -51,6 +51,9 @@
     /// How long a server remains unused after another server answered at its address, unless its
     /// start time or address changes.
     pub misdirected_backoff: Duration,
+    /// How long a record that contradicts later news is held back after the registry has come back from
+    /// a copy. By then the record of a server that has ended is removed again.
+    pub outdated_hold: Duration,
 }
 
 impl Default for DirectorySettings {
@@ -58,6 +61,7 @@
         Self {
             recovery_grace: Duration::from_secs(2),
             misdirected_backoff: Duration::from_secs(10),
+            outdated_hold: Duration::from_secs(10),
         }
     }
 }
@@ -73,6 +77,16 @@
     misdirected_until: Option<Instant>,
 }
 
+/// How long the departure of a server is remembered. A copy of the registry is seconds old.
+const DEPARTURE_LIFETIME: Duration = Duration::from_secs(120);
+
+/// The last news of a server that the registry has removed.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_at_ms: Option<u64>,
+    at: Instant,
+}
+
 /// Tracks the listed servers and which of them may receive new work.
 #[derive(Debug)]
 pub struct ServerDirectory {
@@ -83,6 +97,12 @@
     is_registry_unreachable: bool,
     /// End of the latest outage of the registry.
     registry_recovered_at: Option<Instant>,
+    /// Servers that were removed lately.
+    departures: BTreeMap<ServerName, Departure>,
+    /// Records of a copy that contradict later news, until they are confirmed or removed.
+    outdated: BTreeMap<ServerName, ListedServer>,
+    /// End of the hold on such records.
+    hold_until: Option<Instant>,
 }
 
 impl ServerDirectory {
@@ -94,15 +114,25 @@
             superseded: BTreeSet::new(),
             is_registry_unreachable: false,
             registry_recovered_at: None,
+            departures: BTreeMap::new(),
+            outdated: BTreeMap::new(),
+            hold_until: None,
         }
     }
 
-    /// Applies a complete list of servers. Those that are not listed are removed.
+    /// Applies a complete list of servers. Those that are not listed are removed. Shortly after the
+    /// registry has come back from a copy, records that contradict later news are held back.
     pub fn apply_list(&mut self, now: Instant, servers: Vec<ListedServer>) {
-        let listed: BTreeMap<ServerName, ListedServer> = servers
+        let is_held = self.hold_until.is_some_and(|until| until > now);
+        let (outdated, current): (Vec<_>, Vec<_>) = servers
             .into_iter()
-            .map(|server| (server.name.clone(), server))
-            .collect();
+            .partition(|server| is_held && self.contradicts_news(server));
+        let by_name = |servers: Vec<ListedServer>| {
+            let named = servers.into_iter();
+            named.map(|server| (server.name.clone(), server)).collect()
+        };
+        self.outdated = by_name(outdated);
+        let listed: BTreeMap<ServerName, ListedServer> = by_name(current);
         let missing: Vec<ServerName> = self
             .servers
             .keys()
@@ -118,8 +148,21 @@
         self.update_superseded();
     }
 
+    /// Returns whether a record is older than what is known of its server: the server was leaving or
+    /// removed, or has started again since.
+    fn contradicts_news(&self, server: &ListedServer) -> bool {
+        if let Some(known) = self.get(&server.name) {
+            let is_same_start = known.started_at_ms == server.started_at_ms;
+            return known.started_at_ms > server.started_at_ms
+                || (is_same_start && known.is_leaving && !server.is_leaving);
+        }
+        let departure = self.departures.get(&server.name);
+        departure.is_some_and(|departure| departure.started_at_ms >= server.started_at_ms)
+    }
+
     /// Inserts or updates one server.
     pub fn upsert(&mut self, server: ListedServer) {
+        self.outdated.remove(&server.name);
         self.insert(server);
         self.update_superseded();
     }
@@ -155,6 +198,7 @@
                     && known.listed.address == server.address
             })
             .and_then(|known| known.misdirected_until);
+        self.departures.remove(&server.name);
         let known = KnownServer {
             missing_until: None,
             misdirected_until,
@@ -167,6 +211,7 @@
     /// the registry the server is kept for a grace period, because it may not have registered again
     /// yet.
     pub fn remove(&mut self, now: Instant, name: &ServerName) {
+        self.outdated.remove(name);
         let grace_end = match (self.is_registry_unreachable, self.registry_recovered_at) {
             (true, _) => Some(now + self.settings.recovery_grace),
             (false, recovered_at) => recovered_at
@@ -174,7 +219,7 @@
                 .filter(|end| *end > now),
         };
         let Some(end) = grace_end else {
-            self.servers.remove(name);
+            self.depart(now, name);
             self.update_superseded();
             return;
         };
@@ -183,6 +228,20 @@
         }
     }
 
+    /// Removes a server for good and remembers when.
+    fn depart(&mut self, now: Instant, name: &ServerName) {
+        if let Some(known) = self.servers.remove(name) {
+            let departure = Departure {
+                started_at_ms: known.listed.started_at_ms,
+                at: now,
+            };
+            self.departures.insert(name.clone(), departure);
+        }
+        self.departures.retain(|_, departure| {
+            now.saturating_duration_since(departure.at) < DEPARTURE_LIFETIME
+        });
+    }
+
     /// Records that another server answered at the address of this one.
     pub fn record_misdirected(&mut self, now: Instant, name: &ServerName) {
         if let Some(known) = self.servers.get_mut(name) {
@@ -218,8 +277,22 @@
         was_unreachable
     }
 
-    /// Removes the missing servers whose grace period has ended; returns their names.
+    /// Records that the registry has come back from a copy, which may lack servers and may list others
+    /// as they were before they left.
+    pub fn mark_registry_restored(&mut self, now: Instant) {
+        self.registry_recovered_at = Some(now);
+        self.hold_until = Some(now + self.settings.outdated_hold);
+    }
+
+    /// Removes the missing servers whose grace period has ended, and returns their names. Also uses the
+    /// records that were held back and are still listed at the end of the hold.
     pub fn remove_missing(&mut self, now: Instant) -> Vec<ServerName> {
+        if self.hold_until.is_some_and(|until| until <= now) {
+            self.hold_until = None;
+            for server in std::mem::take(&mut self.outdated).into_values() {
+                self.upsert(server);
+            }
+        }
         let expired: Vec<ServerName> = self
             .servers
             .values()
@@ -227,7 +300,7 @@
             .map(|known| known.listed.name.clone())
             .collect();
         for name in &expired {
-            self.servers.remove(name);
+            self.depart(now, name);
         }
         if !expired.is_empty() {
             self.update_superseded();
--- a/crates/gs-control/src/forwarding/freshness.rs
+++ b/crates/gs-control/src/forwarding/freshness.rs
@@ -8,8 +8,57 @@
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::EntryName;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Number of bits of a revision in [`RegistryVersion::number`]; the era fills the other 13 of the 53
+/// that every JSON parser reads exactly.
+const REVISION_BITS: u32 = 40;
+
+/// A position in the history of the registry.
+///
+/// The registry may come back from a copy that lacks the newest changes. It then gives out their
+/// revisions again, so that revisions can be compared within an era only. Any version of a later era
+/// is newer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(from = "(u64, u64)", into = "(u64, u64)")]
+pub struct RegistryVersion {
+    // The derived order compares the fields in this order.
+    /// Number of times that the registry has come back from a copy; 0 if it does not tell.
+    pub era: u64,
+    /// The registry's revision, or the number of the configuration.
+    pub revision: u64,
+}
+
+impl RegistryVersion {
+    /// Returns the version of a number that rises through all eras, such as the operator's number of a
+    /// configuration.
+    pub fn across_eras(number: u64) -> Self {
+        Self {
+            era: 0,
+            revision: number,
+        }
+    }
+
+    /// Returns a single number, below 2^53, that is larger for later versions.
+    pub fn number(self) -> u64 {
+        let max_revision = (1 << REVISION_BITS) - 1;
+        (self.era << REVISION_BITS) | self.revision.min(max_revision)
+    }
+}
+
+impl From<(u64, u64)> for RegistryVersion {
+    fn from((era, revision): (u64, u64)) -> Self {
+        Self { era, revision }
+    }
+}
+
+impl From<RegistryVersion> for (u64, u64) {
+    fn from(version: RegistryVersion) -> Self {
+        (version.era, version.revision)
+    }
+}
+
 /// A set of registry objects that entries follow.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum RegistryView {
@@ -37,7 +86,7 @@
     pub mode: ReadMode,
     /// The newest version that peers have reported. An exact read covers it, even if it returns no
     /// changes.
-    pub target_version: u64,
+    pub target_version: RegistryVersion,
     /// Whether the view is known to be stale, so that a read should return changes without waiting.
     pub is_behind: bool,
 }
@@ -46,7 +95,10 @@
     /// The plan for objects whose versions peers do not report.
     pub const RELAXED: Self = Self {
         mode: ReadMode::Relaxed,
-        target_version: 0,
+        target_version: RegistryVersion {
+            era: 0,
+            revision: 0,
+        },
         is_behind: false,
     };
 }
@@ -75,21 +127,21 @@
 pub struct ViewVersions {
     // The log writes this type with `Debug`, so its fields keep their names.
     /// Newest version that this entry has read.
-    own: u64,
+    own: RegistryVersion,
     /// Newest version that a peer has reported.
-    told: u64,
+    told: RegistryVersion,
     /// Time since which `told` has been newer than `own`.
     behind_since: Option<Instant>,
 }
 
 impl ViewVersions {
     /// Returns the newest version that this entry has read.
-    pub fn own_version(&self) -> u64 {
+    pub fn own_version(&self) -> RegistryVersion {
         self.own
     }
 
     /// Records that this entry has read a version, or that an exact read has covered it.
-    pub fn record_own(&mut self, version: u64) {
+    pub fn record_own(&mut self, version: RegistryVersion) {
         self.own = self.own.max(version);
         if self.own >= self.told {
             self.behind_since = None;
@@ -97,7 +149,7 @@
     }
 
     /// Records a version that a peer has reported.
-    pub fn record_reported(&mut self, now: Instant, version: u64) {
+    pub fn record_reported(&mut self, now: Instant, version: RegistryVersion) {
         if version > self.told {
             self.told = version;
         }
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -27,7 +27,8 @@
 pub use deadlines::DeadlineTracker;
 pub use directory::{DirectorySettings, ListedServer, ServerDirectory, ServerStage};
 pub use freshness::{
-    FreshnessSettings, ReadMode, ReadPlan, RegistryView, ViewVersions, is_exact_reader,
+    FreshnessSettings, ReadMode, ReadPlan, RegistryVersion, RegistryView, ViewVersions,
+    is_exact_reader,
 };
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, ServerLoad, ServerWork, StreamShape, WaitingCounts,
+    IssueReport, LimitDigest, LoadDigest, RegistryVersion, ServerLoad, ServerWork, StreamShape,
+    WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -45,7 +46,7 @@
     /// Version of the routes in force; 0 if there are none.
     pub routes_version: u64,
     /// Newest version of the server list that the entry has read.
-    pub servers_version: u64,
+    pub servers_version: RegistryVersion,
     /// Number of outages of the registry that have ended for the entry.
     pub ended_outages: u64,
 }
@@ -74,7 +75,15 @@
     EntryLoad,
 );
 
-type PresenceFields = (DataCentreName, SocketAddr, SocketAddr, bool, u64, u64, u64);
+type PresenceFields = (
+    DataCentreName,
+    SocketAddr,
+    SocketAddr,
+    bool,
+    u64,
+    RegistryVersion,
+    u64,
+);
 
 /// Waiting streams that are on time and late, work at each server, issues, suspicions, and limits.
 type LoadFields = (
@@ -130,11 +139,11 @@
 
 impl EntryPresence {
     /// Returns what may only grow: the versions of the views and the number of ended outages.
-    pub fn progress(&self) -> [u64; 3] {
+    pub fn progress(&self) -> [RegistryVersion; 3] {
         [
-            self.routes_version,
+            RegistryVersion::across_eras(self.routes_version),
             self.servers_version,
-            self.ended_outages,
+            RegistryVersion::across_eras(self.ended_outages),
         ]
     }
 }
--- a/crates/gs-control/src/relay/queue.rs
+++ b/crates/gs-control/src/relay/queue.rs
@@ -6,6 +6,7 @@
 use gs_protocol::ids::{EntryName, Incarnation};
 
 use super::messages::{EntryLoad, EntryReport};
+use crate::forwarding::RegistryVersion;
 
 /// The newest report of an entry that was passed on.
 #[derive(Clone, Debug)]
@@ -24,7 +25,7 @@
     pending: BTreeMap<EntryName, EntryReport>,
     forwarded: BTreeMap<EntryName, ForwardedReport>,
     /// Newest progress that was passed on, of any entry.
-    progress: [u64; 3],
+    progress: [RegistryVersion; 3],
 }
 
 impl RelayQueue {
--- a/crates/gs-control/tests/forwarding/directory.rs
+++ b/crates/gs-control/tests/forwarding/directory.rs
@@ -194,3 +194,76 @@
         "the remaining server at the address is usable"
     );
 }
+
+/// Where a server was last seen before the registry came back from a copy that lists it as ready.
+#[derive(Clone, Copy, Debug)]
+enum LastNews {
+    Leaving,
+    Removed,
+    StartedAgain,
+}
+
+#[test_case(LastNews::Leaving)]
+#[test_case(LastNews::Removed)]
+#[test_case(LastNews::StartedAgain)]
+fn an_older_copy_of_the_registry_does_not_bring_a_server_back(news: LastNews) {
+    let now = start();
+    let old_record = server(1, None);
+    let mut directory = directory_of(vec![old_record.clone(), server(2, None)]);
+    match news {
+        LastNews::Leaving => directory.upsert(ListedServer {
+            is_leaving: true,
+            ..old_record.clone()
+        }),
+        LastNews::Removed => directory.remove(now, &old_record.name),
+        LastNews::StartedAgain => directory.upsert(at_address(1, 4_700, Some(50))),
+    }
+    directory.mark_registry_restored(now);
+    directory.apply_list(now, vec![old_record, server(2, None)]);
+    let current = directory.get(&"server-1".into());
+    assert!(current.is_none_or(|current| current.address.port() != 4_001 || current.is_leaving));
+    let expected: &[&str] = match news {
+        LastNews::Leaving | LastNews::Removed => &["server-2"],
+        // The new start may register again within the grace period.
+        LastNews::StartedAgain => &["server-1", "server-2"],
+    };
+    assert_eq!(usable(&directory, now), expected);
+    directory.remove_missing(now + Duration::from_secs(3));
+    assert_eq!(
+        usable(&directory, now + Duration::from_secs(3)),
+        ["server-2"]
+    );
+}
+
+#[test]
+fn a_server_still_listed_long_after_a_restore_is_used() {
+    let now = start();
+    let mut directory = directory_of(vec![server(1, None)]);
+    directory.remove(now, &"server-1".into());
+    directory.mark_registry_restored(now);
+    directory.apply_list(now, vec![server(1, None)]);
+    assert!(usable(&directory, now).is_empty());
+    let later = now + DirectorySettings::default().outdated_hold;
+    directory.remove_missing(later);
+    assert_eq!(usable(&directory, later), ["server-1"]);
+}
+
+#[test]
+fn a_server_that_registers_after_a_restore_is_used_at_once() {
+    let now = start();
+    let mut directory = directory_of(vec![server(1, None)]);
+    directory.remove(now, &"server-1".into());
+    directory.mark_registry_restored(now);
+    directory.apply_list(now, vec![server(1, None)]);
+    directory.upsert(server(1, None));
+    assert_eq!(usable(&directory, now), ["server-1"]);
+}
+
+#[test]
+fn a_server_missing_in_a_copy_is_usable_until_it_registers_again() {
+    let now = start();
+    let mut directory = directory_of(vec![server(1, None)]);
+    directory.mark_registry_restored(now);
+    directory.apply_list(now, Vec::new());
+    assert_eq!(usable(&directory, now), ["server-1"]);
+}
--- a/crates/gs-control/tests/forwarding/freshness.rs
+++ b/crates/gs-control/tests/forwarding/freshness.rs
@@ -2,13 +2,20 @@
 
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{FreshnessSettings, ReadMode, ViewVersions, is_exact_reader};
+use gs_control::forwarding::{
+    FreshnessSettings, ReadMode, RegistryVersion, ViewVersions, is_exact_reader,
+};
 use gs_protocol::ids::EntryName;
 use proptest::prelude::*;
 use test_case::test_case;
 
 const GRACE: Duration = Duration::from_millis(300);
 
+/// Returns a revision in the first era of the registry.
+fn revision(revision: u64) -> RegistryVersion {
+    RegistryVersion { era: 1, revision }
+}
+
 fn names(count: usize) -> Vec<EntryName> {
     let names = (0..count).map(|number| EntryName::new(format!("entry-{number}")));
     names.collect()
@@ -50,17 +57,17 @@
 fn a_view_that_remains_behind_is_read_exactly() {
     let now = Instant::now();
     let mut versions = ViewVersions::default();
-    versions.record_own(4);
-    versions.record_reported(now, 4);
+    versions.record_own(revision(4));
+    versions.record_reported(now, revision(4));
     assert!(
         !versions.is_behind(now + GRACE, GRACE),
         "as new as the version of the peers"
     );
-    versions.record_reported(now, 6);
+    versions.record_reported(now, revision(6));
     let plan = versions.plan(now, GRACE, false);
     assert_eq!(
         (plan.mode, plan.target_version),
-        (ReadMode::Relaxed, 6),
+        (ReadMode::Relaxed, revision(6)),
         "the change may be in transit"
     );
     let plan = versions.plan(now + GRACE, GRACE, false);
@@ -74,9 +81,9 @@
 fn newer_reports_do_not_restart_the_grace_period() {
     let now = Instant::now();
     let mut versions = ViewVersions::default();
-    versions.record_reported(now, 3);
-    versions.record_reported(now + GRACE / 2, 5);
-    versions.record_own(4);
+    versions.record_reported(now, revision(3));
+    versions.record_reported(now + GRACE / 2, revision(5));
+    versions.record_own(revision(4));
     assert!(
         versions.is_behind(now + GRACE, GRACE),
         "version 5 is still missing"
@@ -88,12 +95,13 @@
     /// reported than was read.
     #[test]
     fn a_view_is_behind_exactly_if_a_newer_version_was_reported(
-        steps in prop::collection::vec((any::<bool>(), 0_u64..20), 1..40)
+        steps in prop::collection::vec((any::<bool>(), 0_u64..3, 0_u64..20), 1..40)
     ) {
         let now = Instant::now();
         let mut versions = ViewVersions::default();
-        let (mut own, mut reported) = (0, 0);
-        for (is_own, version) in steps {
+        let (mut own, mut reported) = (RegistryVersion::default(), RegistryVersion::default());
+        for (is_own, era, revision) in steps {
+            let version = RegistryVersion { era, revision };
             match is_own {
                 true => {
                     own = own.max(version);
@@ -109,3 +117,19 @@
         prop_assert_eq!(versions.own_version(), own);
     }
 }
+
+#[test]
+fn a_revision_given_out_again_after_a_restore_is_newer() {
+    let now = Instant::now();
+    let mut versions = ViewVersions::default();
+    versions.record_own(revision(40));
+    let restored = RegistryVersion {
+        era: 2,
+        revision: 12,
+    };
+    versions.record_reported(now, restored);
+    assert!(versions.is_behind(now + GRACE, GRACE));
+    versions.record_own(restored);
+    assert!(!versions.is_behind(now + GRACE, GRACE));
+    assert!(restored.number() > revision(40).number());
+}
--- a/crates/gs-control/tests/relay/fleet.rs
+++ b/crates/gs-control/tests/relay/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::WaitingCounts;
+use gs_control::forwarding::{RegistryVersion, WaitingCounts};
 use gs_control::relay::{
     ArrivalQueue, EntryLoad, EntryPresence, EntryReport, RelayMember, RelayQueue, RelayTopology,
     TopologySettings,
@@ -323,7 +323,7 @@
             peer_address: member.peer_address,
             is_leaving: false,
             routes_version: 1,
-            servers_version: 1,
+            servers_version: RegistryVersion::default(),
             ended_outages: 0,
         }),
         load: EntryLoad {
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitChange, LimitSettings, LimitTracker, ListedServer, LoadSettings,
-    LoadTracker, PlacementView, RegistryView, RetryBudget, RouteTable, ServerDirectory,
+    LengthEstimate, LimitChange, LimitSettings, LimitTracker, LoadSettings, LoadTracker,
+    PlacementView, RegistryVersion, RegistryView, RetryBudget, RouteTable, ServerDirectory,
     ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
@@ -121,12 +121,6 @@
             boot: listed.and_then(|listed| listed.started_at_ms).unwrap_or(0),
         }
     }
-
-    /// Returns the known boot of a server if `listed` is another one.
-    fn ended_boot(&self, listed: &ListedServer) -> Option<ServerBoot> {
-        let known = self.directory.get(&listed.name)?;
-        (known.started_at_ms != listed.started_at_ms).then(|| self.server_boot(&listed.name))
-    }
 }
 
 /// State shared by all connections of an entry, and the entry point for updates from the registry.
@@ -207,7 +201,7 @@
         log::info!(target: "config", version, before:? = current; "configuration applied");
         state.table = Some(Arc::new(table));
         drop(state);
-        self.record_version(RegistryView::Routes, version);
+        self.record_version(RegistryView::Routes, RegistryVersion::across_eras(version));
     }
 
     /// Returns the current configuration.
@@ -215,54 +209,6 @@
         self.state.borrow().table.clone()
     }
 
-    /// Replaces all known servers by the complete list of the registry.
-    pub fn replace_servers(&self, servers: Vec<ListedServer>) {
-        let now = Instant::now();
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        log::info!(target: "servers", count = servers.len(); "server list replaced");
-        let restarted = servers.iter().filter_map(|server| state.ended_boot(server));
-        let restarted: Vec<ServerBoot> = restarted.collect();
-        state.directory.apply_list(now, servers);
-        state.is_server_list_known = true;
-        let directory = &state.directory;
-        state
-            .loads
-            .retain_servers(|server| directory.get(server).is_some());
-        state
-            .limits
-            .retain_servers(|server| directory.get(server).is_some());
-        let stage_orders = &mut state.stage_orders;
-        stage_orders.retain(|server, _| directory.get(server).is_some());
-        drop(guard);
-        for boot in restarted {
-            self.record_crash(&boot);
-        }
-        self.capacity_changed.notify_one();
-    }
-
-    /// Adds or updates one server.
-    pub fn put_server(&self, server: ListedServer) {
-        let mut state = self.state.borrow_mut();
-        if state.directory.get(&server.name) != Some(&server) {
-            log::info!(target: "servers", server:% = server.name, address:% = server.address, service:% = server.service, stage:? = server.stage, leaving = server.is_leaving, born:? = server.started_at_ms; "server added or changed");
-        }
-        let restarted = state.ended_boot(&server);
-        state.directory.upsert(server);
-        drop(state);
-        if let Some(boot) = restarted {
-            self.record_crash(&boot);
-        }
-        self.capacity_changed.notify_one();
-    }
-
-    /// Handles the removal of a server from the registry.
-    pub fn remove_server(&self, server: &ServerName) {
-        log::info!(target: "servers", server:%; "server removed from the registry");
-        let mut state = self.state.borrow_mut();
-        state.directory.remove(Instant::now(), server);
-    }
-
     /// Whether this entry accepts clients: routes and servers are known and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod relays;
 mod release;
 mod reservation;
+mod server_list;
 mod stages;
 mod stream_forwarder;
 mod views;
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{LimitChange, RegistryView};
+use gs_control::forwarding::{LimitChange, RegistryVersion, RegistryView};
 use gs_control::membership::{MemberCandidate, MembershipEffect, MembershipEvent};
 use gs_control::relay::{EntryLoad, EntryPresence, EntryReport};
 use gs_protocol::ids::{EntryName, Incarnation};
@@ -252,7 +252,8 @@
 impl Gateway {
     fn apply_report(&self, report: &EntryReport) {
         if let (Some(presence), Some((peer, state))) = (&report.presence, report.peer()) {
-            self.record_peer_version(RegistryView::Routes, presence.routes_version);
+            let routes_version = RegistryVersion::across_eras(presence.routes_version);
+            self.record_peer_version(RegistryView::Routes, routes_version);
             self.record_peer_version(RegistryView::Servers, presence.servers_version);
             self.record_peer_outages(&report.identity(), presence.ended_outages);
             self.handle_membership(MembershipEvent::HeartbeatReceived { peer, state });
--- a/crates/gs-gateway/src/registry.rs
+++ b/crates/gs-gateway/src/registry.rs
@@ -16,6 +16,14 @@
 /// Maximum time from the word that the registry answers again to a reader's call.
 const MAX_RECOVERY_JITTER: Duration = Duration::from_millis(200);
 
+/// Time after the registry has come back from a copy during which views are read exactly: reads that may be
+/// stale may still return what was there before.
+const RESTORE_READ_PERIOD: Duration = Duration::from_secs(10);
+
+/// Time after the registry has come back from a copy during which no engine is ordered: the copy may lack the claim
+/// of an order that is still to be carried out.
+const RESTORE_ORDER_PAUSE: Duration = Duration::from_secs(15);
+
 /// Outages of the registry, at this entry and at its peers.
 #[derive(Debug, Default)]
 pub(crate) struct RegistryState {
@@ -26,6 +34,10 @@
     peer_outages: BTreeMap<EntryName, (Incarnation, u64)>,
     /// When the registry was last called because an outage had ended for a peer.
     retried_at: Option<Instant>,
+    /// Latest era of the registry that this entry knows.
+    era: u64,
+    /// When this entry learned that the registry has come back from a copy.
+    restored_at: Option<Instant>,
 }
 
 impl RegistryState {
@@ -34,6 +46,21 @@
         self.ended_outages
     }
 
+    /// Whether the registry has come back from a copy a short time ago.
+    pub(crate) fn is_recently_restored(&self, now: Instant) -> bool {
+        self.is_restored_within(now, RESTORE_READ_PERIOD)
+    }
+
+    /// Whether no engine may be ordered because claims of earlier orders may be lost.
+    pub(crate) fn may_lack_claims(&self, now: Instant) -> bool {
+        self.is_restored_within(now, RESTORE_ORDER_PAUSE)
+    }
+
+    fn is_restored_within(&self, now: Instant, period: Duration) -> bool {
+        self.restored_at
+            .is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
     /// Forgets the peers that do not satisfy a predicate.
     pub(crate) fn retain_peers(&mut self, predicate: impl Fn(&EntryName) -> bool) {
         self.peer_outages.retain(|entry, _| predicate(entry));
@@ -85,6 +112,19 @@
         self.registry_answered.notify_waiters();
     }
 
+    /// Records that the registry has come back from a copy in a new era. Later calls for the same era have no effect.
+    pub fn record_registry_restored(&self, era: u64) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        if state.registry.era >= era {
+            return;
+        }
+        state.registry.era = era;
+        state.registry.restored_at = Some(now);
+        state.directory.mark_registry_restored(now);
+        log::warn!(target: "store", era; "the registry has come back from a copy: its newest changes may be lost");
+    }
+
     /// Records the number of ended outages that a peer reports. If one has ended, the reader that probes calls
     /// the registry, at most once in [`MIN_RETRY_INTERVAL`]: the registry may turn this entry away while it
     /// serves others.
--- /dev/null
+++ b/crates/gs-gateway/src/server_list.rs
@@ -0,0 +1,85 @@
+//! The servers that the registry lists, and restarts that their records show.
+
+use std::time::Instant;
+
+use gs_control::forwarding::ListedServer;
+use gs_protocol::ids::ServerName;
+use gs_protocol::suspicion::ServerBoot;
+
+use crate::gateway::{Gateway, GatewayState};
+
+impl GatewayState {
+    /// Returns the current boot of a server, if it is known.
+    fn known_boot(&self, server: &ServerName) -> Option<ServerBoot> {
+        self.directory.get(server)?;
+        Some(self.server_boot(server))
+    }
+
+    /// Returns which of these boots have ended because their servers have started again.
+    fn ended_boots(&self, boots: Vec<ServerBoot>) -> Vec<ServerBoot> {
+        let has_ended = |boot: &ServerBoot| {
+            self.known_boot(&boot.server)
+                .is_some_and(|current| current != *boot)
+        };
+        boots.into_iter().filter(has_ended).collect()
+    }
+}
+
+impl Gateway {
+    /// Replaces all known servers by the complete list of the registry.
+    pub fn replace_servers(&self, servers: Vec<ListedServer>) {
+        let now = Instant::now();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        log::info!(target: "servers", count = servers.len(); "server list replaced");
+        let boots = servers
+            .iter()
+            .filter_map(|server| state.known_boot(&server.name));
+        let boots: Vec<ServerBoot> = boots.collect();
+        state.directory.apply_list(now, servers);
+        let restarted = state.ended_boots(boots);
+        state.is_server_list_known = true;
+        let directory = &state.directory;
+        state
+            .loads
+            .retain_servers(|server| directory.get(server).is_some());
+        state
+            .limits
+            .retain_servers(|server| directory.get(server).is_some());
+        let stage_orders = &mut state.stage_orders;
+        stage_orders.retain(|server, _| directory.get(server).is_some());
+        drop(guard);
+        for boot in restarted {
+            self.record_crash(&boot);
+        }
+        self.capacity_changed.notify_one();
+    }
+
+    /// Adds or updates one server.
+    pub fn put_server(&self, server: ListedServer) {
+        let mut state = self.state.borrow_mut();
+        if state.directory.get(&server.name) != Some(&server) {
+            log::info!(target: "servers", server:% = server.name, address:% = server.address, service:% = server.service, stage:? = server.stage, leaving = server.is_leaving, born:? = server.started_at_ms; "server added or changed");
+        }
+        let boot = state.known_boot(&server.name);
+        state.directory.upsert(server);
+        let restarted = state.ended_boots(boot.into_iter().collect());
+        drop(state);
+        for boot in restarted {
+            self.record_crash(&boot);
+        }
+        self.capacity_changed.notify_one();
+    }
+
+    /// Whether a record is the one that this entry goes by for its server.
+    pub fn is_server_current(&self, server: &ListedServer) -> bool {
+        self.state.borrow().directory.get(&server.name) == Some(server)
+    }
+
+    /// Handles the removal of a server from the registry.
+    pub fn remove_server(&self, server: &ServerName) {
+        log::info!(target: "servers", server:%; "server removed from the registry");
+        let mut state = self.state.borrow_mut();
+        state.directory.remove(Instant::now(), server);
+    }
+}
--- a/crates/gs-gateway/src/stages.rs
+++ b/crates/gs-gateway/src/stages.rs
@@ -152,8 +152,13 @@
             stage_estimates,
             mean_stream_seconds,
             stage_orders,
+            registry,
             ..
         } = &*guard;
+        let now = Instant::now();
+        if registry.may_lack_claims(now) {
+            return None;
+        }
         let others: Vec<EntryName> = membership
             .usable_entries()
             .into_iter()
@@ -163,7 +168,6 @@
         if !is_exact_reader(&self.settings.own.identity.entry, &others, 1) {
             return None;
         }
-        let now = Instant::now();
         let table = table.as_ref()?;
         stage_estimates.iter().find_map(|(service, estimate)| {
             let engine = table.service(service)?.engine.as_ref()?;
--- a/crates/gs-gateway/src/views.rs
+++ b/crates/gs-gateway/src/views.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{FreshnessSettings, ReadPlan, RegistryView};
+use gs_control::forwarding::{FreshnessSettings, ReadPlan, RegistryVersion, RegistryView};
 
 use crate::gateway::Gateway;
 
@@ -11,7 +11,7 @@
 
 impl Gateway {
     /// Records a version of a view that this entry has read, or that an exact read covers.
-    pub fn record_version(&self, view: RegistryView, version: u64) {
+    pub fn record_version(&self, view: RegistryView, version: RegistryVersion) {
         let mut state = self.state.borrow_mut();
         state
             .view_versions
@@ -21,16 +21,14 @@
     }
 
     /// Returns the newest version of a view that this entry has read.
-    pub(crate) fn own_version(&self, view: RegistryView) -> u64 {
+    pub(crate) fn own_version(&self, view: RegistryView) -> RegistryVersion {
         let state = self.state.borrow();
-        state
-            .view_versions
-            .get(&view)
-            .map_or(0, |versions| versions.own_version())
+        let versions = state.view_versions.get(&view).copied().unwrap_or_default();
+        versions.own_version()
     }
 
     /// Records a version of a view that a peer reports.
-    pub(crate) fn record_peer_version(&self, view: RegistryView, version: u64) {
+    pub(crate) fn record_peer_version(&self, view: RegistryView, version: RegistryVersion) {
         let mut state = self.state.borrow_mut();
         let versions = state.view_versions.entry(view).or_default();
         versions.record_reported(Instant::now(), version);
@@ -39,8 +37,9 @@
     /// Decides how the next changes of a view are read.
     pub fn read_plan(&self, view: RegistryView) -> ReadPlan {
         let settings = FreshnessSettings::default();
-        let is_exact = self.probe_role().is_exact_reader;
+        let is_exact_reader = self.probe_role().is_exact_reader;
         let state = self.state.borrow();
+        let is_exact = is_exact_reader || state.registry.is_recently_restored(Instant::now());
         let versions = state.view_versions.get(&view).copied().unwrap_or_default();
         versions.plan(Instant::now(), settings.grace, is_exact)
     }
