Log which software version begins and resumes a stream

The version of a server's record and the attempt that a client resumes are now read and logged. No decision uses them yet.

--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
+use gs_protocol::ids::{DataCentreName, ServerName, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 
 use super::issues::{IssueReport, ServerIssue};
@@ -40,6 +40,8 @@
     pub is_leaving: bool,
     /// The stage that it runs, if it is a model engine.
     pub stage: Option<ServerStage>,
+    /// The version of its software; empty if not listed.
+    pub software: SoftwareVersion,
 }
 
 /// Time limits of the directory.
--- a/crates/gs-control/tests/forwarding/limits.rs
+++ b/crates/gs-control/tests/forwarding/limits.rs
@@ -178,6 +178,7 @@
                 slots: 10_000,
                 is_leaving: false,
                 stage: Some(ServerStage::Decode),
+                software: "v1".into(),
             });
         }
         let names = (0..setup.entries).map(|number| EntryName::from(format!("e{number}").as_str()));
--- a/crates/gs-control/tests/forwarding/support.rs
+++ b/crates/gs-control/tests/forwarding/support.rs
@@ -19,6 +19,7 @@
         slots: 4,
         is_leaving: false,
         stage,
+        software: "v1".into(),
     }
 }
 
--- a/crates/gs-gateway/src/server_list.rs
+++ b/crates/gs-gateway/src/server_list.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use gs_control::forwarding::ListedServer;
-use gs_protocol::ids::ServerName;
+use gs_protocol::ids::{ServerName, SoftwareVersion};
 use gs_protocol::suspicion::ServerBoot;
 
 use crate::gateway::{Gateway, GatewayState};
@@ -59,7 +59,7 @@
     pub fn put_server(&self, server: ListedServer) {
         let mut state = self.state.borrow_mut();
         if state.directory.get(&server.name) != Some(&server) {
-            log::info!(target: "servers", server:% = server.name, address:% = server.address, service:% = server.service, stage:? = server.stage, leaving = server.is_leaving, born:? = server.started_at_ms; "server added or changed");
+            log::info!(target: "servers", server:% = server.name, address:% = server.address, service:% = server.service, stage:? = server.stage, leaving = server.is_leaving, software:% = server.software, born:? = server.started_at_ms; "server added or changed");
         }
         let boot = state.known_boot(&server.name);
         state.directory.upsert(server);
@@ -71,6 +71,12 @@
         self.capacity_changed.notify_one();
     }
 
+    /// Returns the version of a server's software, if it is known.
+    pub(crate) fn server_software(&self, server: &ServerName) -> Option<SoftwareVersion> {
+        let state = self.state.borrow();
+        Some(state.directory.get(server)?.software.clone())
+    }
+
     /// Whether a record is the one that this entry goes by for its server.
     pub fn is_server_current(&self, server: &ListedServer) -> bool {
         self.state.borrow().directory.get(&server.name) == Some(server)
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -210,7 +210,7 @@
             .gateway
             .wire
             .classify_answer(&head, &job.metadata.request_id);
-        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, verdict:? = class; "stream resumed");
+        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, software:? = self.gateway.server_software(&server), verdict:? = class; "stream resumed");
         if class != AnswerClass::Success {
             run.discard();
             return None;
@@ -276,7 +276,8 @@
         while let Some(event) = splitter.next_event() {
             if self.progress.events == 0 {
                 let job = &self.generation.job;
-                log::info!(target: "generation", id:% = job.metadata.request_id, first_ms = job.arrived.elapsed().as_millis() as u64; "first event");
+                let software = self.gateway.server_software(reservation.server());
+                log::info!(target: "generation", id:% = job.metadata.request_id, first_ms = job.arrived.elapsed().as_millis() as u64, software:?, resumes:? = job.metadata.resumed_request; "first event");
             }
             self.progress.record_event(Instant::now(), event.id);
             reservation.grow(tokens_per_event);
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -52,6 +52,8 @@
     pub generation: Option<GenerationParams>,
     /// Last event that the client has received, if it resumes a stream.
     pub resume: Option<ResumePoint>,
+    /// ID of the attempt that brought the first event, if it resumes a stream.
+    pub resumed_request: Option<String>,
     /// Parts of the prompt that other requests may share, in their order.
     pub shared_parts: Vec<ContentHash>,
 }
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -86,6 +86,7 @@
         slots: 4,
         is_leaving: false,
         stage,
+        software: "v1".into(),
     }
 }
 
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -36,7 +36,8 @@
                 max_output_tokens: 100,
                 length_hint: None,
             }),
-            resume: None,
+            resume: text(headers, "t-after").map(|id| ResumePoint(id.to_owned())),
+            resumed_request: text(headers, "t-resumes").map(str::to_owned),
             shared_parts: text(headers, "t-parts")
                 .into_iter()
                 .flat_map(|parts| parts.split(','))
--- a/crates/gs-protocol/src/ids.rs
+++ b/crates/gs-protocol/src/ids.rs
@@ -84,6 +84,10 @@
     /// The name of a caller declared in the document.
     CallerName
 );
+name_type!(
+    /// The version of the software that a backend server runs. What two versions write does not fit together.
+    SoftwareVersion
+);
 name_type!(
     /// The name of a backend server, unique within a deployment.
     ServerName
