Let a stream go on only at the software version that began it

Cause: the version of a server's software was read nowhere, nor which attempt a client resumes. Any engine was good for any stream, within an answer and for a take-up; and what an entry knows of a stream ends with the entry.

Change: gs_control::forwarding::OriginTracker remembers which version began each resumable stream. While a service has servers of several versions, entries report the streams they run, and each keeps its own in the store (kind origins). The versions that may have begun a running stream are on record (kind software); a new version runs resumable streams only when it is on record. An entry that starts knows from both where a stream may go on; one whose origin remains unknown is refused with 503, as it has not run. A stream that is taken up goes before those that wait for admission.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -13,6 +13,7 @@
 use gs_protocol::ids::ServiceName;
 
 use super::memory::StreamShape;
+use super::origins::SoftwareNeed;
 
 /// Identifies a queued stream.
 pub type TicketId = u64;
@@ -64,6 +65,8 @@
     pub service: ServiceName,
     /// The memory that it needs at a decode engine.
     pub shape: StreamShape,
+    /// The software versions that may run it.
+    pub software: SoftwareNeed,
 }
 
 /// A stream that requests admission.
--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -331,6 +331,11 @@
             .map(|known| &known.listed)
     }
 
+    /// Returns all servers, usable or not.
+    pub fn servers(&self) -> impl Iterator<Item = &ListedServer> {
+        self.servers.values().map(|known| &known.listed)
+    }
+
     /// Returns a listed server.
     pub fn get(&self, name: &ServerName) -> Option<&ListedServer> {
         self.servers.get(name).map(|known| &known.listed)
--- a/crates/gs-control/src/forwarding/freshness.rs
+++ b/crates/gs-control/src/forwarding/freshness.rs
@@ -68,6 +68,8 @@
     Servers,
     /// The entries, whose version is not reported to peers.
     Entries,
+    /// The software versions on record, whose version is not reported to peers.
+    Software,
 }
 
 /// The consistency of a read.
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod loads;
 mod memory;
+mod origins;
 mod outage;
 mod placement;
 mod retries;
@@ -35,6 +36,10 @@
 pub use limits::{LimitChange, LimitDigest, LimitReport, LimitSettings, LimitTracker};
 pub use loads::{LoadDigest, LoadSettings, LoadTracker, ServerLoad, ServerWork, StreamKey};
 pub use memory::{StreamShape, projected_peak};
+pub use origins::{
+    OriginDigest, OriginSettings, OriginTracker, RecordUpdate, ResumeTarget, SoftwareNeed,
+    SoftwareRecord, StreamId,
+};
 pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
 pub use placement::{
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -9,6 +9,7 @@
 use super::limits::LimitTracker;
 use super::loads::LoadTracker;
 use super::memory::{StreamShape, projected_peak};
+use super::origins::{OriginTracker, SoftwareNeed};
 use super::routes::EngineSpec;
 
 /// Cost of a server whose requests all fail, as a multiple of its total slots or memory.
@@ -47,6 +48,8 @@
     pub loads: &'a LoadTracker,
     /// The limits that servers have named.
     pub limits: &'a LimitTracker,
+    /// The software versions that began streams.
+    pub origins: &'a OriginTracker,
 }
 
 impl PlacementView<'_> {
@@ -56,8 +59,9 @@
         service: &'v ServiceName,
         stage: Option<ServerStage>,
         excluded: &[ServerName],
+        software: &SoftwareNeed,
     ) -> Vec<&'v ListedServer> {
-        let mut servers = self.reachable_servers(service, stage, excluded);
+        let mut servers = self.reachable_servers(service, stage, excluded, software);
         servers.retain(|server| self.limits.wait(self.now, &server.name).is_zero());
         servers
     }
@@ -69,11 +73,13 @@
         service: &'v ServiceName,
         stage: Option<ServerStage>,
         excluded: &[ServerName],
+        software: &SoftwareNeed,
     ) -> Vec<&'v ListedServer> {
         let usable = self.directory.usable_servers(self.now, service, stage);
-        let usable: Vec<&ListedServer> = usable
+        let mut usable: Vec<&ListedServer> = usable
             .filter(|server| !excluded.contains(&server.name))
             .collect();
+        self.retain_suitable(&mut usable, software);
         let available: Vec<&ListedServer> = usable
             .iter()
             .copied()
@@ -86,6 +92,22 @@
         }
     }
 
+    /// Retains the servers whose software may run a stream.
+    fn retain_suitable(&self, servers: &mut Vec<&ListedServer>, software: &SoftwareNeed) {
+        match software {
+            SoftwareNeed::Any => {}
+            SoftwareNeed::Only(version) => servers.retain(|server| server.software == *version),
+            SoftwareNeed::Recorded => {
+                let is_recorded = |server: &&ListedServer| {
+                    self.origins.is_recorded(&server.service, &server.software)
+                };
+                if servers.iter().any(is_recorded) {
+                    servers.retain(is_recorded);
+                }
+            }
+        }
+    }
+
     /// Returns `cost` for a server outside the data centre `from`, and 0 for one inside it.
     fn remote_cost(&self, server: &ListedServer, from: &DataCentreName, cost: f64) -> f64 {
         if server.data_centre == *from {
@@ -120,7 +142,7 @@
     service: &ServiceName,
     excluded: &[ServerName],
 ) -> Option<ServerName> {
-    let candidates = view.candidates(service, None, excluded);
+    let candidates = view.candidates(service, None, excluded, &SoftwareNeed::Any);
     lowest_cost(candidates.into_iter().map(|server| {
         let load = view.loads.load(&server.name);
         let busy = f64::from(load.requests) / f64::from(server.slots.max(1));
@@ -138,20 +160,23 @@
     service: &ServiceName,
     excluded: &[ServerName],
 ) -> Option<Duration> {
-    let servers = view.reachable_servers(service, None, excluded).into_iter();
+    let servers = view.reachable_servers(service, None, excluded, &SoftwareNeed::Any);
+    let servers = servers.into_iter();
     let waits = servers.map(|server| view.limits.wait(view.now, &server.name));
     waits.min()
 }
 
 /// What a stream requires of a decode engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct DecodeDemand {
+pub struct DecodeDemand<'a> {
     /// The memory of the stream.
     pub shape: StreamShape,
     /// Maximum fraction of the engine's memory that its streams may reach, this one included.
     pub memory_fraction: f64,
     /// The engines that this entry may choose from.
     pub subset: EngineSubset,
+    /// The software versions that may run the stream.
+    pub software: &'a SoftwareNeed,
 }
 
 /// A random subset of the decode engines, in proportion to this entry's share of the waiting
@@ -202,10 +227,15 @@
     view: &PlacementView<'_>,
     service: &ServiceName,
     spec: &EngineSpec,
-    demand: DecodeDemand,
+    demand: DecodeDemand<'_>,
     excluded: &[ServerName],
 ) -> Option<ServerName> {
-    let candidates = view.candidates(service, Some(ServerStage::Decode), excluded);
+    let candidates = view.candidates(
+        service,
+        Some(ServerStage::Decode),
+        excluded,
+        demand.software,
+    );
     let memory = spec.memory_tokens.max(1) as f64;
     lowest_cost(candidates.into_iter().filter_map(|server| {
         if view.loads.is_full(view.now, &server.name) || !demand.subset.contains(&server.name) {
@@ -240,7 +270,12 @@
 ) -> Option<ServerName> {
     let origin = view.directory.get(decode);
     let origin = origin.map_or(view.data_centre, |server| &server.data_centre);
-    let candidates = view.candidates(service, Some(ServerStage::Prefill), excluded);
+    let candidates = view.candidates(
+        service,
+        Some(ServerStage::Prefill),
+        excluded,
+        &SoftwareNeed::Any,
+    );
     lowest_cost(candidates.into_iter().map(|server| {
         let load = view.loads.load(&server.name);
         let cost = load.prompt_tokens as f64
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, RegistryVersion, ServerLoad, ServerWork, StreamShape,
-    WaitingCounts,
+    IssueReport, LimitDigest, LoadDigest, OriginDigest, RegistryVersion, ServerLoad, ServerWork,
+    StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -65,6 +65,8 @@
     pub suspicions: SuspicionDigest,
     /// Limits of servers, and how many requests the entry has sent there.
     pub limits: LimitDigest,
+    /// Streams that run at the entry, by the software versions that began them.
+    pub origins: OriginDigest,
 }
 
 type ReportFields = (
@@ -85,7 +87,8 @@
     u64,
 );
 
-/// Waiting streams that are on time and late, work at each server, issues, suspicions, and limits.
+/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, and
+/// origins of streams.
 type LoadFields = (
     u32,
     u32,
@@ -93,6 +96,7 @@
     IssueReport,
     SuspicionDigest,
     LimitDigest,
+    OriginDigest,
 );
 
 /// Server, open requests, prompt tokens, and for each stream the held and the remaining tokens.
@@ -203,7 +207,8 @@
 }
 
 impl From<LoadFields> for EntryLoad {
-    fn from((on_time, late, works, issues, suspicions, limits): LoadFields) -> Self {
+    fn from(fields: LoadFields) -> Self {
+        let (on_time, late, works, issues, suspicions, limits, origins) = fields;
         let digest = works
             .into_iter()
             .map(|(server, requests, prompt_tokens, streams)| {
@@ -228,6 +233,7 @@
             issues,
             suspicions,
             limits,
+            origins,
         }
     }
 }
@@ -251,6 +257,7 @@
             load.issues,
             load.suspicions,
             load.limits,
+            load.origins,
         )
     }
 }
--- a/crates/gs-control/tests/forwarding/admission.rs
+++ b/crates/gs-control/tests/forwarding/admission.rs
@@ -5,7 +5,7 @@
 
 use gs_control::forwarding::{
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
-    StartClass, StreamDemand, StreamShape, TicketId, WaitingCounts, WaitingStream,
+    SoftwareNeed, StartClass, StreamDemand, StreamShape, TicketId, WaitingCounts, WaitingStream,
 };
 use proptest::prelude::*;
 use test_case::test_case;
@@ -36,6 +36,7 @@
                 held_tokens: 5_000,
                 remaining_tokens: 4_000,
             },
+            software: SoftwareNeed::Any,
         },
         requested_at,
         latency_target: target,
--- a/crates/gs-control/tests/forwarding/limits.rs
+++ b/crates/gs-control/tests/forwarding/limits.rs
@@ -5,8 +5,8 @@
 
 use gs_control::forwarding::{
     DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitDigest, LimitSettings,
-    LimitTracker, ListedServer, LoadSettings, LoadTracker, PlacementView, ServerDirectory,
-    ServerStage, StreamShape, choose_decode,
+    LimitTracker, ListedServer, LoadSettings, LoadTracker, OriginSettings, OriginTracker,
+    PlacementView, ServerDirectory, ServerStage, SoftwareNeed, StreamShape, choose_decode,
 };
 use gs_protocol::ids::{DataCentreName, EntryName, ServerName};
 use rand::{Rng, SeedableRng};
@@ -146,6 +146,7 @@
     started: Instant,
     directory: ServerDirectory,
     loads: LoadTracker,
+    origins: OriginTracker,
     names: Vec<EntryName>,
     entries: Vec<LimitTracker>,
     waiting: Vec<u32>,
@@ -188,6 +189,7 @@
             started: Instant::now(),
             directory,
             loads: LoadTracker::new(LoadSettings::default()),
+            origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
             names: names.collect(),
             entries: (0..setup.entries).map(|_| tracker()).collect(),
             waiting: vec![0; setup.entries],
@@ -255,6 +257,7 @@
                 directory: &self.directory,
                 loads: &self.loads,
                 limits: &self.entries[entry],
+                origins: &self.origins,
             };
             let demand = DecodeDemand {
                 shape: StreamShape {
@@ -263,6 +266,7 @@
                 },
                 memory_fraction: 0.9,
                 subset,
+                software: &SoftwareNeed::Any,
             };
             let Some(server) = choose_decode(&view, &"notes".into(), &engine_spec(), demand, &[])
             else {
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -5,8 +5,9 @@
 
 use gs_control::forwarding::{
     DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitSettings, LimitTracker,
-    LoadSettings, LoadTracker, PlacementView, ServerDirectory, ServerLoad, ServerStage, ServerWork,
-    StreamShape, WaitingCounts, choose_decode, choose_prefill, choose_server,
+    LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView, ServerDirectory,
+    ServerLoad, ServerStage, ServerWork, SoftwareNeed, StreamShape, WaitingCounts, choose_decode,
+    choose_prefill, choose_server,
 };
 use gs_protocol::ids::{DataCentreName, ServerName};
 use test_case::test_case;
@@ -40,6 +41,9 @@
 static NO_LIMITS: LazyLock<LimitTracker> =
     LazyLock::new(|| LimitTracker::new(LimitSettings::default()));
 
+static NO_ORIGINS: LazyLock<OriginTracker> =
+    LazyLock::new(|| OriginTracker::new(start(), OriginSettings::default()));
+
 /// Returns the view of one decision, with the given salt.
 fn view_of<'a>(
     data_centre: &'a DataCentreName,
@@ -54,6 +58,7 @@
         directory,
         loads,
         limits: &NO_LIMITS,
+        origins: &NO_ORIGINS,
     }
 }
 
@@ -74,6 +79,7 @@
         shape: STREAM,
         memory_fraction,
         subset: EngineSubset::ALL,
+        software: &SoftwareNeed::Any,
     };
     choose_decode(&view, &"notes".into(), &SPEC, demand, &[])
 }
@@ -199,6 +205,7 @@
         shape: STREAM,
         memory_fraction: 0.95,
         subset: EngineSubset::ALL,
+        software: &SoftwareNeed::Any,
     };
     let chosen: std::collections::BTreeSet<ServerName> = (0..40)
         .filter_map(|salt| {
@@ -224,6 +231,7 @@
             shape: STREAM,
             memory_fraction: 0.95,
             subset: EngineSubset::new(salt, 1, 9),
+            software: &SoftwareNeed::Any,
         };
         if let Some(server) = choose_decode(&view, &"notes".into(), &SPEC, demand, &[]) {
             *starts_by_engine.entry(server).or_default() += 1;
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod loads;
 mod memory;
+mod origins;
 mod outage;
 mod repeats;
 mod routes;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,8 +9,9 @@
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
     LengthEstimate, LimitChange, LimitSettings, LimitTracker, LoadSettings, LoadTracker,
-    PlacementView, RegistryVersion, RegistryView, RetryBudget, RouteTable, ServerDirectory,
-    ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions,
+    OriginSettings, OriginTracker, PlacementView, RegistryVersion, RegistryView, RetryBudget,
+    RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
+    ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -109,6 +110,7 @@
     pub membership: MembershipState,
     pub relays: RelayState,
     pub quarantine: ContentQuarantine,
+    pub origins: OriginTracker,
     pub rng: Pcg64Mcg,
 }
 
@@ -138,6 +140,14 @@
     pub(crate) registry_retry: Notify,
     /// Notified when this entry has reports to pass on as a relay.
     pub(crate) relay_changed: Notify,
+    /// Notified when a resumable stream has started.
+    pub(crate) origins_changed: Notify,
+    /// Notified when the origin of a stream is to be looked up in the registry.
+    pub(crate) origins_wanted: Notify,
+    /// Whether an origin is to be looked up.
+    pub(crate) are_origins_wanted: Cell<bool>,
+    /// Notified when origins have been looked up.
+    pub(crate) origins_read: Notify,
     /// Notified when engine capacity may have become free or a stream has joined the admission queue.
     pub(crate) capacity_changed: Notify,
     stop_requested_at: Cell<Option<Instant>>,
@@ -170,6 +180,7 @@
             quarantine: ContentQuarantine::new(ContentSettings::default(), own.clone()),
             membership: MembershipState::new(own, settings.membership),
             relays: RelayState::default(),
+            origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -182,6 +193,10 @@
             registry_retry: Notify::new(),
             report_changed: Notify::new(),
             relay_changed: Notify::new(),
+            origins_changed: Notify::new(),
+            origins_wanted: Notify::new(),
+            are_origins_wanted: Cell::new(false),
+            origins_read: Notify::new(),
             capacity_changed: Notify::new(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
@@ -373,6 +388,7 @@
             directory: &state.directory,
             loads: &state.loads,
             limits: &state.limits,
+            origins: &state.origins,
         })
     }
 
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionDecision, AttemptFailure, DecodeDemand, EngineSpec, EngineSubset, StreamDemand,
-    StreamShape, TicketId, WaitingStream, choose_decode,
+    AdmissionDecision, AttemptFailure, DecodeDemand, EngineSpec, EngineSubset, SoftwareNeed,
+    StreamDemand, StreamShape, TicketId, WaitingStream, choose_decode,
 };
 use gs_protocol::ids::ServerName;
 use hyper::Response;
@@ -18,6 +18,7 @@
 use crate::connection::{CallError, ServerConnection};
 use crate::crashes::ServerRun;
 use crate::gateway::{AdmissionOutcome, Gateway};
+use crate::origins::reserve_taken_up;
 use crate::plain::{
     CONNECT_TIMEOUT, DEFAULT_RETRY_AFTER, ForwardJob, forwarded_answer, is_not_run_status,
 };
@@ -50,11 +51,12 @@
     }
 
     /// Returns the resources that a stream needs when it is placed outside the admission queue.
-    pub fn decode_demand(&self) -> DecodeDemand {
+    pub fn decode_demand(&self) -> DecodeDemand<'_> {
         DecodeDemand {
             shape: self.demand.shape,
             memory_fraction: RETRY_MEMORY_FRACTION,
             subset: EngineSubset::ALL,
+            software: &self.demand.software,
         }
     }
 }
@@ -81,17 +83,27 @@
         .as_ref()
         .and_then(|table| table.service(&job.service))
         .and_then(|service| service.engine.clone());
-    let demand = stream_demand(gateway, &job);
     if let Some(retry_after) = gateway.content_refusal(&job) {
         return job.refusal_answer(gateway, retry_after);
     }
+    let software = match gateway.software_need(&job).await {
+        Ok(software) => software,
+        Err(retry_after) => return job.refusal_answer(gateway, retry_after),
+    };
+    let demand = stream_demand(gateway, &job, software);
     gateway.update_stream_estimate(&demand.service, demand.shape);
     let generation = GenerationJob {
         job,
         demand,
         engine,
     };
-    match wait_for_admission(gateway, &generation).await {
+    let admitted = match &generation.demand.software {
+        SoftwareNeed::Any | SoftwareNeed::Recorded => {
+            wait_for_admission(gateway, &generation).await
+        }
+        SoftwareNeed::Only(_) => reserve_taken_up(gateway, &generation).await,
+    };
+    match admitted {
         Ok(reservation) => run_generation(gateway, generation, reservation).await,
         Err(retry_after) => {
             log::info!(target: "generation", id:% = generation.job.metadata.request_id, deadline_ms = generation.job.metadata.deadline.map_or(0, |deadline| deadline.as_millis() as u64), retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no engine capacity");
@@ -102,7 +114,7 @@
 
 /// Estimates the memory of a stream from its token counts. Without counts, each byte of the body counts as one
 /// prompt token.
-fn stream_demand(gateway: &Gateway, job: &ForwardJob) -> StreamDemand {
+fn stream_demand(gateway: &Gateway, job: &ForwardJob, software: SoftwareNeed) -> StreamDemand {
     let shape = match job.metadata.generation {
         Some(params) => {
             let max_tokens = params.max_output_tokens;
@@ -120,6 +132,7 @@
     StreamDemand {
         service: job.service.clone(),
         shape,
+        software,
     }
 }
 
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod generation;
 mod ingress;
 mod lifecycle;
+mod origins;
 mod peers;
 mod plain;
 mod prefill;
@@ -36,6 +37,7 @@
 pub use gateway::{EntryEndpoint, Gateway, GatewaySettings};
 pub use ingress::{serve_bodiless, serve_clients};
 pub use lifecycle::{run_admission, run_shutdown};
+pub use origins::{OriginRecords, run_origin_records};
 pub use peers::{ReportSocket, receive_reports, send_reports};
 pub use stages::{ClaimStore, run_stage_balancer};
 pub use wire::{
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -65,6 +65,8 @@
     let mut state = gateway.state.borrow_mut();
     state.loads.expire_peers(now);
     state.quarantine.expire_old(now);
+    state.observe_software(now);
+    state.origins.expire_old(now);
     for server in state.directory.remove_missing(now) {
         log::info!(target: "servers", server:%; "server removed: not registered again after the outage");
     }
@@ -107,6 +109,7 @@
         directory,
         loads,
         limits,
+        origins,
         queue,
         rng,
         ..
@@ -130,11 +133,13 @@
                 directory,
                 loads,
                 limits,
+                origins,
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
                 memory_fraction: settings.memory_fraction(class),
                 subset: EngineSubset::new(subset_salt, own.count(class), peers.count(class)),
+                software: &demand.software,
             };
             let server = choose_decode(&view, &demand.service, engine, needs, &[])?;
             limits.record_sent(now, &server);
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -199,6 +199,7 @@
             issues,
             suspicions: state.quarantine.digest(now),
             limits: state.limits.digest(now),
+            origins: state.origins.digest(now),
         },
     }
 }
@@ -265,6 +266,7 @@
             issues,
             suspicions,
             limits,
+            origins,
         } = report.load.clone();
         let changes = {
             let mut state = self.state.borrow_mut();
@@ -272,6 +274,7 @@
         };
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
+        state.origins.apply_digest(now, &origins);
         for change in state.limits.apply_digest(now, &report.entry, &limits) {
             let LimitChange { server, limit } = change;
             log::info!(target: "servers", server:%, limit:?, source:% = report.entry; "request limit changed");
--- a/crates/gs-gateway/src/server_list.rs
+++ b/crates/gs-gateway/src/server_list.rs
@@ -9,6 +9,14 @@
 use crate::gateway::{Gateway, GatewayState};
 
 impl GatewayState {
+    /// Records which software versions the known servers have.
+    pub(crate) fn observe_software(&mut self, now: Instant) {
+        let Self {
+            directory, origins, ..
+        } = self;
+        origins.observe_servers(now, directory.servers());
+    }
+
     /// Returns the current boot of a server, if it is known.
     fn known_boot(&self, server: &ServerName) -> Option<ServerBoot> {
         self.directory.get(server)?;
@@ -37,6 +45,7 @@
             .filter_map(|server| state.known_boot(&server.name));
         let boots: Vec<ServerBoot> = boots.collect();
         state.directory.apply_list(now, servers);
+        state.observe_software(now);
         let restarted = state.ended_boots(boots);
         state.is_server_list_known = true;
         let directory = &state.directory;
@@ -63,6 +72,7 @@
         }
         let boot = state.known_boot(&server.name);
         state.directory.upsert(server);
+        state.observe_software(Instant::now());
         let restarted = state.ended_boots(boot.into_iter().collect());
         drop(state);
         for boot in restarted {
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gs_control::forwarding::RouteKind;
+use gs_control::forwarding::{RouteKind, SoftwareNeed};
 use gs_protocol::ids::ServerName;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -114,11 +114,18 @@
 impl StreamForwarder {
     async fn run(mut self, first: RunningStream) {
         let mut stream = first;
+        self.gateway
+            .record_stream_started(&self.generation.job, stream.reservation.server());
         let mut runs = 1;
         let mut excluded: Vec<ServerName> = Vec::new();
         loop {
             let server = stream.reservation.server().clone();
+            let software = self.gateway.server_software(&server);
             let end = self.forward_events(stream).await;
+            // What is delivered goes on only at the version that began it.
+            if let Some(software) = software.as_ref().filter(|_| self.progress.events > 0) {
+                self.generation.demand.software = SoftwareNeed::Only(software.clone());
+            }
             let job = &self.generation.job;
             match end {
                 StreamEnd::Complete | StreamEnd::ClientDisconnected => {
@@ -138,13 +145,18 @@
             }
             self.gateway.record_answer(&server, true);
             excluded.push(server);
-            let resumed = match runs < job.rule.max_attempts {
+            let is_version_known = software.is_some() || self.progress.events == 0;
+            let resumed = match runs < job.rule.max_attempts && is_version_known {
                 true => self.resume(&excluded).await,
                 false => None,
             };
             runs += 1;
             match resumed {
-                Some(next) => stream = next,
+                Some(next) => {
+                    self.gateway
+                        .record_stream_started(job, next.reservation.server());
+                    stream = next;
+                }
                 None => {
                     // Fails only if the client has disconnected.
                     let _ = self.sender.send(Err(IncompleteAnswer)).await;
@@ -152,6 +164,7 @@
                 }
             }
         }
+        self.gateway.record_stream_ended(&self.generation.job);
         drop(self.active);
     }
 
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 mod soak;
 mod stages;
 mod support;
+mod versions;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -133,6 +133,7 @@
             services(),
         ));
         gateway.replace_servers(servers);
+        gateway.replace_software_records(BTreeMap::new());
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
