Send nothing new to a server that says in its answers that it is leaving

Cause: the header Server-Leaving was read nowhere; a server left by its record alone.

Change: ServerDirectory, which decides from the record when a server is usable, also takes the server's own word. It holds for the start that said so: no list, record, removal or copy of the registry brings it back, a later start is used at once. Heads of streams, plain answers, refusals, failures, prefills and answers to orders count; peers are told while they hear from this entry. A decode engine that has left during the prefill is replaced by another. What runs goes on to its end.

--- a/crates/gs-control/src/forwarding/directory.rs
+++ b/crates/gs-control/src/forwarding/directory.rs
@@ -77,6 +77,8 @@
     missing_until: Option<Instant>,
     /// Set after another server answered at its address: when it may be used again.
     misdirected_until: Option<Instant>,
+    /// Whether this start of the server has said in an answer that it is leaving.
+    says_leaving: bool,
 }
 
 /// How long the departure of a server is remembered. A copy of the registry is seconds old.
@@ -86,6 +88,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     started_at_ms: Option<u64>,
+    says_leaving: bool,
     at: Instant,
 }
 
@@ -192,18 +195,18 @@
     }
 
     fn insert(&mut self, server: ListedServer) {
-        let misdirected_until = self
-            .servers
-            .get(&server.name)
-            .filter(|known| {
-                known.listed.started_at_ms == server.started_at_ms
-                    && known.listed.address == server.address
-            })
-            .and_then(|known| known.misdirected_until);
-        self.departures.remove(&server.name);
+        let same_start = self.servers.get(&server.name).filter(|known| {
+            known.listed.started_at_ms == server.started_at_ms
+                && known.listed.address == server.address
+        });
+        let departure = self.departures.remove(&server.name);
+        let departure =
+            departure.filter(|departure| departure.started_at_ms == server.started_at_ms);
         let known = KnownServer {
             missing_until: None,
-            misdirected_until,
+            misdirected_until: same_start.and_then(|known| known.misdirected_until),
+            says_leaving: same_start.is_some_and(|known| known.says_leaving)
+                || departure.is_some_and(|departure| departure.says_leaving),
             listed: server,
         };
         self.servers.insert(known.listed.name.clone(), known);
@@ -235,6 +238,7 @@
         if let Some(known) = self.servers.remove(name) {
             let departure = Departure {
                 started_at_ms: known.listed.started_at_ms,
+                says_leaving: known.says_leaving,
                 at: now,
             };
             self.departures.insert(name.clone(), departure);
@@ -251,17 +255,30 @@
         }
     }
 
-    /// Returns the servers at whose addresses other servers have answered, to be sent to the peers.
+    /// Records that a start of a server has said in an answer that it is leaving. Only a later start
+    /// under its name is used again. Returns whether this is news.
+    pub fn record_leaving(&mut self, name: &ServerName, started_at_ms: Option<u64>) -> bool {
+        let known = self.servers.get_mut(name);
+        let Some(known) = known.filter(|known| known.listed.started_at_ms == started_at_ms) else {
+            return false;
+        };
+        !std::mem::replace(&mut known.says_leaving, true)
+    }
+
+    /// Returns the servers that have said that they are leaving, and those at whose addresses other
+    /// servers have answered, to be sent to the peers.
     pub fn own_issues(&self, now: Instant) -> IssueReport {
-        let misdirected = self
-            .servers
-            .values()
-            .filter(|known| known.misdirected_until.is_some_and(|until| until > now));
-        misdirected
-            .map(|known| {
-                let issue = ServerIssue::Misdirected(known.listed.started_at_ms);
-                (known.listed.name.clone(), issue)
-            })
+        let issue = |known: &KnownServer| {
+            let start = known.listed.started_at_ms;
+            match (known.says_leaving, known.misdirected_until) {
+                (true, _) => Some(ServerIssue::Leaving(start)),
+                (false, Some(until)) if until > now => Some(ServerIssue::Misdirected(start)),
+                (false, _) => None,
+            }
+        };
+        let servers = self.servers.values();
+        servers
+            .filter_map(|known| Some((known.listed.name.clone(), issue(known)?)))
             .collect()
     }
 
@@ -324,6 +341,7 @@
                 server.service == *service
                     && server.stage == stage
                     && !server.is_leaving
+                    && !known.says_leaving
                     && !self.superseded.contains(&server.name)
                     && known.misdirected_until.is_none_or(|until| until <= now)
                     && known.missing_until.is_none_or(|until| until > now)
@@ -331,6 +349,14 @@
             .map(|known| &known.listed)
     }
 
+    /// Returns whether a server may receive new work.
+    pub fn is_usable(&self, now: Instant, name: &ServerName) -> bool {
+        self.get(name).is_some_and(|server| {
+            self.usable_servers(now, &server.service, server.stage)
+                .any(|usable| usable.name == *name)
+        })
+    }
+
     /// Returns all servers, usable or not.
     pub fn servers(&self) -> impl Iterator<Item = &ListedServer> {
         self.servers.values().map(|known| &known.listed)
--- a/crates/gs-control/src/forwarding/issues.rs
+++ b/crates/gs-control/src/forwarding/issues.rs
@@ -26,6 +26,10 @@
     /// in Unix milliseconds, as listed by the registry.
     #[serde(rename = "m")]
     Misdirected(Option<u64>),
+    /// The server has said in an answer that it is leaving. The value is its start time in Unix
+    /// milliseconds, as listed by the registry.
+    #[serde(rename = "l")]
+    Leaving(Option<u64>),
     /// The engine was ordered to change to this stage and accepts no work until the change is done.
     #[serde(rename = "s")]
     Switching(ServerStage),
@@ -36,7 +40,7 @@
     fn stage(self) -> Option<ServerStage> {
         match self {
             Self::Switching(stage) => Some(stage),
-            Self::Unreachable | Self::Misdirected(_) => None,
+            Self::Unreachable | Self::Misdirected(_) | Self::Leaving(_) => None,
         }
     }
 }
@@ -87,16 +91,19 @@
     }
 
     /// Returns whether the reports rule out a server: enough peers cannot reach it, another server
-    /// answers at its address, or it is changing its stage.
+    /// answers at its address, it is leaving, or it is changing its stage.
     pub fn rules_out(&self, server: &ListedServer) -> bool {
         let Some(peers) = self.reported.get(&server.name) else {
             return false;
         };
         let issues = || peers.values().map(|reported| reported.issue);
-        let is_misdirected = |issue| issue == ServerIssue::Misdirected(server.started_at_ms);
+        let start = server.started_at_ms;
+        let is_left = |issue| {
+            issue == ServerIssue::Misdirected(start) || issue == ServerIssue::Leaving(start)
+        };
         let unreachable = issues().filter(|issue| *issue == ServerIssue::Unreachable);
         unreachable.count() >= MIN_UNREACHABLE_REPORTS
-            || issues().any(|issue| is_misdirected(issue) || issue.stage().is_some())
+            || issues().any(|issue| is_left(issue) || issue.stage().is_some())
     }
 
     /// Returns the engines that peers have ordered to change stage, and their new stages.
--- a/crates/gs-control/tests/forwarding/directory.rs
+++ b/crates/gs-control/tests/forwarding/directory.rs
@@ -267,3 +267,55 @@
     directory.apply_list(now, Vec::new());
     assert_eq!(usable(&directory, now), ["server-1"]);
 }
+
+/// What is heard of a server after it has said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+enum LaterNews {
+    List,
+    Record,
+    RemovedAndListed,
+    Restored,
+}
+
+#[test_case(LaterNews::List)]
+#[test_case(LaterNews::Record)]
+#[test_case(LaterNews::RemovedAndListed)]
+#[test_case(LaterNews::Restored)]
+fn nothing_but_a_later_start_brings_back_a_server_that_says_it_is_leaving(news: LaterNews) {
+    let now = start();
+    let record = server(1, None);
+    let mut directory = directory_of(vec![record.clone(), server(2, None)]);
+    assert!(directory.record_leaving(&record.name, record.started_at_ms));
+    assert!(
+        !directory.record_leaving(&record.name, record.started_at_ms),
+        "no news"
+    );
+    assert_eq!(usable(&directory, now), ["server-2"]);
+    match news {
+        LaterNews::List => directory.apply_list(now, vec![record.clone(), server(2, None)]),
+        LaterNews::Record => directory.upsert(record.clone()),
+        LaterNews::RemovedAndListed => {
+            directory.remove(now, &record.name);
+            directory.upsert(record.clone());
+        }
+        LaterNews::Restored => {
+            directory.mark_registry_restored(now);
+            directory.apply_list(now, vec![record.clone(), server(2, None)]);
+            directory.remove_missing(now + Duration::from_secs(60));
+        }
+    }
+    assert_eq!(usable(&directory, now), ["server-2"]);
+    directory.upsert(ListedServer {
+        started_at_ms: Some(99),
+        ..record
+    });
+    assert_eq!(usable(&directory, now), ["server-1", "server-2"]);
+}
+
+#[test]
+fn an_answer_of_an_earlier_start_says_nothing_of_the_current_one() {
+    let mut directory = directory_of(vec![server(1, None)]);
+    directory.upsert(at_address(1, 4_001, Some(50)));
+    assert!(!directory.record_leaving(&"server-1".into(), Some(1)));
+    assert_eq!(usable(&directory, start()), ["server-1"]);
+}
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitChange, LimitSettings, LimitTracker, LoadSettings, LoadTracker,
-    OriginSettings, OriginTracker, PlacementView, RegistryVersion, RegistryView, RetryBudget,
-    RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
+    LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
+    OriginTracker, PlacementView, RegistryVersion, RegistryView, RetryBudget, RouteTable,
+    ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
     ViewVersions,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
@@ -18,7 +18,6 @@
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use gs_protocol::peer::PeerIdentity;
 use gs_protocol::suspicion::ServerBoot;
-use hyper::http::response::Parts;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, oneshot};
@@ -379,9 +378,12 @@
 
     /// Calls `choose` with the servers and loads that placement decisions are based on.
     pub(crate) fn with_placement_view<T>(&self, choose: impl FnOnce(&PlacementView<'_>) -> T) -> T {
-        let mut state = self.state.borrow_mut();
-        let salt = state.rng.r#gen();
-        choose(&PlacementView {
+        let salt = self.state.borrow_mut().rng.r#gen();
+        choose(&self.placement_view(&self.state.borrow(), salt))
+    }
+
+    fn placement_view<'a>(&'a self, state: &'a GatewayState, salt: u64) -> PlacementView<'a> {
+        PlacementView {
             now: Instant::now(),
             salt,
             data_centre: &self.settings.own.data_centre,
@@ -389,7 +391,7 @@
             loads: &state.loads,
             limits: &state.limits,
             origins: &state.origins,
-        })
+        }
     }
 
     /// Returns the address of a server, if the server is known.
@@ -406,19 +408,6 @@
             .record_answer(Instant::now(), server, is_failure);
     }
 
-    /// Records the limit that a server's answer names to a request that was sent at `sent_at`, if it names one.
-    pub(crate) fn record_limit(&self, server: &ServerName, sent_at: Instant, head: &Parts) {
-        let limit = self.wire.request_limit(head);
-        let mut state = self.state.borrow_mut();
-        let limits = &mut state.limits;
-        let change = limits.record_answer(Instant::now(), server, sent_at, limit);
-        if let Some(LimitChange { server, limit }) = change {
-            let source = self.settings.own.identity.entry.as_str();
-            log::info!(target: "servers", server:%, limit:?, source; "request limit changed");
-            self.report_changed.notify_one();
-        }
-    }
-
     /// Records the class of a server's answer, for its failure rate and for what runs at its address.
     pub(crate) fn record_class(&self, server: &ServerName, class: AnswerClass) {
         match class {
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -213,6 +213,11 @@
             break;
         };
         result = fresh;
+        if !gateway.may_send(reservation.server()) {
+            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = reservation.server(); "decode engine left during the prefill");
+            excluded.push(reservation.server().clone());
+            continue;
+        }
         let is_refused = gateway.content_refusal(job).is_some();
         if is_refused || (is_retry && !gateway.spend_budget(&job.service)) {
             break;
@@ -296,8 +301,8 @@
 ) -> DecodeOutcome {
     let job = &generation.job;
     let server = decode_request.server;
-    let sent_at = Instant::now();
-    let left = job.answer_due().saturating_duration_since(sent_at);
+    let sent_request = gateway.note_sent(server);
+    let left = job.answer_due().saturating_duration_since(Instant::now());
     let run = ServerRun::start(gateway, job, server);
     let sent = send_decode(gateway, generation, connection, decode_request);
     let (answer, connection) = match tokio::time::timeout(left, sent).await {
@@ -316,11 +321,10 @@
         Err(_) => return DecodeOutcome::Failed(AttemptFailure::Unknown, None),
     };
     let (head, body) = answer.into_parts();
-    gateway.record_limit(server, sent_at, &head);
     let class = gateway
         .wire
         .classify_answer(&head, &job.metadata.request_id);
-    gateway.record_class(server, class);
+    gateway.record_head(server, sent_request, class, &head);
     match class {
         AnswerClass::Success => {
             DecodeOutcome::Started(Response::from_parts(head, body), connection, run)
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod generation;
 mod ingress;
 mod lifecycle;
+mod notices;
 mod origins;
 mod peers;
 mod plain;
@@ -42,5 +43,5 @@
 pub use stages::{ClaimStore, run_stage_balancer};
 pub use wire::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, KvSource, PrefillResult,
-    RequestError, RequestMetadata, ResumePoint, ServerTask, ServerWire, StageOrder,
+    RequestError, RequestMetadata, ResumePoint, ServerNotice, ServerTask, ServerWire, StageOrder,
 };
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -303,14 +303,17 @@
     };
     let request = job.build_server_request(gateway, &options);
     *is_sent = true;
-    let sent_at = Instant::now();
+    let sent = gateway.note_sent(server);
     let (head, body) = connection.send(request).await?.into_parts();
-    gateway.record_limit(server, sent_at, &head);
+    let class = gateway
+        .wire
+        .classify_answer(&head, &job.metadata.request_id);
+    gateway.record_head(server, sent, class, &head);
     let body = gateway.answer_budget.read_answer(body).await?;
     Ok((head, body))
 }
 
-/// Classifies an answer and records it in the server's health.
+/// Classifies an answer.
 fn classify_attempt(
     gateway: &Gateway,
     job: &ForwardJob,
@@ -322,7 +325,6 @@
         .wire
         .classify_answer(&head, &job.metadata.request_id);
     log::debug!(target: "request", id:% = job.metadata.request_id, server:%, status = head.status.as_u16(), verdict:? = class; "answered");
-    gateway.record_class(server, class);
     match class {
         AnswerClass::Success => AttemptOutcome::Answered(forwarded_answer(gateway, &head, body)),
         AnswerClass::ServerFailure => {
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -147,8 +147,8 @@
     let job = &generation.job;
     let address = gateway.server_address(server);
     let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
-    let sent_at = Instant::now();
-    let left = job.answer_due().saturating_duration_since(sent_at);
+    let sent = gateway.note_sent(server);
+    let left = job.answer_due().saturating_duration_since(Instant::now());
     let limit = left.min(job.rule.latency_target.mul_f64(PREFILL_TIMEOUT_FACTOR));
     let options = ForwardOptions {
         server,
@@ -166,8 +166,8 @@
     };
     let answered = tokio::time::timeout(limit, exchange).await;
     let (head, body) = answered.map_err(|_| CallError::AnswerTimeout(limit))??;
-    gateway.record_limit(server, sent_at, &head);
     let class = gateway.wire.classify_prefill(&head);
+    gateway.record_notice(server, sent, class, &head);
     if class == AnswerClass::Misdirected {
         gateway.record_misdirected(server);
     }
--- a/crates/gs-gateway/src/server_list.rs
+++ b/crates/gs-gateway/src/server_list.rs
@@ -58,12 +58,17 @@
         let stage_orders = &mut state.stage_orders;
         stage_orders.retain(|server, _| directory.get(server).is_some());
         drop(guard);
-        for boot in restarted {
-            self.record_crash(&boot);
-        }
+        self.record_restarts(&restarted);
         self.capacity_changed.notify_one();
     }
 
+    /// Handles the ends of boots whose servers have started again.
+    fn record_restarts(&self, boots: &[ServerBoot]) {
+        for boot in boots {
+            self.record_crash(boot);
+        }
+    }
+
     /// Adds or updates one server.
     pub fn put_server(&self, server: ListedServer) {
         let mut state = self.state.borrow_mut();
@@ -75,9 +80,7 @@
         state.observe_software(Instant::now());
         let restarted = state.ended_boots(boot.into_iter().collect());
         drop(state);
-        for boot in restarted {
-            self.record_crash(&boot);
-        }
+        self.record_restarts(&restarted);
         self.capacity_changed.notify_one();
     }
 
--- a/crates/gs-gateway/src/stages.rs
+++ b/crates/gs-gateway/src/stages.rs
@@ -13,10 +13,11 @@
     ListedServer, ServerStage, StageChange, StreamShape, is_exact_reader, next_stage_change,
 };
 use gs_protocol::ids::{EntryName, ServiceName};
+use hyper::StatusCode;
 
 use crate::connection::fetch;
 use crate::gateway::{Gateway, GatewayState};
-use crate::wire::StageOrder;
+use crate::wire::{AnswerClass, StageOrder};
 
 /// Interval between checks of the balance between prefill and decode engines.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(250);
@@ -104,11 +105,18 @@
     });
     // Peers are informed before the engine, since the engine runs nothing while it changes its stage.
     let change_time = gateway.mark_changing(service, order);
+    let sent = gateway.note_sent(server);
     let answered = fetch(address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
     match answered {
         Ok(answer) => {
-            log::info!(target: "stages", server:%, stage:?, fence, status = answer.status().as_u16(), busy_ms = change_time.as_millis() as u64; "order answered");
-            let is_accepted = answer.status().is_success();
+            let (answer, _body) = answer.into_parts();
+            let class = match answer.status {
+                StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
+                _ => AnswerClass::Success,
+            };
+            gateway.record_notice(server, sent, class, &answer);
+            log::info!(target: "stages", server:%, stage:?, fence, status = answer.status.as_u16(), busy_ms = change_time.as_millis() as u64; "order answered");
+            let is_accepted = answer.status.is_success();
             if !is_accepted {
                 gateway.clear_changing(order);
             }
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -203,7 +203,7 @@
             resume: last,
         };
         let run = ServerRun::start(&self.gateway, job, &server);
-        let sent_at = Instant::now();
+        let sent_request = self.gateway.note_sent(&server);
         let sent = send_decode(&self.gateway, &self.generation, connection, decode_request);
         let sent = tokio::time::timeout(left, sent).await.ok()?;
         let (answer, connection) = match sent {
@@ -218,11 +218,12 @@
             }
         };
         let (head, body) = answer.into_parts();
-        self.gateway.record_limit(&server, sent_at, &head);
         let class = self
             .gateway
             .wire
             .classify_answer(&head, &job.metadata.request_id);
+        self.gateway
+            .record_notice(&server, sent_request, class, &head);
         log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, software:? = self.gateway.server_software(&server), verdict:? = class; "stream resumed");
         if class != AnswerClass::Success {
             run.discard();
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -143,6 +143,15 @@
     Foreign,
 }
 
+/// What a server says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Requests a second that it takes from all entries together, if it names a limit.
+    pub limit: Option<f64>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
 /// Encodes requests to servers, and parses requests of clients and answers of servers.
 pub trait ServerWire {
     /// Parses the head of a client's request.
@@ -154,9 +163,8 @@
     /// Classifies the answer to the request with the ID `request_id`, by its head.
     fn classify_answer(&self, head: &http::response::Parts, request_id: &str) -> AnswerClass;
 
-    /// Returns the requests a second that the server takes from all entries, if the head of its answer names a limit.
-    /// Invalid limits are ignored.
-    fn request_limit(&self, head: &http::response::Parts) -> Option<f64>;
+    /// Returns what a server says of itself in the head of an answer. Invalid values are ignored.
+    fn server_notice(&self, head: &http::response::Parts) -> ServerNotice;
 
     /// Classifies the answer to a prefill, by its head.
     fn classify_prefill(&self, head: &http::response::Parts) -> AnswerClass;
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod endless;
 mod generation;
+mod leaving;
 mod limits;
 mod logs;
 mod plain;
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gs_gateway::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, PrefillResult, RequestError,
-    RequestMetadata, ResumePoint, ServerTask, ServerWire, StageOrder,
+    RequestMetadata, ResumePoint, ServerNotice, ServerTask, ServerWire, StageOrder,
 };
 use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
@@ -88,8 +88,12 @@
         }
     }
 
-    fn request_limit(&self, head: &response::Parts) -> Option<f64> {
-        text(&head.headers, "t-limit")?.parse().ok()
+    fn server_notice(&self, head: &response::Parts) -> ServerNotice {
+        let seconds = |name| text(&head.headers, name)?.parse::<f64>().ok();
+        ServerNotice {
+            limit: seconds("t-limit"),
+            is_leaving: head.headers.contains_key("t-leaving"),
+        }
     }
 
     fn classify_prefill(&self, head: &response::Parts) -> AnswerClass {
