Leave a server alone for the pause that it asks for

Cause: Retry-After of servers was read nowhere; a refusal only raised the failure rate, which neither keeps a pause nor ends with it.

Change: LimitTracker, which keeps the limits that servers name, keeps pauses too, so that both are one account of what a server takes: a server that pauses is no candidate, even if there is no other. A pause holds for the start of the server and the entry that was asked and is not reported, as the server speaks to one entry. After it one request goes first, the others when it is answered or after 1 s. A refusal with a pause does not count as a failure, so that the server is in use again at its end. Plain requests and streams that no server takes in time are refused at once with the end of the pause.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -89,6 +89,8 @@
     pub peers_waiting: WaitingCounts,
     /// Streams that complete per second.
     pub completions_per_second: f64,
+    /// How long no engine takes a stream, because of limits or pauses.
+    pub engines_wait: Duration,
 }
 
 /// Whether an offered stream was queued or refused.
@@ -230,8 +232,9 @@
             start_by,
             ticket,
         };
-        if self.expected_wait(&position, backlog) > start_by.saturating_duration_since(now) {
-            let retry_after = self.retry_after(draw);
+        let expected_wait = self.expected_wait(&position, backlog);
+        if expected_wait.max(backlog.engines_wait) > start_by.saturating_duration_since(now) {
+            let retry_after = self.retry_after(draw).max(backlog.engines_wait);
             return AdmissionDecision::Refused { retry_after };
         }
         self.waiting.insert(position, stream);
--- a/crates/gs-control/src/forwarding/limits.rs
+++ b/crates/gs-control/src/forwarding/limits.rs
@@ -1,4 +1,7 @@
-//! Limits of requests a second that servers name in their answers.
+//! Limits of requests a second and pauses that servers name in their answers.
+//!
+//! A pause holds for the entry that was turned away and is not reported. When it has ended, the server
+//! gets one request, and further ones when that is answered without another pause.
 //!
 //! A limit holds for all entries together, so entries report to each other how many requests they have
 //! sent to a limited server. Each entry counts all of them in a leaky bucket that drains by the limit:
@@ -22,6 +25,10 @@
     pub min_rate: f64,
     /// How long a withdrawn limit is reported to peers.
     pub report_period: Duration,
+    /// Maximum length of a pause.
+    pub max_pause: Duration,
+    /// How long the first request after a pause may be under way until another one is sent.
+    pub probe_timeout: Duration,
 }
 
 impl Default for LimitSettings {
@@ -31,6 +38,8 @@
             max_excess: Duration::from_secs(8),
             min_rate: 0.1,
             report_period: Duration::from_secs(3),
+            max_pause: Duration::from_secs(60),
+            probe_timeout: Duration::from_secs(1),
         }
     }
 }
@@ -75,9 +84,27 @@
 /// The limits that an entry reports to its peers.
 pub type LimitDigest = Vec<(ServerName, LimitReport)>;
 
+/// A pause that a server has asked this entry for.
+#[derive(Clone, Copy, Debug)]
+struct ServerPause {
+    until: Instant,
+    /// When the first request after the pause was sent.
+    probe_sent_at: Option<Instant>,
+}
+
+impl ServerPause {
+    /// Returns how long no request may be sent.
+    fn wait(&self, now: Instant, settings: &LimitSettings) -> Duration {
+        let probe_end = self.probe_sent_at.map(|at| at + settings.probe_timeout);
+        let end = probe_end.map_or(self.until, |probe_end| probe_end.max(self.until));
+        end.saturating_duration_since(now)
+    }
+}
+
 /// The limit of one server and the requests that count toward it.
 #[derive(Clone, Debug)]
 struct ServerLimit {
+    pause: Option<ServerPause>,
     version: u32,
     limit: Option<f64>,
     changed_at: Instant,
@@ -93,6 +120,7 @@
 impl ServerLimit {
     fn new(now: Instant) -> Self {
         Self {
+            pause: None,
             version: 0,
             limit: None,
             changed_at: now,
@@ -138,11 +166,12 @@
 
     /// Returns how long no request may be sent to the server.
     fn wait(&self, now: Instant, settings: &LimitSettings) -> Duration {
-        let Some(rate) = self.rate(settings) else {
-            return Duration::ZERO;
-        };
-        let excess = self.drained_level(now, settings) + 1.0 - burst(rate, settings);
-        Duration::from_secs_f64(excess.max(0.0) / rate)
+        let pause = self.pause.map(|pause| pause.wait(now, settings));
+        let limit = self.rate(settings).map(|rate| {
+            let excess = self.drained_level(now, settings) + 1.0 - burst(rate, settings);
+            Duration::from_secs_f64(excess.max(0.0) / rate)
+        });
+        pause.unwrap_or_default().max(limit.unwrap_or_default())
     }
 }
 
@@ -198,12 +227,62 @@
         })
     }
 
+    /// Records the pause that an answer asks for, if it asks for one. Returns its length if it begins
+    /// or grows; it is at most [`LimitSettings::max_pause`]. An answer without one to the first request
+    /// after the pause ends its hold on further requests.
+    pub fn record_pause(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        sent_at: Instant,
+        pause: Option<Duration>,
+    ) -> Option<Duration> {
+        let Some(pause) = pause.filter(|pause| !pause.is_zero()) else {
+            if let Some(known) = self.servers.get_mut(server) {
+                let is_probe =
+                    |pause: &ServerPause| pause.probe_sent_at.is_some_and(|probe| sent_at >= probe);
+                known.pause = known.pause.filter(|pause| !is_probe(pause));
+            }
+            return None;
+        };
+        let pause = pause.min(self.settings.max_pause);
+        let known = self.servers.entry(server.clone());
+        let known = known.or_insert_with(|| ServerLimit::new(now));
+        let until = now + pause;
+        if known.pause.is_some_and(|known| known.until >= until) {
+            return None;
+        }
+        known.pause = Some(ServerPause {
+            until,
+            probe_sent_at: None,
+        });
+        Some(pause)
+    }
+
+    /// Returns whether a server has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant, server: &ServerName) -> bool {
+        let pause = self.servers.get(server).and_then(|known| known.pause);
+        pause.is_some_and(|pause| pause.until > now)
+    }
+
+    /// Ends the pause of a server that has started again.
+    pub fn end_pause(&mut self, server: &ServerName) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.pause = None;
+        }
+    }
+
     /// Counts a request that this entry sends to a server. Returns whether the server is limited.
     pub fn record_sent(&mut self, now: Instant, server: &ServerName) -> bool {
-        let known = self.servers.get_mut(server);
-        let Some(known) = known.filter(|known| known.limit.is_some()) else {
+        let Some(known) = self.servers.get_mut(server) else {
             return false;
         };
+        if let Some(pause) = known.pause.as_mut().filter(|pause| pause.until <= now) {
+            pause.probe_sent_at = Some(now);
+        }
+        if known.limit.is_none() {
+            return false;
+        }
         known.own_sent += 1;
         known.add(now, 1, &self.settings);
         true
@@ -221,7 +300,8 @@
         let servers = self.servers.iter();
         servers
             .filter(|(_, known)| {
-                known.limit.is_some() || now.saturating_duration_since(known.changed_at) < period
+                let is_recent = now.saturating_duration_since(known.changed_at) < period;
+                known.limit.is_some() || (known.version > 0 && is_recent)
             })
             .map(|(server, known)| {
                 let report = LimitReport {
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -43,7 +43,7 @@
 pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
 pub use placement::{
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
-    limit_wait,
+    decode_wait, limit_wait,
 };
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -166,6 +166,16 @@
     waits.min()
 }
 
+/// Returns how long no decode engine of a service takes a stream, because of limits or pauses; zero if
+/// one does or none is known.
+pub fn decode_wait(view: &PlacementView<'_>, service: &ServiceName) -> Duration {
+    let stage = Some(ServerStage::Decode);
+    let servers = view.reachable_servers(service, stage, &[], &SoftwareNeed::Any);
+    let waits = servers.into_iter();
+    let waits = waits.map(|server| view.limits.wait(view.now, &server.name));
+    waits.min().unwrap_or_default()
+}
+
 /// What a stream requires of a decode engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DecodeDemand<'a> {
--- a/crates/gs-control/tests/forwarding/admission.rs
+++ b/crates/gs-control/tests/forwarding/admission.rs
@@ -19,6 +19,7 @@
         late: 0,
     },
     completions_per_second: 10.0,
+    engines_wait: Duration::ZERO,
 };
 
 const TARGET: Duration = Duration::from_millis(800);
@@ -174,6 +175,7 @@
             late: 50,
         },
         completions_per_second,
+        engines_wait: Duration::ZERO,
     };
     let waiting = (0..10)
         .map(|_| queue.offer(start(), stream(start(), TARGET), backlog, 0.5))
@@ -245,3 +247,23 @@
         }
     }
 }
+
+#[test]
+fn a_stream_is_refused_at_once_if_all_engines_pause_for_longer_than_it_can_wait() {
+    let now = start();
+    let mut queue = AdmissionQueue::new(AdmissionSettings::default());
+    let pause = Duration::from_secs(9);
+    let backlog = FleetBacklog {
+        engines_wait: pause,
+        ..BACKLOG
+    };
+    let target = Duration::from_millis(800);
+    let decision = queue.offer(now, stream(now, target), backlog, 0.5);
+    assert_eq!(decision, AdmissionDecision::Refused { retry_after: pause });
+    let short = FleetBacklog {
+        engines_wait: Duration::from_millis(100),
+        ..BACKLOG
+    };
+    let decision = queue.offer(now, stream(now, target), short, 0.5);
+    assert!(matches!(decision, AdmissionDecision::Queued(_)));
+}
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod origins;
 mod outage;
+mod pauses;
 mod repeats;
 mod routes;
 mod shutdown;
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
     OriginTracker, PlacementView, RegistryVersion, RegistryView, RetryBudget, RouteTable,
     ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
-    ViewVersions,
+    ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -332,13 +332,16 @@
         estimate.expected_tokens(hint, max_tokens)
     }
 
-    /// Returns the streams that wait at peers and the rate at which streams end in the whole fleet.
-    pub(crate) fn fleet_backlog(&self) -> FleetBacklog {
+    /// Returns the streams that wait at peers, the rate at which streams end in the whole fleet, and how long no engine
+    /// of a service takes one.
+    pub(crate) fn fleet_backlog(&self, service: &ServiceName) -> FleetBacklog {
         let state = self.state.borrow();
         FleetBacklog {
             peers_waiting: state.loads.peers_waiting(),
             completions_per_second: state.loads.running_streams() as f64
                 / state.mean_stream_seconds,
+            // The wait does not depend on the salt.
+            engines_wait: decode_wait(&self.placement_view(&state, 0), service),
         }
     }
 
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -155,7 +155,10 @@
         arrived_at: job.arrived,
         latency_target: job.rule.latency_target,
     };
-    let (draw, backlog) = (gateway.random_fraction(), gateway.fleet_backlog());
+    let (draw, backlog) = (
+        gateway.random_fraction(),
+        gateway.fleet_backlog(&job.service),
+    );
     let (sender, receiver) = oneshot::channel();
     let ticket = {
         let mut state = gateway.state.borrow_mut();
@@ -214,7 +217,7 @@
         };
         result = fresh;
         if !gateway.may_send(reservation.server()) {
-            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = reservation.server(); "decode engine left during the prefill");
+            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = reservation.server(); "decode engine left or asked for a pause during the prefill");
             excluded.push(reservation.server().clone());
             continue;
         }
--- a/crates/gs-gateway/src/notices.rs
+++ b/crates/gs-gateway/src/notices.rs
@@ -1,4 +1,4 @@
-//! What servers say of themselves in their answers: limits, and that they are leaving.
+//! What servers say of themselves in their answers: limits, pauses, and that they are leaving.
 
 use std::time::Instant;
 
@@ -27,7 +27,8 @@
         }
     }
 
-    /// Records what the head of an answer says of its server, and the class of the answer in the server's health.
+    /// Records the class of an answer in the health of its server, unless the server asks for a pause: the pause then
+    /// keeps requests away, and no longer than the server wants.
     pub(crate) fn record_head(
         &self,
         server: &ServerName,
@@ -36,7 +37,9 @@
         head: &Parts,
     ) {
         self.record_notice(server, sent, class, head);
-        self.record_class(server, class);
+        if class != AnswerClass::NotExecuted || !self.is_paused(server) {
+            self.record_class(server, class);
+        }
     }
 
     /// Records what the head of an answer to a request says of its server. An answer of another server says nothing
@@ -57,6 +60,9 @@
         let change = state
             .limits
             .record_answer(now, server, sent.at, notice.limit);
+        let pause = state
+            .limits
+            .record_pause(now, server, sent.at, notice.pause);
         let is_leaving =
             notice.is_leaving && state.directory.record_leaving(server, sent.started_at_ms);
         drop(state);
@@ -64,6 +70,9 @@
             let source = self.settings.own.identity.entry.as_str();
             log::info!(target: "servers", server:%, limit:?, source; "request limit changed");
         }
+        if let Some(pause) = pause {
+            log::info!(target: "servers", server:%, pause_ms = pause.as_millis() as u64; "the server asks for a pause");
+        }
         if is_leaving {
             log::info!(target: "servers", server:%, born:? = sent.started_at_ms; "the server says that it is leaving");
         }
@@ -72,10 +81,16 @@
         }
     }
 
-    /// Whether a server that was chosen before may still get a request.
+    /// Whether a server has asked for a pause that has not ended.
+    pub(crate) fn is_paused(&self, server: &ServerName) -> bool {
+        let state = self.state.borrow();
+        state.limits.is_paused(Instant::now(), server)
+    }
+
+    /// Whether a server that was chosen before may still get a request: it is in use and has asked for no pause.
     pub(crate) fn may_send(&self, server: &ServerName) -> bool {
         let now = Instant::now();
         let state = self.state.borrow();
-        state.directory.is_usable(now, server)
+        state.directory.is_usable(now, server) && !state.limits.is_paused(now, server)
     }
 }
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -147,7 +147,7 @@
             match wait_for_limit(gateway, job, &tried).await {
                 LimitWait::Over => continue,
                 LimitWait::TooLong(retry_after) if history.runs == 0 => {
-                    log::info!(target: "request", id:% = job.metadata.request_id, retry_ms = retry_after.as_millis() as u64; "refused: all servers have reached their limits");
+                    log::info!(target: "request", id:% = job.metadata.request_id, retry_ms = retry_after.as_millis() as u64; "refused: all servers have reached their limits or asked for a pause");
                     return job.refusal_answer(gateway, retry_after);
                 }
                 LimitWait::TooLong(_) | LimitWait::NoServer => {
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -124,6 +124,7 @@
                 log::info!(target: "generation", id:% = generation.job.metadata.request_id, prefill:% = server, error:%, contents = generation.job.contents_text(); "prefill failed");
                 match error.is_not_sent() {
                     true => gateway.record_unreachable(&server),
+                    false if gateway.is_paused(&server) => {}
                     false => gateway.record_answer(&server, true),
                 }
                 is_retry |= !error.is_not_sent();
--- a/crates/gs-gateway/src/server_list.rs
+++ b/crates/gs-gateway/src/server_list.rs
@@ -65,6 +65,7 @@
     /// Handles the ends of boots whose servers have started again.
     fn record_restarts(&self, boots: &[ServerBoot]) {
         for boot in boots {
+            self.state.borrow_mut().limits.end_pause(&boot.server);
             self.record_crash(boot);
         }
     }
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -150,6 +150,8 @@
     pub limit: Option<f64>,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Time in which it wants nothing from the entry that it has turned away.
+    pub pause: Option<Duration>,
 }
 
 /// Encodes requests to servers, and parses requests of clients and answers of servers.
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod limits;
 mod logs;
+mod pauses;
 mod plain;
 mod registry;
 mod relays;
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -93,6 +93,7 @@
         ServerNotice {
             limit: seconds("t-limit"),
             is_leaving: head.headers.contains_key("t-leaving"),
+            pause: seconds("t-pause").map(Duration::from_secs_f64),
         }
     }
 
