Bound the streams that a report names, and look through an entry's own streams only

A report of an entry with very many resumable streams would have grown beyond a datagram while versions differ, and each report looked through the streams of the whole fleet. A report now names 256 at most; the store keeps all. The test a_report_fits_into_a_datagram fails without the bound (5,000).

--- a/crates/gs-control/src/forwarding/origins.rs
+++ b/crates/gs-control/src/forwarding/origins.rs
@@ -61,6 +61,9 @@
     }
 }
 
+/// Maximum number of streams in a report to peers, which must fit into a datagram.
+const MAX_REPORTED_STREAMS: usize = 256;
+
 /// Streams by the service and the software version that began them.
 pub type OriginDigest = Vec<(ServiceName, SoftwareVersion, Vec<StreamId>)>;
 
@@ -118,7 +121,6 @@
 struct KnownStream {
     origin: usize,
     heard_at: Instant,
-    is_own: bool,
     is_running: bool,
 }
 
@@ -132,6 +134,8 @@
     services: BTreeMap<ServiceName, ServiceVersions>,
     origins: Vec<(ServiceName, SoftwareVersion)>,
     streams: BTreeMap<StreamId, KnownStream>,
+    /// Streams that this entry has run, also in earlier starts.
+    own: BTreeSet<StreamId>,
 }
 
 impl OriginTracker {
@@ -144,6 +148,7 @@
             services: BTreeMap::new(),
             origins: Vec::new(),
             streams: BTreeMap::new(),
+            own: BTreeSet::new(),
         }
     }
 
@@ -261,10 +266,10 @@
         let known = KnownStream {
             origin,
             heard_at: now,
-            is_own: true,
             is_running: true,
         };
         self.streams.insert(stream, known);
+        self.own.insert(stream);
     }
 
     /// Records that a stream has ended at this entry. Its client may take it up.
@@ -278,16 +283,21 @@
     /// Returns the streams that run at this entry, to be reported to peers, for services of several
     /// versions.
     pub fn digest(&self, now: Instant) -> OriginDigest {
-        self.own_streams(now, |known| known.is_running)
+        self.own_streams(now, MAX_REPORTED_STREAMS, |known| known.is_running)
     }
 
     /// Returns all streams of this entry that a client may take up, to be kept in the registry, for
     /// services of several versions.
     pub fn durable_digest(&self, now: Instant) -> OriginDigest {
-        self.own_streams(now, |_| true)
+        self.own_streams(now, self.settings.max_streams, |_| true)
     }
 
-    fn own_streams(&self, now: Instant, is_wanted: impl Fn(&KnownStream) -> bool) -> OriginDigest {
+    fn own_streams(
+        &self,
+        now: Instant,
+        max_streams: usize,
+        is_wanted: impl Fn(&KnownStream) -> bool,
+    ) -> OriginDigest {
         let mixed: BTreeSet<usize> = (0..self.origins.len())
             .filter(|origin| self.is_mixed(now, &self.origins[*origin].0))
             .collect();
@@ -296,10 +306,11 @@
         }
         let mut by_origin: BTreeMap<usize, Vec<StreamId>> = BTreeMap::new();
         let own = self
-            .streams
+            .own
             .iter()
-            .filter(|(_, known)| known.is_own && mixed.contains(&known.origin) && is_wanted(known));
-        for (stream, known) in own {
+            .filter_map(|stream| Some((stream, self.streams.get(stream)?)))
+            .filter(|(_, known)| mixed.contains(&known.origin) && is_wanted(known));
+        for (stream, known) in own.take(max_streams) {
             by_origin.entry(known.origin).or_default().push(*stream);
         }
         let groups = by_origin.into_iter().map(|(origin, streams)| {
@@ -326,9 +337,11 @@
                 let known = self.streams.entry(*stream).or_insert(KnownStream {
                     origin,
                     heard_at: now,
-                    is_own,
                     is_running: false,
                 });
+                if is_own {
+                    self.own.insert(*stream);
+                }
                 // What this entry has run itself is known better.
                 if !known.is_running {
                     known.heard_at = now;
@@ -384,6 +397,8 @@
                 self.streams.remove(stream);
             }
         }
+        let streams = &self.streams;
+        self.own.retain(|stream| streams.contains_key(stream));
     }
 
     /// Returns the number of remembered streams.
--- a/crates/gs-control/tests/forwarding/origins.rs
+++ b/crates/gs-control/tests/forwarding/origins.rs
@@ -154,6 +154,22 @@
     }
 }
 
+#[test]
+fn a_report_fits_into_a_datagram() {
+    let now = start();
+    let mut tracker = tracker(now, &[]);
+    tracker.observe_servers(now, [engine(1, "v1"), engine(2, "v2")].iter());
+    for number in 0..5_000 {
+        let stream = StreamId::of_request(&format!("r{number}"));
+        tracker.record_started(now, stream, &service(), &"v1".into());
+    }
+    let count = |digest: &gs_control::forwarding::OriginDigest| -> usize {
+        digest.iter().map(|(_, _, streams)| streams.len()).sum()
+    };
+    assert_eq!(count(&tracker.digest(now)), 256);
+    assert_eq!(count(&tracker.durable_digest(now)), 5_000);
+}
+
 #[test]
 fn the_oldest_streams_beyond_the_maximum_are_forgotten() {
     let now = start();
