--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -216,8 +216,7 @@
             break;
         };
         result = fresh;
-        if !gateway.may_send(reservation.server()) {
-            log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = reservation.server(); "decode engine left or asked for a pause during the prefill");
+        if has_withdrawn(gateway, job, reservation.server()) {
             excluded.push(reservation.server().clone());
             continue;
         }
@@ -226,10 +225,9 @@
             break;
         }
         is_retry = true;
-        let source = result.as_ref().and_then(|result| result.source.as_ref());
         let decode_request = DecodeRequest {
             server: reservation.server(),
-            task: ServerTask::Decode(source),
+            task: ServerTask::Decode(result.as_ref().and_then(UnclaimedResult::source)),
             resume: job.metadata.resume.as_ref(),
         };
         let outcome = start_decode(gateway, &generation, connection, decode_request).await;
@@ -237,12 +235,7 @@
             DecodeOutcome::Failed(failure, answer) => (failure, answer),
             DecodeOutcome::Started(answer, connection, run) => {
                 result.take().into_iter().for_each(UnclaimedResult::claim);
-                let stream = RunningStream {
-                    answer,
-                    connection,
-                    reservation,
-                    run,
-                };
+                let stream = RunningStream::new(answer, connection, reservation, run);
                 return start_forwarding(gateway, generation, stream);
             }
         };
@@ -258,6 +251,15 @@
     job.refusal_answer(gateway, DEFAULT_RETRY_AFTER)
 }
 
+/// Whether a decode engine has left or asked for a pause since it was reserved.
+fn has_withdrawn(gateway: &Gateway, job: &ForwardJob, server: &ServerName) -> bool {
+    let has_withdrawn = !gateway.may_send(server);
+    if has_withdrawn {
+        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server; "decode engine left or asked for a pause during the prefill");
+    }
+    has_withdrawn
+}
+
 /// Connects to the reserved decode engine or, if it is unreachable, to another one. This happens before the
 /// prefill, so that an unreachable engine does not waste one.
 async fn connect_any_decode(
--- a/crates/gs-gateway/src/origins.rs
+++ b/crates/gs-gateway/src/origins.rs
@@ -63,9 +63,7 @@
 
 /// Writes records and streams, and reads kept streams when one of unknown origin is taken up, until the process ends.
 pub async fn run_origin_records(gateway: Rc<Gateway>, records: impl OriginRecords) {
-    let mut written = OriginDigest::new();
-    let mut written_at: Option<Instant> = None;
-    let mut read_at: Option<Instant> = None;
+    let mut streams = KeptStreams::default();
     loop {
         tokio::select! {
             () = gateway.origins_wanted.notified() => {}
@@ -73,36 +71,63 @@
             () = tokio::time::sleep(CHECK_INTERVAL) => {}
         }
         gateway.state.borrow_mut().observe_software(Instant::now());
-        let is_read_recently = read_at.is_some_and(|at| at.elapsed() < MIN_READ_INTERVAL);
         let is_wanted = gateway.are_origins_wanted.take();
-        // The streams of an earlier start must not be overwritten unread.
-        let is_unread = read_at.is_none() && !gateway.durable_streams().is_empty();
-        if (is_wanted && !is_read_recently) || is_unread {
-            match records.read_streams().await {
-                Ok(kept) => {
-                    read_at = Some(Instant::now());
-                    gateway.apply_kept_streams(&kept);
-                }
-                Err(error) => {
-                    log::info!(target: "origins", error:%; "cannot read the kept streams");
-                }
-            }
-        }
+        streams.read_if_due(&gateway, &records, is_wanted).await;
         if is_wanted {
             gateway.origins_read.notify_waiters();
         }
         if let Some(update) = gateway.next_software_record() {
             gateway.write_record(&records, update).await;
         }
+        streams.write_if_due(&gateway, &records).await;
+    }
+}
+
+/// The streams that the registry keeps for this entry, and when they were read and written.
+#[derive(Debug, Default)]
+struct KeptStreams {
+    written: OriginDigest,
+    written_at: Option<Instant>,
+    read_at: Option<Instant>,
+}
+
+impl KeptStreams {
+    /// Reads the streams of all entries if the origin of one is wanted, or before the first write: those of an earlier
+    /// start must not be overwritten unread.
+    async fn read_if_due(
+        &mut self,
+        gateway: &Gateway,
+        records: &impl OriginRecords,
+        is_wanted: bool,
+    ) {
+        let is_read_recently = self
+            .read_at
+            .is_some_and(|at| at.elapsed() < MIN_READ_INTERVAL);
+        let is_unread = self.read_at.is_none() && !gateway.durable_streams().is_empty();
+        if (!is_wanted || is_read_recently) && !is_unread {
+            return;
+        }
+        match records.read_streams().await {
+            Ok(kept) => {
+                self.read_at = Some(Instant::now());
+                gateway.apply_kept_streams(&kept);
+            }
+            Err(error) => log::info!(target: "origins", error:%; "cannot read the kept streams"),
+        }
+    }
+
+    /// Writes the streams of this entry if they have changed.
+    async fn write_if_due(&mut self, gateway: &Gateway, records: &impl OriginRecords) {
         let current = gateway.durable_streams();
         let gap = BASE_WRITE_GAP + WRITE_GAP_PER_ENTRY * gateway.entry_count();
-        let is_due = written_at.is_none_or(|at| at.elapsed() >= gap);
-        if current != written && is_due && read_at.is_some() {
-            written_at = Some(Instant::now());
-            match records.write_streams(&current).await {
-                Ok(()) => written = current,
-                Err(error) => log::info!(target: "origins", error:%; "cannot keep the streams"),
-            }
+        let is_due = self.written_at.is_none_or(|at| at.elapsed() >= gap);
+        if current == self.written || !is_due || self.read_at.is_none() {
+            return;
+        }
+        self.written_at = Some(Instant::now());
+        match records.write_streams(&current).await {
+            Ok(()) => self.written = current,
+            Err(error) => log::info!(target: "origins", error:%; "cannot keep the streams"),
         }
     }
 }
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -30,11 +30,16 @@
 /// A prefill result that no decode engine has claimed; dropping it releases it at its prefill engine.
 pub(crate) struct UnclaimedResult {
     gateway: Rc<Gateway>,
-    pub source: Option<KvSource>,
+    source: Option<KvSource>,
     created: Instant,
 }
 
 impl UnclaimedResult {
+    /// Returns where the result is.
+    pub fn source(&self) -> Option<&KvSource> {
+        self.source.as_ref()
+    }
+
     /// Drops the guard without releasing the result, because a decode engine has claimed it.
     pub fn claim(mut self) {
         self.source = None;
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 
 use crate::answer::{AnswerBody, ClientAnswer, IncompleteAnswer};
@@ -19,6 +20,7 @@
 use crate::generation::{
     DecodeRequest, GenerationJob, connect_decode, reserve_decode, send_decode,
 };
+use crate::notices::SentRequest;
 use crate::reservation::{ActiveRequest, StreamReservation};
 use crate::wire::{AnswerClass, ResumePoint, ServerTask};
 
@@ -27,10 +29,27 @@
 
 /// A stream that an engine has started.
 pub(crate) struct RunningStream {
-    pub answer: Response<Incoming>,
-    pub connection: ServerConnection,
-    pub reservation: StreamReservation,
-    pub run: ServerRun,
+    answer: Response<Incoming>,
+    connection: ServerConnection,
+    reservation: StreamReservation,
+    run: ServerRun,
+}
+
+impl RunningStream {
+    /// Creates a stream from the head of an engine's answer.
+    pub fn new(
+        answer: Response<Incoming>,
+        connection: ServerConnection,
+        reservation: StreamReservation,
+        run: ServerRun,
+    ) -> Self {
+        Self {
+            answer,
+            connection,
+            reservation,
+            run,
+        }
+    }
 }
 
 /// How the stream of one engine ended.
@@ -218,23 +237,23 @@
             }
         };
         let (head, body) = answer.into_parts();
-        let class = self
-            .gateway
-            .wire
-            .classify_answer(&head, &job.metadata.request_id);
-        self.gateway
-            .record_notice(&server, sent_request, class, &head);
-        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, software:? = self.gateway.server_software(&server), verdict:? = class; "stream resumed");
+        let class = self.record_resumed(&server, sent_request, &head);
         if class != AnswerClass::Success {
             run.discard();
             return None;
         }
-        Some(RunningStream {
-            answer: Response::from_parts(head, body),
-            connection,
-            reservation,
-            run,
-        })
+        let answer = Response::from_parts(head, body);
+        Some(RunningStream::new(answer, connection, reservation, run))
+    }
+
+    /// Classifies the head of a resumed stream and records what it says of its engine.
+    fn record_resumed(&self, server: &ServerName, sent: SentRequest, head: &Parts) -> AnswerClass {
+        let gateway = &self.gateway;
+        let request_id = &self.generation.job.metadata.request_id;
+        let class = gateway.wire.classify_answer(head, request_id);
+        gateway.record_notice(server, sent, class, head);
+        log::info!(target: "generation", id:% = request_id, decode:% = server, events = self.progress.events, software:? = gateway.server_software(server), verdict:? = class; "stream resumed");
+        class
     }
 
     /// Forwards the events of one engine.
--- a/crates/gs-gateway/tests/gateway/generation.rs
+++ b/crates/gs-gateway/tests/gateway/generation.rs
@@ -1,34 +1,16 @@
 //! Generation requests from the prefill to the last event, with engines that fail in various ways.
 
-use std::time::Duration;
-
 use super::support::{
-    Deployment, RawClient, Route, Script, StubServer, decode_server, header, prefill_server,
-    request, wait_until,
+    Deployment, EVENT_PAUSE, RawClient, Route, Script, StubServer, decode_server, event, events,
+    header, prefill_server, request, wait_until,
 };
 use gs_control::forwarding::ListedServer;
 use test_case::test_case;
 
-const EVENT_PAUSE: Duration = Duration::from_millis(5);
-
 async fn prefill_engine() -> StubServer {
     StubServer::start(|number, _| Script::complete(200, "", &format!("handle h{number}"))).await
 }
 
-fn event(number: u32) -> String {
-    format!("id: {number}\ndata: event {number}\n\n")
-}
-
-/// Sends one event per chunk, and the last chunk if the stream is complete.
-fn events(numbers: std::ops::Range<u32>, is_complete: bool) -> Script {
-    let mut chunks = vec![Script::chunked_head()];
-    chunks.extend(numbers.map(|number| Script::chunk(&event(number))));
-    if is_complete {
-        chunks.push("0\r\n\r\n".to_owned());
-    }
-    Script::Chunks(chunks, EVENT_PAUSE)
-}
-
 /// Sends two complete events and a part of the third, then closes the connection.
 fn cut_event() -> Script {
     let chunks = vec![
--- a/crates/gs-gateway/tests/gateway/support/mod.rs
+++ b/crates/gs-gateway/tests/gateway/support/mod.rs
@@ -2,11 +2,13 @@
 
 mod client;
 mod deployment;
+mod events;
 mod server;
 mod wire;
 
 pub use client::{RawAnswer, RawClient};
 pub use deployment::{Deployment, Route, decode_server, plain_server, prefill_server, request};
+pub use events::{EVENT_PAUSE, event, events};
 pub use server::{Script, StubServer, header};
 
 /// Waits until a condition holds; panics after ten seconds.
--- a/crates/gs-gateway/tests/gateway/versions.rs
+++ b/crates/gs-gateway/tests/gateway/versions.rs
@@ -11,28 +11,12 @@
 use gs_protocol::ids::{EntryName, ServiceName};
 
 use super::support::{
-    Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, request, wait_until,
+    Deployment, RawAnswer, RawClient, Route, StubServer, decode_server, events, request, wait_until,
 };
 
-const EVENT_PAUSE: Duration = Duration::from_millis(5);
-
 /// Number of streams that are broken and taken up in a test.
 const STREAMS: usize = 8;
 
-fn event(number: u32) -> String {
-    format!("id: {number}\ndata: event {number}\n\n")
-}
-
-/// Sends events, one a chunk, and the last chunk if the stream is complete.
-fn events(numbers: std::ops::Range<u32>, is_complete: bool) -> Script {
-    let mut chunks = vec![Script::chunked_head()];
-    chunks.extend(numbers.map(|number| Script::chunk(&event(number))));
-    if is_complete {
-        chunks.push("0\r\n\r\n".to_owned());
-    }
-    Script::Chunks(chunks, EVENT_PAUSE)
-}
-
 /// Starts an engine that breaks off new streams after two events and completes those that it resumes.
 async fn engine() -> StubServer {
     StubServer::start(|_, text| match text.contains("t-after: ") {
