Let the latest report of a stream's origin hold

Clients could have seen: a stream joined of two versions after all, if its first engine answered without an event, another version began it anew, its entry ended and the client took it up elsewhere. Cause: peers kept the first origin that they had heard of a stream. What the store keeps still yields to what was reported, as it may be older.

--- a/crates/gs-control/src/forwarding/origins.rs
+++ b/crates/gs-control/src/forwarding/origins.rs
@@ -320,17 +320,33 @@
         groups.collect()
     }
 
-    /// Applies the streams that a peer reports.
+    /// Applies the streams that a peer reports. Its latest report holds: a stream that has brought no event may
+    /// have begun anew at another version.
     pub fn apply_digest(&mut self, now: Instant, digest: &OriginDigest) {
-        self.apply(now, digest, false);
+        self.apply(now, digest);
+        for (service, software, streams) in digest {
+            let origin = self.origin_index(service, software);
+            for stream in streams {
+                if let Some(known) = self.streams.get_mut(stream)
+                    && !known.is_running
+                {
+                    known.origin = origin;
+                }
+            }
+        }
     }
 
     /// Applies streams that were kept in the registry; `is_own` if by an earlier start of this entry.
     pub fn apply_kept(&mut self, now: Instant, digest: &OriginDigest, is_own: bool) {
-        self.apply(now, digest, is_own);
+        self.apply(now, digest);
+        if is_own {
+            let streams = digest.iter().flat_map(|(_, _, streams)| streams);
+            self.own.extend(streams);
+        }
     }
 
-    fn apply(&mut self, now: Instant, digest: &OriginDigest, is_own: bool) {
+    /// Adds streams that are not known yet.
+    fn apply(&mut self, now: Instant, digest: &OriginDigest) {
         for (service, software, streams) in digest {
             let origin = self.origin_index(service, software);
             for stream in streams {
@@ -339,9 +355,6 @@
                     heard_at: now,
                     is_running: false,
                 });
-                if is_own {
-                    self.own.insert(*stream);
-                }
                 // What this entry has run itself is known better.
                 if !known.is_running {
                     known.heard_at = now;
--- a/crates/gs-control/tests/forwarding/origins.rs
+++ b/crates/gs-control/tests/forwarding/origins.rs
@@ -110,6 +110,29 @@
     assert_eq!(target(&own, now, "r1"), at("v1"));
 }
 
+/// The first version has brought no event.
+#[test]
+fn peers_hear_that_a_stream_has_begun_anew_at_another_version() {
+    let now = start();
+    let (mut own, mut peer) = (tracker(now, &[]), tracker(now, &[]));
+    let mixed = [engine(1, "v1"), engine(2, "v2")];
+    let stream = StreamId::of_request("r1");
+    own.observe_servers(now, mixed.iter());
+    peer.observe_servers(now, mixed.iter());
+    own.record_started(now, stream, &service(), &"v1".into());
+    let kept = own.durable_digest(now);
+    peer.apply_digest(now, &own.digest(now));
+    own.record_started(now, stream, &service(), &"v2".into());
+    peer.apply_digest(now, &own.digest(now));
+    assert_eq!(target(&peer, now, "r1"), at("v2"));
+    peer.apply_kept(now, &kept, false);
+    assert_eq!(
+        target(&peer, now, "r1"),
+        at("v2"),
+        "what is kept may be older than a report"
+    );
+}
+
 #[test]
 fn kept_streams_of_an_earlier_start_are_kept_on() {
     let now = start();
