--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod bench;
+mod foreign;
 mod http;
 mod json;
 mod memory;
@@ -42,6 +43,7 @@
     };
     let outcome = match case.as_str() {
         "memory" => memory::play(&stage),
+        "foreign" => foreign::play(&stage),
         "shutdown" => shutdown::play(&stage),
         "silence" => silence::play(&stage),
         "takeup" => takeup::play(&stage),
--- a/review/rig/servers.rs
+++ b/review/rig/servers.rs
@@ -122,8 +122,8 @@
 
 /// A running server.
 pub struct Server {
-    /// Address of its interface.
-    pub address: SocketAddr,
+    profile: Profile,
+    address: SocketAddr,
     is_down: Arc<AtomicBool>,
     streams: Arc<std::sync::Mutex<Vec<TcpStream>>>,
 }
@@ -138,19 +138,13 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
-        let stage = profile.stage.map_or(String::new(), |stage| {
-            format!(",\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}]")
-        });
-        let entry = format!(
-            "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"cold_remaining_ms\":0{stage},\"sequence\":1}}",
-            profile.service, profile.zone, profile.slots
-        );
-        store.put("servers", &profile.id, &entry);
         let server = Self {
+            profile: profile.clone(),
             address,
             is_down: Arc::default(),
             streams: Arc::default(),
         };
+        server.report(store, "ready");
         let (is_down, streams) = (Arc::clone(&server.is_down), Arc::clone(&server.streams));
         let (record, run) = (record.clone(), Arc::new(run));
         std::thread::spawn(move || {
@@ -168,6 +162,25 @@
         Ok(server)
     }
 
+    /// Writes the server's entry in the store, with its state.
+    pub fn report(&self, store: &Store, state: &str) {
+        let Profile {
+            id,
+            service,
+            zone,
+            slots,
+            stage,
+        } = &self.profile;
+        let stage = stage.map_or(String::new(), |stage| {
+            format!(",\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}]")
+        });
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0{stage},\"sequence\":1}}",
+            self.address
+        );
+        store.put("servers", id, &entry);
+    }
+
     /// Crashes the server: its connections end, and nothing listens at its address any more.
     pub fn crash(&self) {
         self.is_down.store(true, Ordering::SeqCst);
