Review case 5: keep the grey server's times within the limits of the site

It is grey for 6.5 s at a time, six times. The stand-ins no longer end when nobody reads their output, and an interrupted script waits for its player before it ends what that has started.

--- a/review/play.sh
+++ b/review/play.sh
@@ -10,7 +10,11 @@
 folder=$(mktemp -d) || exit 2
 rig=
 end_all() {
-  [ -n "$rig" ] && kill "$rig" 2>/dev/null
+  if [ -n "$rig" ]; then
+    # It starts nothing more once it has ended.
+    kill "$rig" 2>/dev/null
+    wait "$rig" 2>/dev/null
+  fi
   for file in "$folder"/*.pid; do
     [ -f "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
   done
--- a/review/rig/foreign.rs
+++ b/review/rig/foreign.rs
@@ -116,6 +116,7 @@
             .say("server i-desk1 reports draining, acknowledged");
         sleep(DRAIN + LINGER);
         servers[0].crash();
+        servers[0].close_connections();
         stage.store.delete("servers", "i-desk1");
         stage.record.say("server i-desk1 has left");
         sleep(Duration::from_secs(1));
--- a/review/rig/record.rs
+++ b/review/rig/record.rs
@@ -35,7 +35,8 @@
     /// Writes a line that is also shown.
     pub fn say(&self, text: &str) {
         self.note(text);
-        println!("{text}");
+        // Nobody may read the output.
+        let _ = writeln!(std::io::stdout(), "{text}");
         let _ = self.file.lock().expect("the record").flush();
     }
 }
--- a/review/rig/servers.rs
+++ b/review/rig/servers.rs
@@ -181,11 +181,23 @@
         store.put("servers", id, &entry);
     }
 
-    /// Crashes the server: its connections end, and nothing listens at its address any more.
-    pub fn crash(&self) {
-        self.is_down.store(true, Ordering::SeqCst);
+    /// Crashes the server: nothing listens at its address any more. `false` if it has crashed before. Its connections
+    /// end with [`Self::close_connections`].
+    pub fn crash(&self) -> bool {
+        if self.is_down.swap(true, Ordering::SeqCst) {
+            return false;
+        }
         // Wakes the listener, which ends.
         let _ = TcpStream::connect(self.address);
+        let end = Instant::now() + Duration::from_millis(100);
+        while Instant::now() < end && TcpStream::connect(self.address).is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        true
+    }
+
+    /// Ends all connections, as the system does when a process has crashed.
+    pub fn close_connections(&self) {
         for stream in self.streams.lock().expect("the connections").drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
--- a/review/rig/silence.rs
+++ b/review/rig/silence.rs
@@ -4,6 +4,7 @@
 //! have no final answer half a second after it.
 
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
@@ -28,9 +29,20 @@
 /// The grey server fails this share of its requests, in percent: it falls silent in the midst.
 const GREY_PERCENT: u32 = 45;
 
+/// When the server turns grey, after the start of the traffic, and for how long each time.
+const GREY_AT_S: [f64; 6] = [2.0, 11.0, 20.0, 29.0, 38.0, 47.0];
+const GREY_LENGTH_S: f64 = 6.5;
+
 /// Streams a second, and for how long.
 const PER_SECOND: u32 = 10;
-const LENGTH_S: u32 = 30;
+const LENGTH_S: u32 = 56;
+
+/// Whether the server is grey at this time.
+fn is_grey(start: Option<&Instant>) -> bool {
+    let now = start.map_or(0.0, |start| start.elapsed().as_secs_f64());
+    let mut times = GREY_AT_S.iter();
+    times.any(|at| (*at..at + GREY_LENGTH_S).contains(&now))
+}
 
 fn stream(exchange: &mut Exchange<'_>, fails: bool) {
     if exchange.head.get("x-stage") == Some("prefill") {
@@ -65,6 +77,7 @@
 /// Plays the case.
 pub fn play(stage: &Stage) -> Outcome {
     let is_troubled = stage.is_troubled;
+    let start: Arc<OnceLock<Instant>> = Arc::default();
     let mut servers = Vec::new();
     for number in 1..=7_usize {
         let profile = Profile {
@@ -74,10 +87,11 @@
             slots: 24,
             stage: Some("decode"),
         };
-        let count = AtomicU32::new(0);
+        let (count, start) = (AtomicU32::new(0), Arc::clone(&start));
         let server = Server::start(&stage.store, &stage.record, profile, move |exchange| {
-            let asked = count.fetch_add(1, Ordering::SeqCst);
-            let fails = is_troubled && number == 1 && (asked * GREY_PERCENT) % 100 < GREY_PERCENT;
+            let is_grey = is_troubled && number == 1 && is_grey(start.get());
+            let asked = count.fetch_add(u32::from(is_grey), Ordering::SeqCst);
+            let fails = is_grey && (asked * GREY_PERCENT) % 100 < GREY_PERCENT;
             stream(exchange, fails);
         });
         match server {
@@ -92,6 +106,7 @@
         Err(reason) => return Outcome::CouldNotRun(reason),
     };
     let (ended, longer, open) = (AtomicU32::new(0), AtomicU32::new(0), AtomicU32::new(0));
+    let _ = start.set(Instant::now());
     scope(|threads| {
         for number in 0..PER_SECOND * LENGTH_S {
             sleep(Duration::from_secs(1) / PER_SECOND);
