--- a/review/rig/memory.rs
+++ b/review/rig/memory.rs
@@ -45,6 +45,9 @@
 const CHARGE_CLIENTS: u32 = 17;
 const CHARGE_WORK: Duration = Duration::from_millis(15);
 
+/// Work of a request with a long body.
+const LONG_WORK: Duration = Duration::from_millis(100);
+
 struct Tally {
     started: Instant,
     is_over: AtomicBool,
@@ -154,7 +157,8 @@
                 .expect("the requests")
                 .insert(exchange.id.clone());
             exchange.note(&format!("runs, body {}", exchange.body_length));
-            if exchange.work(CHARGE_WORK) {
+            let is_long = exchange.body_length == BODY_BYTES;
+            if exchange.work(if is_long { LONG_WORK } else { CHARGE_WORK }) {
                 exchange.succeed("text/plain", "done");
             }
         });
