Refuse requests that would outlast a stopping entry

What callers saw: charges sent 5 s after an entry's SIGTERM, over kept connections, ended without an answer (LOST). Nobody could tell whether they had run.

Cause: ShutdownPlan accepted plain requests during 0.7 of the grace period and exited at 0.97 of it, whatever the time limit of a request. Ruled out: connections cut at 0.7 (nothing ends at 5.6 s) and a count of open requests that ends early (the process exits at the planned time).

Change: ShutdownPlan::admits compares how long a request may last with the time until 0.94 of the grace period. A stream counts with its time limit or the longest recent stream of its service, and is checked again when it leaves the queue. A refusal says that the request has not run and to come back at once. The maximum over rounds of DeadlineTracker is now RecentMaximum, which both use.

--- a/crates/gs-control/src/forwarding/deadlines.rs
+++ b/crates/gs-control/src/forwarding/deadlines.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-/// Number of requests in a round. The longest deadline of a round expires at the end of the next
-/// one.
-const REQUESTS_PER_ROUND: u32 = 100;
+use super::recent_maximum::RecentMaximum;
 
 /// Minimum deadline of a first attempt, as a fraction of the longest deadline. Clients start with
 /// different deadlines: without overload, first attempts on routes of 14 s arrive with 12.0 to 14.0
@@ -18,23 +16,14 @@
 /// without the clients knowing.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DeadlineTracker {
-    current_max: Duration,
-    previous_max: Duration,
-    requests: u32,
+    longest: RecentMaximum,
 }
 
 impl DeadlineTracker {
     /// Records the deadline of a request, the time that its client has left. Returns how long the
     /// client has been retrying, which is zero if this may be its first attempt.
     pub fn record_deadline(&mut self, deadline: Duration) -> Duration {
-        if self.requests >= REQUESTS_PER_ROUND {
-            self.previous_max = self.current_max;
-            self.current_max = Duration::ZERO;
-            self.requests = 0;
-        }
-        self.requests += 1;
-        self.current_max = self.current_max.max(deadline);
-        let longest = self.current_max.max(self.previous_max);
+        let longest = self.longest.record(deadline);
         match deadline >= longest.mul_f64(MIN_FIRST_ATTEMPT_FRACTION) {
             true => Duration::ZERO,
             false => longest - deadline,
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod outage;
 mod placement;
+mod recent_maximum;
 mod retries;
 mod routes;
 mod shutdown;
@@ -45,9 +46,10 @@
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
     decode_wait, limit_wait,
 };
+pub use recent_maximum::RecentMaximum;
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
     ClientLimits, EngineSpec, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceSpec,
 };
-pub use shutdown::{ShutdownPhase, ShutdownPlan};
+pub use shutdown::{RequestSpan, ShutdownPhase, ShutdownPlan};
 pub use stages::{StageChange, StageEstimate, StageNeed, next_stage_change};
--- a/crates/gs-control/src/forwarding/shutdown.rs
+++ b/crates/gs-control/src/forwarding/shutdown.rs
@@ -1,13 +1,14 @@
-//! The phases of a graceful shutdown.
+//! The phases of a graceful shutdown, and which requests a process still accepts in each.
 
 use std::time::Duration;
 
 /// The phase of a process that shuts down.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ShutdownPhase {
-    /// Accepts all requests, and asks clients to send the next one to another entry.
+    /// Accepts all requests that end in time, and asks clients to send the next one to another entry.
     TakeAll,
-    /// Accepts plain requests and refuses new streams, which might not end before the process does.
+    /// Accepts only requests whose time limit ends in time; the expected duration of a stream does not
+    /// suffice.
     TakeShort,
     /// Refuses new requests and finishes the open ones.
     Finish,
@@ -15,11 +16,37 @@
     Exit,
 }
 
+/// How long a request may last from now on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestSpan {
+    /// Until its time limit, at which it gets its final answer.
+    Limited(Duration),
+    /// A stream whose time limit is longer than this expected duration.
+    Expected(Duration),
+}
+
+impl RequestSpan {
+    /// Returns the span of a stream from its time limit and the expected duration, if there is one.
+    pub fn of_stream(time_limit: Duration, expected: Option<Duration>) -> Self {
+        match expected {
+            Some(expected) if expected < time_limit => Self::Expected(expected),
+            Some(_) | None => Self::Limited(time_limit),
+        }
+    }
+
+    fn duration(self) -> Duration {
+        match self {
+            Self::Limited(duration) | Self::Expected(duration) => duration,
+        }
+    }
+}
+
 /// When the phases begin, as time since the shutdown was requested.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ShutdownPlan {
     refuse_streams_after: Duration,
     refuse_all_after: Duration,
+    answer_within: Duration,
     exit_after: Duration,
 }
 
@@ -30,6 +57,9 @@
     /// Fraction of the grace period after which all new requests are refused.
     const REFUSE_ALL_FRACTION: f64 = 0.7;
 
+    /// Fraction of the grace period within which accepted requests must have their final answers.
+    const ANSWER_FRACTION: f64 = 0.94;
+
     /// Fraction of the grace period after which the process exits.
     const EXIT_FRACTION: f64 = 0.97;
 
@@ -38,6 +68,7 @@
         Self {
             refuse_streams_after: grace.mul_f64(Self::REFUSE_STREAMS_FRACTION),
             refuse_all_after: grace.mul_f64(Self::REFUSE_ALL_FRACTION),
+            answer_within: grace.mul_f64(Self::ANSWER_FRACTION),
             exit_after: grace.mul_f64(Self::EXIT_FRACTION),
         }
     }
@@ -51,4 +82,16 @@
             _ => ShutdownPhase::TakeAll,
         }
     }
+    /// Whether a request of this span is accepted at the given time since the shutdown was requested:
+    /// only if it gets its final answer before the process exits.
+    pub fn admits(&self, elapsed: Duration, span: RequestSpan) -> bool {
+        let is_accepting = match (self.phase(elapsed), span) {
+            (ShutdownPhase::TakeAll, _) => true,
+            (ShutdownPhase::TakeShort, RequestSpan::Limited(_)) => true,
+            (ShutdownPhase::TakeShort, RequestSpan::Expected(_)) => false,
+            (ShutdownPhase::Finish | ShutdownPhase::Exit, _) => false,
+        };
+        let ends_at = elapsed.saturating_add(span.duration());
+        is_accepting && ends_at <= self.answer_within
+    }
 }
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,9 +9,9 @@
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
     LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, RegistryVersion, RegistryView, RetryBudget, RouteTable,
-    ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
-    ViewVersions, decode_wait,
+    OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView, RequestSpan,
+    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
+    StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -98,6 +98,8 @@
     pub longest_deadlines: BTreeMap<String, DeadlineTracker>,
     /// Moving average of stream durations, in seconds.
     pub mean_stream_seconds: f64,
+    /// The longest recent streams, from their arrival to their end, by service.
+    pub longest_streams: BTreeMap<ServiceName, RecentMaximum>,
     /// Estimates of the prefill and decode time that streams need, by service.
     pub stage_estimates: BTreeMap<ServiceName, StageEstimate>,
     /// Servers that this entry has tried to order to another stage. The value is the stage that the server may
@@ -172,6 +174,7 @@
             length_estimates: BTreeMap::new(),
             longest_deadlines: BTreeMap::new(),
             mean_stream_seconds: INITIAL_STREAM_SECONDS,
+            longest_streams: BTreeMap::new(),
             stage_estimates: BTreeMap::new(),
             stage_orders: BTreeMap::new(),
             view_versions: BTreeMap::new(),
@@ -242,6 +245,12 @@
         Some(self.shutdown_plan.phase(since))
     }
 
+    /// Whether a request of this span may still be sent to a server; only a shutdown prevents that.
+    pub(crate) fn admits_span(&self, span: RequestSpan) -> bool {
+        let stop_requested_at = self.stop_requested_at.get();
+        stop_requested_at.is_none_or(|at| self.shutdown_plan.admits(at.elapsed(), span))
+    }
+
     /// Whether no request is in progress and this entry counts no work at any server.
     pub fn is_idle(&self) -> bool {
         self.active_requests.get() == 0 && self.state.borrow().loads.own_digest().is_empty()
@@ -253,7 +262,7 @@
     }
 
     /// Begins the shutdown; later calls have no effect.
-    pub(crate) fn begin_shutdown(&self) {
+    pub fn begin_shutdown(&self) {
         if self.stop_requested_at.get().is_none() {
             self.stop_requested_at.set(Some(Instant::now()));
             self.report_changed.notify_one();
@@ -362,6 +371,20 @@
         state.mean_stream_seconds += DURATION_WEIGHT * difference;
     }
 
+    /// Records how long a completed stream took from its arrival.
+    pub(crate) fn record_stream_duration(&self, service: &ServiceName, took: Duration) {
+        let mut state = self.state.borrow_mut();
+        let longest = state.longest_streams.entry(service.clone()).or_default();
+        longest.record(took);
+    }
+
+    /// Returns the longest recent duration of a service's streams; `None` if none has completed.
+    pub(crate) fn longest_stream(&self, service: &ServiceName) -> Option<Duration> {
+        let state = self.state.borrow();
+        let longest = state.longest_streams.get(service);
+        longest.map(RecentMaximum::longest)
+    }
+
     /// Adds the length of a complete answer to the estimate of its route.
     pub(crate) fn update_length_estimate(&self, route: &str, tokens: u64) {
         let mut state = self.state.borrow_mut();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -104,7 +104,10 @@
         SoftwareNeed::Only(_) => reserve_taken_up(gateway, &generation).await,
     };
     match admitted {
-        Ok(reservation) => run_generation(gateway, generation, reservation).await,
+        Ok(reservation) => match generation.job.shutdown_refusal(gateway) {
+            None => run_generation(gateway, generation, reservation).await,
+            Some(refusal) => refusal,
+        },
         Err(retry_after) => {
             log::info!(target: "generation", id:% = generation.job.metadata.request_id, deadline_ms = generation.job.metadata.deadline.map_or(0, |deadline| deadline.as_millis() as u64), retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no engine capacity");
             generation.job.refusal_answer(gateway, retry_after)
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -137,23 +137,14 @@
     answer
 }
 
-/// Forwards a request by the kind of its route. During the shutdown, streams are refused first, since they may
-/// not end in time, and later all requests.
+/// Forwards a request by the kind of its route.
 async fn forward(gateway: &Rc<Gateway>, job: ForwardJob) -> ClientAnswer {
-    let phase = gateway.shutdown_phase();
-    let is_stream = matches!(job.rule.kind, RouteKind::Streaming { .. });
-    let is_refused = match phase {
-        None | Some(ShutdownPhase::TakeAll) => false,
-        Some(ShutdownPhase::TakeShort) => is_stream,
-        Some(ShutdownPhase::Finish | ShutdownPhase::Exit) => true,
-    };
-    if is_refused {
-        log::info!(target: "request", id:% = job.metadata.request_id, phase:?; "refused: this entry is shutting down");
-        return job.refusal_answer(gateway, Duration::ZERO);
+    if let Some(refusal) = job.shutdown_refusal(gateway) {
+        return refusal;
     }
-    match is_stream {
-        true => forward_generation(gateway, job).await,
-        false => forward_plain(gateway, &job).await,
+    match job.rule.kind {
+        RouteKind::Streaming { .. } => forward_generation(gateway, job).await,
+        RouteKind::Safe | RouteKind::Unsafe => forward_plain(gateway, &job).await,
     }
 }
 
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use gs_control::forwarding::{
-    AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RouteKind, RouteRule, ServerLoad,
-    choose_server, limit_wait, next_step,
+    AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RequestSpan, RouteKind, RouteRule,
+    ServerLoad, choose_server, limit_wait, next_step,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
 use gs_protocol::suspicion::ContentHash;
@@ -70,13 +70,40 @@
         contents.join(",")
     }
 
+    /// Returns the time from its arrival within which the request must have its final answer.
+    fn time_limit(&self) -> Duration {
+        let deadline = self.metadata.deadline.unwrap_or(self.rule.timeout);
+        deadline.min(self.rule.timeout)
+    }
+
     /// Returns the time at which the final answer must be sent.
     pub fn answer_due(&self) -> Instant {
-        let time_limit = self.metadata.deadline.unwrap_or(self.rule.timeout);
-        self.arrived
-            + time_limit
-                .min(self.rule.timeout)
-                .saturating_sub(ANSWER_MARGIN)
+        self.arrived + self.time_limit().saturating_sub(ANSWER_MARGIN)
+    }
+
+    /// Returns how long the request may still last.
+    pub fn remaining_span(&self, gateway: &Gateway) -> RequestSpan {
+        let waited = self.arrived.elapsed();
+        let time_left = self.time_limit().saturating_sub(waited);
+        match self.rule.kind {
+            RouteKind::Safe | RouteKind::Unsafe => RequestSpan::Limited(time_left),
+            RouteKind::Streaming { .. } => {
+                let expected = gateway.longest_stream(&self.service);
+                let expected = expected.map(|longest| longest.saturating_sub(waited));
+                RequestSpan::of_stream(time_left, expected)
+            }
+        }
+    }
+
+    /// Returns the refusal of a request that would not end before the process exits; `None` if the
+    /// request may be sent to a server.
+    pub fn shutdown_refusal(&self, gateway: &Gateway) -> Option<ClientAnswer> {
+        let span = self.remaining_span(gateway);
+        if gateway.admits_span(span) {
+            return None;
+        }
+        log::info!(target: "request", id:% = self.metadata.request_id, phase:? = gateway.shutdown_phase(), span:?; "refused: this entry is shutting down");
+        Some(self.refusal_answer(gateway, Duration::ZERO))
     }
 
     /// Builds the request to a server.
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -154,6 +154,8 @@
                         self.gateway.update_length_estimate(&job.rule.name, tokens);
                         self.gateway
                             .update_duration_estimate(self.started.elapsed());
+                        self.gateway
+                            .record_stream_duration(&job.service, job.arrived.elapsed());
                     }
                     log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_complete, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
                     break;
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod plain;
 mod registry;
 mod relays;
+mod shutdown;
 mod soak;
 mod stages;
 mod support;
