Answer requests that are still open when the process exits

What callers saw: a request that had been accepted before the SIGTERM and whose time limit lies beyond the exit ended without an answer.

The exit compared nothing with the open requests, so that they ended with their connections.

A stream whose head is out ends as interrupted, as before.

--- a/crates/gs-control/src/forwarding/shutdown.rs
+++ b/crates/gs-control/src/forwarding/shutdown.rs
@@ -82,6 +82,12 @@
             _ => ShutdownPhase::TakeAll,
         }
     }
+    /// Returns the time since the shutdown was requested within which every request must have its final
+    /// answer.
+    pub fn answer_within(&self) -> Duration {
+        self.answer_within
+    }
+
     /// Whether a request of this span is accepted at the given time since the shutdown was requested:
     /// only if it gets its final answer before the process exits.
     pub fn admits(&self, elapsed: Duration, span: RequestSpan) -> bool {
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -151,6 +151,7 @@
     pub(crate) origins_read: Notify,
     /// Notified when engine capacity may have become free or a stream has joined the admission queue.
     pub(crate) capacity_changed: Notify,
+    stop_requested: Notify,
     stop_requested_at: Cell<Option<Instant>>,
     shutdown_plan: ShutdownPlan,
     pub(crate) active_requests: Cell<usize>,
@@ -200,6 +201,7 @@
             are_origins_wanted: Cell::new(false),
             origins_read: Notify::new(),
             capacity_changed: Notify::new(),
+            stop_requested: Notify::new(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
             kept_bytes: Cell::new(0),
@@ -251,6 +253,22 @@
         stop_requested_at.is_none_or(|at| self.shutdown_plan.admits(at.elapsed(), span))
     }
 
+    /// Waits until the shutdown begins and returns when that was.
+    pub(crate) async fn shutdown_begun(&self) -> Instant {
+        loop {
+            if let Some(at) = self.stop_requested_at.get() {
+                return at;
+            }
+            self.stop_requested.notified().await;
+        }
+    }
+
+    /// Waits until a shutdown requires the final answers of all requests.
+    pub(crate) async fn final_answers_due(&self) {
+        let due = self.shutdown_begun().await + self.shutdown_plan.answer_within();
+        tokio::time::sleep_until(due.into()).await;
+    }
+
     /// Whether no request is in progress and this entry counts no work at any server.
     pub fn is_idle(&self) -> bool {
         self.active_requests.get() == 0 && self.state.borrow().loads.own_digest().is_empty()
@@ -265,6 +283,7 @@
     pub fn begin_shutdown(&self) {
         if self.stop_requested_at.get().is_none() {
             self.stop_requested_at.set(Some(Instant::now()));
+            self.stop_requested.notify_waiters();
             self.report_changed.notify_one();
         }
     }
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -142,9 +142,20 @@
     if let Some(refusal) = job.shutdown_refusal(gateway) {
         return refusal;
     }
-    match job.rule.kind {
-        RouteKind::Streaming { .. } => forward_generation(gateway, job).await,
-        RouteKind::Safe | RouteKind::Unsafe => forward_plain(gateway, &job).await,
+    let request_id = job.metadata.request_id.clone();
+    let forwarded = async {
+        match job.rule.kind {
+            RouteKind::Streaming { .. } => forward_generation(gateway, job).await,
+            RouteKind::Safe | RouteKind::Unsafe => forward_plain(gateway, &job).await,
+        }
+    };
+    tokio::select! {
+        biased;
+        answer = forwarded => answer,
+        () = gateway.final_answers_due() => {
+            log::warn!(target: "request", id = request_id; "given up: this entry exits");
+            local_answer(StatusCode::GATEWAY_TIMEOUT, "the request may have run\n")
+        }
     }
 }
 
