Refuse waiting streams as soon as the shutdown excludes them

What callers saw: a stream that waited for an engine when its entry got a SIGTERM was refused only when its wait was over, and told to come back after 1.2 to 4.5 s, although other entries could have served it at once.

Evidence: a_waiting_stream_is_refused_when_the_shutdown_ begins got 'retry after 2.87 s' on the sources before.

Change: a waiting stream is checked when the shutdown begins and refused as not run if it can no longer end in time. After: the test passes.

--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -162,7 +162,7 @@
         gateway.random_fraction(),
         gateway.fleet_backlog(&job.service),
     );
-    let (sender, receiver) = oneshot::channel();
+    let (sender, mut receiver) = oneshot::channel();
     let ticket = {
         let mut state = gateway.state.borrow_mut();
         match state.queue.offer(Instant::now(), waiting, backlog, draw) {
@@ -178,7 +178,17 @@
         ticket,
     };
     gateway.capacity_changed.notify_one();
-    match receiver.await {
+    let decided = tokio::select! {
+        biased;
+        decided = &mut receiver => decided,
+        _ = gateway.shutdown_begun(), if !gateway.is_stopping() => {
+            if !gateway.admits_span(job.remaining_span(gateway)) {
+                return Err(Duration::ZERO);
+            }
+            receiver.await
+        }
+    };
+    match decided {
         Ok(AdmissionOutcome::Admitted(reservation)) => {
             log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = reservation.server(), deadline_ms = job.metadata.deadline.map_or(0, |deadline| deadline.as_millis() as u64), prompt = generation.demand.shape.held_tokens, expected = generation.demand.shape.remaining_tokens, waited_ms = job.arrived.elapsed().as_millis() as u64; "admitted");
             Ok(reservation)
--- a/crates/gs-gateway/tests/gateway/shutdown.rs
+++ b/crates/gs-gateway/tests/gateway/shutdown.rs
@@ -1,5 +1,7 @@
 //! Requests at an entry that shuts down; its grace period is four seconds.
 
+use std::time::Duration;
+
 use test_case::test_case;
 
 use super::support::{
@@ -63,3 +65,16 @@
     assert!(answer.has_last_chunk(), "{answer:?}");
     assert_eq!(server.requests().len(), 2);
 }
+
+/// Guards against streams that wait for capacity although they can no longer end in time.
+#[actix_rt::test]
+async fn a_waiting_stream_is_refused_when_the_shutdown_begins() {
+    let entry = Deployment::start(Vec::new()).await;
+    let waiting = send(&entry, Route::Stream, 4_500);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        entry.gateway.begin_shutdown();
+    };
+    let (answer, ()) = futures_util::future::join(waiting, stop).await;
+    assert_refused(&answer);
+}
