Wait for answers to be written before a stopping process exits

What callers saw: a slow client got 2,807,686 of 3,500,000 bytes of its answer from an entry that was stopped.

Cause: run_shutdown exits when no request is active, and a request ends when its answer is handed to the HTTP library. What the kernel has not taken by then is lost.

The counter of open connections moves to the gateway.

--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -155,6 +155,9 @@
     stop_requested_at: Cell<Option<Instant>>,
     shutdown_plan: ShutdownPlan,
     pub(crate) active_requests: Cell<usize>,
+    pub(crate) open_connections: Cell<usize>,
+    /// Open connections that the exit of the process waits for, since answers may not have been written yet.
+    pub(crate) awaited_connections: Cell<usize>,
     pub(crate) kept_bytes: Cell<usize>,
     pub(crate) answer_budget: AnswerBudget,
 }
@@ -204,6 +207,8 @@
             stop_requested: Notify::new(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
+            open_connections: Cell::new(0),
+            awaited_connections: Cell::new(0),
             kept_bytes: Cell::new(0),
         }
     }
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -3,7 +3,6 @@
 //! When a client closes its connection while a request is served, the request is dropped together with all
 //! work that it has started.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,7 +23,7 @@
 use crate::gateway::Gateway;
 use crate::generation::forward_generation;
 use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob, forward_plain};
-use crate::reservation::{ActiveRequest, KeptBytes};
+use crate::reservation::{ActiveRequest, KeptBytes, OpenConnection};
 use crate::wire::RequestMetadata;
 
 /// Interval at which an idle connection checks whether the process is stopping.
@@ -38,18 +37,18 @@
 
 /// Accepts and serves client connections until the process ends.
 pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
-    let open = Rc::new(Cell::new(0_usize));
     loop {
         let stream = accept(&listener).await;
-        if open.get() >= gateway.settings.max_connections {
-            log::warn!(target: "ingress", open = open.get(); "connection refused: too many open connections");
+        let open = gateway.open_connections.get();
+        if open >= gateway.settings.max_connections {
+            log::warn!(target: "ingress", open; "connection refused: too many open connections");
             continue;
         }
-        let open_guard = OpenConnection::count(&open);
+        let open_connection = OpenConnection::begin(&gateway);
         let gateway = Rc::clone(&gateway);
         actix_rt::spawn(async move {
-            let _open_guard = open_guard;
             serve_connection(gateway, stream).await;
+            drop(open_connection);
         });
     }
 }
@@ -71,22 +70,6 @@
     }
 }
 
-/// Counts an open connection until it is dropped.
-struct OpenConnection(Rc<Cell<usize>>);
-
-impl OpenConnection {
-    fn count(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     let limits = gateway
         .table()
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -167,9 +167,13 @@
     loop {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         let phase = gateway.shutdown_phase();
-        let is_idle = phase == Some(ShutdownPhase::Finish) && gateway.active_requests.get() == 0;
+        let (active, connections) = (
+            gateway.active_requests.get(),
+            gateway.awaited_connections.get(),
+        );
+        let is_idle = phase == Some(ShutdownPhase::Finish) && active == 0 && connections == 0;
         if is_idle || phase == Some(ShutdownPhase::Exit) {
-            log::info!(target: "entry", active = gateway.active_requests.get(); "stopped");
+            log::info!(target: "entry", active, connections; "stopped");
             return Ok(());
         }
     }
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -1,9 +1,11 @@
-//! Guards that count work at a server, buffered bytes and active requests until they are dropped.
+//! Guards that count work at a server, buffered bytes, active requests and open connections until they are
+//! dropped.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-use gs_control::forwarding::{ServerLoad, StreamKey, StreamShape};
+use gs_control::forwarding::{ServerLoad, ShutdownPhase, StreamKey, StreamShape};
 use gs_protocol::ids::ServerName;
 
 use crate::gateway::Gateway;
@@ -172,3 +174,36 @@
             .set(self.0.active_requests.get().saturating_sub(1));
     }
 }
+
+/// Counts a client's connection until it is dropped.
+pub(crate) struct OpenConnection {
+    gateway: Rc<Gateway>,
+    is_awaited: bool,
+}
+
+impl OpenConnection {
+    /// Counts one more open connection. The exit of the process waits for it unless it was opened when
+    /// requests were no longer accepted, so that refused clients do not delay the exit.
+    pub fn begin(gateway: &Rc<Gateway>) -> Self {
+        let is_awaited = gateway.shutdown_phase() < Some(ShutdownPhase::Finish);
+        let count = |counter: &Cell<usize>| counter.set(counter.get() + 1);
+        count(&gateway.open_connections);
+        if is_awaited {
+            count(&gateway.awaited_connections);
+        }
+        Self {
+            gateway: Rc::clone(gateway),
+            is_awaited,
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let discount = |counter: &Cell<usize>| counter.set(counter.get().saturating_sub(1));
+        discount(&self.gateway.open_connections);
+        if self.is_awaited {
+            discount(&self.gateway.awaited_connections);
+        }
+    }
+}
