Let a terminated gs-entry refuse and answer what it cannot complete

What callers saw: calls and completions that an entry accepted after its SIGTERM, or had open, ended without an answer when timeouts.shutdownMs was over.

Nothing compared a route's deadline or timeouts.completionMs with the rest of the shutdown, and the server was stopped with requests open.

An attempt that is given up while it is opened counts as one that may have run.

--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -94,6 +94,24 @@
     pub async fn next_tokens(
         &mut self,
         texts: &mut Vec<String>,
+    ) -> Result<AnswerProgress, CallerRefusal> {
+        let shutdown = self.state.shutdown.clone();
+        tokio::select! {
+            biased;
+            progress = self.read_tokens(texts) => progress,
+            () = shutdown.final_answers_due() => {
+                let reason = match self.may_have_run {
+                    true => RefusalReason::ServerFailed,
+                    false => RefusalReason::ShuttingDown,
+                };
+                Err(self.refusal(reason, None))
+            }
+        }
+    }
+
+    async fn read_tokens(
+        &mut self,
+        texts: &mut Vec<String>,
     ) -> Result<AnswerProgress, CallerRefusal> {
         loop {
             if self.open_attempt.is_none() {
@@ -142,13 +160,12 @@
             reserve_timeout: self.state.settings.timeouts.reserve,
             from_index: self.tokens,
         };
+        // The attempt may be given up while it is opened.
+        let had_run = std::mem::replace(&mut self.may_have_run, true);
         match runner.open(&placement).await {
-            Ok(open_attempt) => {
-                self.may_have_run = true;
-                self.open_attempt = Some(open_attempt);
-            }
+            Ok(open_attempt) => self.open_attempt = Some(open_attempt),
             Err(end) => {
-                self.may_have_run |= may_have_run(end);
+                self.may_have_run = had_run || may_have_run(end);
                 self.report_end(placement.attempt, end);
             }
         }
--- a/crates/gs-entry/src/completion/handler.rs
+++ b/crates/gs-entry/src/completion/handler.rs
@@ -62,6 +62,9 @@
         CompletionKind::Chat => GenerationParams::from_chat(&body, &context)?,
         CompletionKind::Text => GenerationParams::from_text(&body, &context)?,
     };
+    let time_limit = state.settings.timeouts.completion;
+    let time_left = time_limit.saturating_sub(context.arrived_at.elapsed());
+    state.shutdown.admit(time_left)?;
     let streamed = params.stream;
     let mut generator = AnswerGenerator::new(context, params, state);
     let mut texts = Vec::new();
--- a/crates/gs-entry/src/lib.rs
+++ b/crates/gs-entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod reclaim;
 pub mod servers;
 pub mod services;
+pub mod shutdown;
 pub mod startup;
 pub mod telemetry;
 pub mod traffic;
--- a/crates/gs-entry/src/services/handler.rs
+++ b/crates/gs-entry/src/services/handler.rs
@@ -34,7 +34,15 @@
         Err(response) => return *response,
     };
     let target = CallTarget::parse(http.uri().path());
-    match forward_call(&http, &target, &context, payload, &state).await {
+    let forwarded = tokio::select! {
+        biased;
+        forwarded = forward_call(&http, &target, &context, payload, &state) => forwarded,
+        () = state.shutdown.final_answers_due() => {
+            let detail = "the entry exits while the call may be running";
+            Err(CallerRefusal::unknown(RefusalReason::ServerFailed, detail))
+        }
+    };
+    match forwarded {
         Ok(answer) => build_response(&context, answer),
         Err(refusal) => {
             context.record_refusal(&refusal);
@@ -72,6 +80,8 @@
 ) -> Result<ServiceAnswer, CallerRefusal> {
     let mut call = check_call(http, target, context)?;
     call.body = read_body(payload, state.settings.limits.max_body_bytes).await?;
+    let time_left = call.deadline.saturating_duration_since(Instant::now());
+    state.shutdown.admit(time_left)?;
     if call.idempotent {
         return forward_idempotent(&call, state).await;
     }
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -4,7 +4,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix::{Actor, Addr};
@@ -27,6 +26,7 @@
 use crate::options::EntryOptions;
 use crate::peers::{FleetView, LinkContext, PeerCredentials, accept_peers};
 use crate::servers::poll_vms;
+use crate::shutdown::ShutdownState;
 use crate::telemetry;
 use crate::traffic::{TrafficState, configure_routes};
 
@@ -59,7 +59,7 @@
     control: Addr<ControlActor>,
     documents: watch::Receiver<Option<Arc<AppliedDocument>>>,
     fleet: watch::Receiver<Arc<FleetView>>,
-    leaving: Arc<AtomicBool>,
+    shutdown: ShutdownState,
 }
 
 /// Channels that the control thread publishes to.
@@ -149,14 +149,15 @@
     let control = receiver
         .recv()
         .expect("the control thread sends its actor's address");
-    let (settings, leaving) = (Arc::clone(settings), Arc::default());
+    let grace = settings.limits.entry_list_ttl + settings.timeouts.shutdown;
+    let (settings, shutdown) = (Arc::clone(settings), ShutdownState::new(grace));
     SharedState {
         settings,
         peer,
         control,
         documents,
         fleet,
-        leaving,
+        shutdown,
     }
 }
 
@@ -233,7 +234,7 @@
             worker_shared.control.clone(),
             worker_shared.documents.clone(),
             worker_shared.fleet.clone(),
-            Arc::clone(&worker_shared.leaving),
+            worker_shared.shutdown.clone(),
         );
         App::new()
             .app_data(Data::new(state))
@@ -281,7 +282,7 @@
 /// then waits for open requests up to the shutdown timeout. A second signal aborts them.
 async fn shut_down(mut signals: Signals, server: ServerHandle, shared: SharedState) {
     signals.next().await;
-    shared.leaving.store(true, Ordering::Relaxed);
+    shared.shutdown.begin();
     shared.control.do_send(ControlMessage::Leave);
     let ttl = shared.settings.limits.entry_list_ttl;
     log::info!(target: "entry", ttl_s = ttl.as_secs(); "Leaving; serving until entry lists expire.");
--- a/crates/gs-entry/src/traffic/state.rs
+++ b/crates/gs-entry/src/traffic/state.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix::Addr;
 use gs_control::membership::MemberCandidate;
@@ -15,6 +14,7 @@
 use crate::documents::AppliedDocument;
 use crate::engine::{ClientPool, EngineClient};
 use crate::peers::FleetView;
+use crate::shutdown::ShutdownState;
 
 /// Channels to the control thread, connections to backend servers, and the document in force.
 pub struct TrafficState {
@@ -30,9 +30,10 @@
     pub pool: Rc<ClientPool>,
     /// Client for engine calls over these connections.
     pub engines: EngineClient,
+    /// Shutdown of this process.
+    pub shutdown: ShutdownState,
     documents: watch::Receiver<Option<Arc<AppliedDocument>>>,
     fleet: watch::Receiver<Arc<FleetView>>,
-    leaving: Arc<AtomicBool>,
 }
 
 impl TrafficState {
@@ -43,7 +44,7 @@
         control: Addr<ControlActor>,
         documents: watch::Receiver<Option<Arc<AppliedDocument>>>,
         fleet: watch::Receiver<Arc<FleetView>>,
-        leaving: Arc<AtomicBool>,
+        shutdown: ShutdownState,
     ) -> Self {
         let pool = Rc::new(ClientPool::new(settings.timeouts.connect));
         let engines = EngineClient::new(Rc::clone(&pool));
@@ -63,7 +64,7 @@
             engines,
             documents,
             fleet,
-            leaving,
+            shutdown,
         }
     }
 
@@ -79,6 +80,6 @@
 
     /// Whether the entry is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.has_begun()
     }
 }
