End streams at their time limit

Cause: StreamForwarder waited for the next part of an answer without a time limit; answer_due bounded a stream up to the head of its answer only. Ruled out: a limit that is measured anew from each event (no end after 8 s of silence with a limit of 0.6 s), and an end that does not reach the client.

Change: a stream ends at its route's time-out or its deadline, whichever is earlier, whatever its engine sends, and is not resumed then. An engine that was silent for longer than the route's gap target counts as failed. The log says how long it was silent.

--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -81,6 +81,11 @@
         self.arrived + self.time_limit().saturating_sub(ANSWER_MARGIN)
     }
 
+    /// Returns the time at which the exchange ends, even if a stream is not complete then.
+    pub fn ends_at(&self) -> Instant {
+        self.arrived + self.time_limit()
+    }
+
     /// Returns how long the request may still last.
     pub fn remaining_span(&self, gateway: &Gateway) -> RequestSpan {
         let waited = self.arrived.elapsed();
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -58,6 +58,8 @@
     Complete,
     /// The client closed its connection.
     ClientDisconnected,
+    /// The request's time limit passed.
+    TimedOut,
     /// The stream ended early or an event was too long.
     Broken(StreamBreak),
 }
@@ -86,6 +88,11 @@
 }
 
 impl StreamProgress {
+    /// Returns the time since the last forwarded event, or since `started` if there is none.
+    fn silent_for(&self, started: Instant) -> Duration {
+        self.last_event_at.unwrap_or(started).elapsed()
+    }
+
     /// Records a forwarded event.
     fn record_event(&mut self, now: Instant, id: Option<ResumePoint>) {
         if let Some(before) = self.last_event_at.replace(now) {
@@ -160,6 +167,12 @@
                     log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_complete, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
                     break;
                 }
+                StreamEnd::TimedOut => {
+                    self.record_timeout(&server);
+                    // Fails only if the client has disconnected.
+                    let _ = self.sender.send(Err(IncompleteAnswer)).await;
+                    break;
+                }
                 StreamEnd::Broken(error) => {
                     log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, error:%, contents = job.contents_text(); "stream interrupted");
                 }
@@ -168,7 +181,11 @@
             excluded.push(server);
             let is_version_known = software.is_some() || self.progress.events == 0;
             let resumed = match runs < job.rule.max_attempts && is_version_known {
-                true => self.resume(&excluded).await,
+                true => {
+                    let ends_at = job.ends_at().into();
+                    let resuming = tokio::time::timeout_at(ends_at, self.resume(&excluded));
+                    resuming.await.ok().flatten()
+                }
                 false => None,
             };
             runs += 1;
@@ -189,6 +206,20 @@
         drop(self.active);
     }
 
+    /// Records that the time limit has passed. An engine that was silent for longer than the route allows
+    /// between two events has failed.
+    fn record_timeout(&self, server: &ServerName) {
+        let job = &self.generation.job;
+        let silent_for = self.progress.silent_for(self.started);
+        let gap_target = match job.rule.kind {
+            RouteKind::Streaming { gap_target, .. } => gap_target,
+            RouteKind::Safe | RouteKind::Unsafe => None,
+        };
+        let is_silent = silent_for > gap_target.unwrap_or(job.rule.latency_target);
+        self.gateway.record_answer(server, is_silent);
+        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, silent_ms = silent_for.as_millis() as u64, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended: its time limit passed");
+    }
+
     /// Returns the number of tokens per event.
     fn tokens_per_event(&self) -> u32 {
         let engine = self.generation.engine.as_ref();
@@ -258,7 +289,7 @@
         class
     }
 
-    /// Forwards the events of one engine.
+    /// Forwards the events of one engine until the request's time limit.
     async fn forward_events(&mut self, stream: RunningStream) -> StreamEnd {
         let RunningStream {
             answer,
@@ -266,39 +297,53 @@
             reservation,
             mut run,
         } = stream;
-        let mut body = answer.into_body();
+        let ends_at = self.generation.job.ends_at();
+        let end = tokio::select! {
+            biased;
+            end = self.forward_frames(answer.into_body(), &reservation, &mut run) => end,
+            () = tokio::time::sleep_until(ends_at.into()) => StreamEnd::TimedOut,
+        };
+        drop(connection);
+        drop(reservation);
+        match &end {
+            StreamEnd::Complete => run.complete(),
+            StreamEnd::Broken(_) => run.lose().await,
+            StreamEnd::ClientDisconnected | StreamEnd::TimedOut => drop(run),
+        }
+        end
+    }
+
+    /// Forwards events until the body of an engine's answer ends.
+    async fn forward_frames(
+        &mut self,
+        mut body: Incoming,
+        reservation: &StreamReservation,
+        run: &mut ServerRun,
+    ) -> StreamEnd {
         let mut splitter = EventSplitter::default();
-        let end = loop {
+        loop {
             let frame = tokio::select! {
-                () = self.sender.closed() => break StreamEnd::ClientDisconnected,
+                () = self.sender.closed() => return StreamEnd::ClientDisconnected,
                 frame = body.frame() => frame,
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                None if splitter.is_empty() => break StreamEnd::Complete,
-                None => break StreamEnd::Broken(StreamBreak::CutEvent),
-                Some(Err(error)) => break StreamEnd::Broken(StreamBreak::Connection(error)),
+                None if splitter.is_empty() => return StreamEnd::Complete,
+                None => return StreamEnd::Broken(StreamBreak::CutEvent),
+                Some(Err(error)) => return StreamEnd::Broken(StreamBreak::Connection(error)),
             };
             if let Err(error) = splitter.push(&data) {
-                break StreamEnd::Broken(StreamBreak::Oversized(error));
+                return StreamEnd::Broken(StreamBreak::Oversized(error));
             }
             let events = self.progress.events;
-            let is_connected = self.send_events(&mut splitter, &reservation).await;
+            let is_connected = self.send_events(&mut splitter, reservation).await;
             if self.progress.events > events {
                 run.record_output();
             }
             if !is_connected {
-                break StreamEnd::ClientDisconnected;
+                return StreamEnd::ClientDisconnected;
             }
-        };
-        drop(connection);
-        drop(reservation);
-        match &end {
-            StreamEnd::Complete => run.complete(),
-            StreamEnd::Broken(_) => run.lose().await,
-            StreamEnd::ClientDisconnected => drop(run),
         }
-        end
     }
 
     /// Forwards the complete events received so far; `false` if the client has disconnected.
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -14,4 +14,5 @@
 mod soak;
 mod stages;
 mod support;
+mod time_limits;
 mod versions;
