Refuse requests whose body does not arrive within their time limit

What callers saw: a request whose body stopped coming was never answered.

The time limit bounded the exchange with servers, and reading the body before it had no limit.

Change: the body is awaited until the route's time-out or the deadline, and the request is then refused with 408 and Retry-After, since it has not run. read_job's search for the route is a function of its own.

Evidence: a_request_whose_body_stops_coming_is_refused_at_its_time_limit got no answer within 8 s on the sources before (3 of 3 cases), and passes.

--- a/crates/gs-control/src/forwarding/routes.rs
+++ b/crates/gs-control/src/forwarding/routes.rs
@@ -66,6 +66,12 @@
 }
 
 impl RouteRule {
+    /// Returns the time within which a request must have its final answer, from the time that its
+    /// client will wait, if it says so.
+    pub fn time_limit(&self, deadline: Option<Duration>) -> Duration {
+        deadline.map_or(self.timeout, |deadline| deadline.min(self.timeout))
+    }
+
     /// Selects a service by weight. `draw` is a random number from 0 to 1. Returns none if all
     /// weights are zero.
     pub fn target(&self, draw: f64) -> Option<&ServiceName> {
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -5,10 +5,12 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gs_control::forwarding::{RouteKind, ShutdownPhase};
+use gs_control::forwarding::{RouteKind, RouteRule, RouteTable, ShutdownPhase};
+use gs_protocol::ids::ServiceName;
 use gs_protocol::suspicion::ContentHash;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -142,6 +144,46 @@
     }
 }
 
+/// The table, route and service of a request.
+struct RequestRoute {
+    table: Arc<RouteTable>,
+    rule: Arc<RouteRule>,
+    service: ServiceName,
+}
+
+/// Finds the route of a request. An error is the answer to a request without one.
+fn find_route(
+    gateway: &Gateway,
+    metadata: &RequestMetadata,
+    path: &str,
+) -> Result<RequestRoute, ClientAnswer> {
+    let Some(table) = gateway.table() else {
+        log::info!(target: "request", id:% = metadata.request_id; "refused: no configuration received yet");
+        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
+    };
+    let Some(rule) = table.find(&metadata.host, path).cloned() else {
+        log::info!(target: "request", id:% = metadata.request_id, version = table.version; "no route matches the request");
+        return Err(local_answer(StatusCode::NOT_FOUND, "no route\n"));
+    };
+    let Some(service) = rule.target(gateway.random_fraction()).cloned() else {
+        log::warn!(target: "request", id:% = metadata.request_id, route = rule.name; "the route has no target service");
+        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
+    };
+    Ok(RequestRoute {
+        table,
+        rule,
+        service,
+    })
+}
+
+/// Builds the answer to a request that was not sent to a server.
+fn not_run_answer(gateway: &Gateway, status: StatusCode) -> ClientAnswer {
+    let mut answer = local_answer(status, "not run\n");
+    let (name, value) = gateway.wire.retry_after(DEFAULT_RETRY_AFTER);
+    answer.headers_mut().insert(name, value);
+    answer
+}
+
 /// Reads a complete request and finds its route. An error is the answer to an invalid or refused request.
 async fn read_job(
     gateway: &Rc<Gateway>,
@@ -153,28 +195,21 @@
         log::info!(target: "request", error:%; "refused: invalid request");
         local_answer(StatusCode::BAD_REQUEST, "not a proper request\n")
     })?;
-    let refused = |status, text| {
-        let mut answer = local_answer(status, text);
-        let (name, value) = gateway.wire.retry_after(DEFAULT_RETRY_AFTER);
-        answer.headers_mut().insert(name, value);
-        answer
-    };
-    let Some(table) = gateway.table() else {
-        log::info!(target: "request", id:% = metadata.request_id; "refused: no configuration received yet");
-        return Err(refused(StatusCode::SERVICE_UNAVAILABLE, "not run\n"));
-    };
-    let Some(rule) = table.find(&metadata.host, head.uri.path()).cloned() else {
-        log::info!(target: "request", id:% = metadata.request_id, version = table.version; "no route matches the request");
-        return Err(local_answer(StatusCode::NOT_FOUND, "no route\n"));
-    };
-    let Some(service) = rule.target(gateway.random_fraction()).cloned() else {
-        log::warn!(target: "request", id:% = metadata.request_id, route = rule.name; "the route has no target service");
-        return Err(refused(StatusCode::SERVICE_UNAVAILABLE, "not run\n"));
+    let RequestRoute {
+        table,
+        rule,
+        service,
+    } = find_route(gateway, &metadata, head.uri.path())?;
+    let time_limit = rule.time_limit(metadata.deadline);
+    let reading = read_body(body, table.limits.body_bytes, &metadata.request_id);
+    let Ok(body) = tokio::time::timeout_at((arrived + time_limit).into(), reading).await else {
+        log::info!(target: "request", id:% = metadata.request_id, limit_ms = time_limit.as_millis() as u64; "refused: the body did not arrive within the time limit");
+        return Err(not_run_answer(gateway, StatusCode::REQUEST_TIMEOUT));
     };
-    let body = read_body(body, table.limits.body_bytes, &metadata.request_id).await?;
+    let body = body?;
     let Some(kept_bytes) = KeptBytes::acquire(gateway, body.len()) else {
         log::warn!(target: "request", id:% = metadata.request_id; "refused: the limit of buffered request bytes is reached");
-        return Err(refused(StatusCode::SERVICE_UNAVAILABLE, "not run\n"));
+        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
     };
     let path = head.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -72,8 +72,7 @@
 
     /// Returns the time from its arrival within which the request must have its final answer.
     fn time_limit(&self) -> Duration {
-        let deadline = self.metadata.deadline.unwrap_or(self.rule.timeout);
-        deadline.min(self.rule.timeout)
+        self.rule.time_limit(self.metadata.deadline)
     }
 
     /// Returns the time at which the final answer must be sent.
--- a/crates/gs-gateway/tests/gateway/time_limits.rs
+++ b/crates/gs-gateway/tests/gateway/time_limits.rs
@@ -5,8 +5,8 @@
 use test_case::test_case;
 
 use super::support::{
-    Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, event, request,
-    wait_until,
+    Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, event,
+    plain_server, request, wait_until,
 };
 
 /// Time limit of the requests, in milliseconds.
@@ -83,3 +83,25 @@
     assert!(answer.body().contains("event 1"), "{answer:?}");
     assert!(answer.has_last_chunk(), "{answer:?}");
 }
+
+/// Guards against connections that are held for a body that stops coming.
+#[test_case(Route::Safe)]
+#[test_case(Route::Unsafe)]
+#[test_case(Route::Stream)]
+#[actix_rt::test]
+async fn a_request_whose_body_stops_coming_is_refused_at_its_time_limit(route: Route) {
+    let server = StubServer::start(|_, _| Script::complete(200, "", "whole")).await;
+    let listed = vec![
+        plain_server("s0", server.address),
+        decode_server("d0", server.address),
+    ];
+    let entry = Deployment::start(listed).await;
+    let mut client = RawClient::connect(entry.address).await;
+    let headers = format!("t-deadline: {LIMIT_MS}\r\n");
+    let bytes = request(route, "r1", &headers).replace("length: 4", "length: 400");
+    client.send(&bytes).await;
+    let answer = tokio::time::timeout(ENDLESS, client.read_all()).await;
+    let answer = answer.expect("the answer ends");
+    assert_eq!(answer.status(), 408, "{answer:?}");
+    assert_eq!(server.requests().len(), 0);
+}
