Bound all waits before a stream's head by its time limit

What callers saw: a stream that waited for an engine was refused up to 1.5 s after its arrival, although its route's time-out or deadline was shorter.

Change: a waiting stream is refused as not run when its answer is due, and any request without an answer is given up with 504 at its time limit.

Evidence: a_waiting_stream_is_refused_at_its_time_limit failed on the sources before (refused after a stream with more time) and passes now.

--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -181,6 +181,7 @@
     let decided = tokio::select! {
         biased;
         decided = &mut receiver => decided,
+        () = tokio::time::sleep_until(job.answer_due().into()) => return Err(DEFAULT_RETRY_AFTER),
         _ = gateway.shutdown_begun(), if !gateway.is_stopping() => {
             if !gateway.admits_span(job.remaining_span(gateway)) {
                 return Err(Duration::ZERO);
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -128,6 +128,7 @@
         return refusal;
     }
     let request_id = job.metadata.request_id.clone();
+    let ends_at = job.ends_at();
     let forwarded = async {
         match job.rule.kind {
             RouteKind::Streaming { .. } => forward_generation(gateway, job).await,
@@ -137,6 +138,10 @@
     tokio::select! {
         biased;
         answer = forwarded => answer,
+        () = tokio::time::sleep_until(ends_at.into()) => {
+            log::info!(target: "request", id = request_id; "given up: its time limit passed");
+            local_answer(StatusCode::GATEWAY_TIMEOUT, "the request may have run\n")
+        }
         () = gateway.final_answers_due() => {
             log::warn!(target: "request", id = request_id; "given up: this entry exits");
             local_answer(StatusCode::GATEWAY_TIMEOUT, "the request may have run\n")
--- a/crates/gs-gateway/tests/gateway/time_limits.rs
+++ b/crates/gs-gateway/tests/gateway/time_limits.rs
@@ -105,3 +105,23 @@
     assert_eq!(answer.status(), 408, "{answer:?}");
     assert_eq!(server.requests().len(), 0);
 }
+
+/// Guards against streams that wait for an engine past their time limit. Both wait for the same time
+/// otherwise.
+#[actix_rt::test]
+async fn a_waiting_stream_is_refused_at_its_time_limit() {
+    let earlier_entry = Deployment::start(Vec::new()).await;
+    let entry = Deployment::start(Vec::new()).await;
+    let limited = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let mut client = RawClient::connect(entry.address).await;
+        let headers = "connection: close\r\nt-deadline: 100\r\n";
+        client.send(&request(Route::Stream, "r1", headers)).await;
+        client.read_all().await
+    };
+    tokio::select! {
+        biased;
+        answer = limited => assert_eq!(answer.status(), 503, "{answer:?}"),
+        answer = send(&earlier_entry, Route::Stream) => panic!("refused first: {answer:?}"),
+    }
+}
