--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -161,18 +161,21 @@
     gateway: &Gateway,
     metadata: &RequestMetadata,
     path: &str,
-) -> Result<RequestRoute, ClientAnswer> {
+) -> Result<RequestRoute, Box<ClientAnswer>> {
     let Some(table) = gateway.table() else {
         log::info!(target: "request", id:% = metadata.request_id; "refused: no configuration received yet");
-        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
+        let answer = not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE);
+        return Err(Box::new(answer));
     };
     let Some(rule) = table.find(&metadata.host, path).cloned() else {
         log::info!(target: "request", id:% = metadata.request_id, version = table.version; "no route matches the request");
-        return Err(local_answer(StatusCode::NOT_FOUND, "no route\n"));
+        let answer = local_answer(StatusCode::NOT_FOUND, "no route\n");
+        return Err(Box::new(answer));
     };
     let Some(service) = rule.target(gateway.random_fraction()).cloned() else {
         log::warn!(target: "request", id:% = metadata.request_id, route = rule.name; "the route has no target service");
-        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
+        let answer = not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE);
+        return Err(Box::new(answer));
     };
     Ok(RequestRoute {
         table,
@@ -204,7 +207,7 @@
         table,
         rule,
         service,
-    } = find_route(gateway, &metadata, head.uri.path())?;
+    } = find_route(gateway, &metadata, head.uri.path()).map_err(|answer| *answer)?;
     let time_limit = rule.time_limit(metadata.deadline);
     let reading = read_body(body, table.limits.body_bytes, &metadata.request_id);
     let Ok(body) = tokio::time::timeout_at((arrived + time_limit).into(), reading).await else {
