Refuse callers' requests whose body stops coming at gs-entry

What callers saw: a request whose body stopped coming was never answered, and its connection was held for as long as the caller kept it.

Change: it bounds the body too; the refusal is 408, request-timeout, not run.

Evidence: a_request_whose_body_stops_coming_is_refused got no answer within 10 s on the sources before (2 of 2 cases), and passes.

--- a/crates/gs-entry/src/completion/handler.rs
+++ b/crates/gs-entry/src/completion/handler.rs
@@ -57,13 +57,15 @@
     payload: Payload,
     state: Data<TrafficState>,
 ) -> Result<HttpResponse, CallerRefusal> {
-    let body = read_body(payload, state.settings.limits.max_body_bytes).await?;
+    let (limits, timeouts) = (&state.settings.limits, &state.settings.timeouts);
+    let body = read_body(payload, limits.max_body_bytes, timeouts.caller_read).await?;
     let params = match kind {
         CompletionKind::Chat => GenerationParams::from_chat(&body, &context)?,
         CompletionKind::Text => GenerationParams::from_text(&body, &context)?,
     };
-    let time_limit = state.settings.timeouts.completion;
-    let time_left = time_limit.saturating_sub(context.arrived_at.elapsed());
+    let time_left = timeouts
+        .completion
+        .saturating_sub(context.arrived_at.elapsed());
     state.shutdown.admit(time_left)?;
     let streamed = params.stream;
     let mut generator = AnswerGenerator::new(context, params, state);
--- a/crates/gs-entry/src/services/handler.rs
+++ b/crates/gs-entry/src/services/handler.rs
@@ -79,7 +79,8 @@
     state: &Data<TrafficState>,
 ) -> Result<ServiceAnswer, CallerRefusal> {
     let mut call = check_call(http, target, context)?;
-    call.body = read_body(payload, state.settings.limits.max_body_bytes).await?;
+    let (limits, timeouts) = (&state.settings.limits, &state.settings.timeouts);
+    call.body = read_body(payload, limits.max_body_bytes, timeouts.caller_read).await?;
     let time_left = call.deadline.saturating_duration_since(Instant::now());
     state.shutdown.admit(time_left)?;
     if call.idempotent {
--- /dev/null
+++ b/crates/gs-entry/tests/time_limits.rs
@@ -0,0 +1,44 @@
+//! Requests end by the time-outs of the entry's settings, however engines and callers behave.
+
+mod support;
+
+use std::time::Duration;
+
+use gs_standin::harness::HarnessError;
+use serde_json::json;
+use support::CLERK;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+type TestResult = Result<(), HarnessError>;
+
+/// Time after which an exchange without an end counts as endless.
+const ENDLESS: Duration = Duration::from_secs(10);
+
+/// Guards against connections that are held for a body that stops coming.
+#[test_case("/v1/completions")]
+#[test_case("/services/desk/tickets/1")]
+#[actix_rt::test]
+async fn a_request_whose_body_stops_coming_is_refused(path: &str) -> TestResult {
+    let harness = support::start(1, &json!({ "timeouts": { "callerReadMs": 500 } })).await?;
+    let entry = harness.entries[0].process.address;
+    let method = match path.starts_with("/services") {
+        true => "GET",
+        false => "POST",
+    };
+    let mut caller = TcpStream::connect(entry).await.expect("a connection");
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CLERK}\r\n\
+         content-length: 400\r\n\r\n{{"
+    );
+    caller.write_all(head.as_bytes()).await.expect("sent");
+    let mut bytes = Vec::new();
+    let reading = tokio::time::timeout(ENDLESS, caller.read_to_end(&mut bytes)).await;
+    // A reset ends the answer as well.
+    drop(reading.expect("the answer ends"));
+    let answer = String::from_utf8_lossy(&bytes);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("not-run"), "{answer}");
+    Ok(())
+}
--- a/crates/gs-protocol/src/refusal.rs
+++ b/crates/gs-protocol/src/refusal.rs
@@ -32,6 +32,8 @@
     UnknownModel,
     /// The document declares no such service or route.
     UnknownRoute,
+    /// The body did not arrive in time.
+    RequestTimeout,
     /// The body is larger than the limit.
     TooLarge,
     /// The prompt or the requested output exceeds the model's limit.
@@ -74,6 +76,7 @@
             Self::Unauthorized => 401,
             Self::Forbidden => 403,
             Self::UnknownModel | Self::UnknownRoute => 404,
+            Self::RequestTimeout => 408,
             Self::KeyPending => 409,
             Self::TooLarge | Self::PromptTooLong => 413,
             Self::KeyExpired | Self::KeyReused | Self::Quarantined => 422,
@@ -93,6 +96,7 @@
             Self::Forbidden => "forbidden",
             Self::UnknownModel => "unknown-model",
             Self::UnknownRoute => "unknown-route",
+            Self::RequestTimeout => "request-timeout",
             Self::TooLarge => "too-large",
             Self::PromptTooLong => "prompt-too-long",
             Self::KeyRequired => "key-required",
