Enforce the time-out of completions at gs-entry

What callers saw: a completion whose engine sent a token now and then went on without an end, whatever timeouts.completionMs said.

The setting was read, checked and documented, and no code used it; only silence of more than timeouts.engineSilentMs ended a stream.

Change: a completion ends timeouts.completionMs after its arrival: 504, deadline-passed with its outcome, or an error event in a stream.

Evidence: a_completion_ends_at_its_time_out was still open after 10 s with a time-out of 1.5 s on the sources before (2 of 2 cases), and passes.

--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -9,6 +9,7 @@
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
 use gs_protocol::suspicion::PromptFingerprint;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::sleep_until;
 
 use super::attempt::{AttemptRunner, OpenAttempt, attempt_end, count_wasted_prefill, time_until};
 use super::params::GenerationParams;
@@ -96,9 +97,13 @@
         texts: &mut Vec<String>,
     ) -> Result<AnswerProgress, CallerRefusal> {
         let shutdown = self.state.shutdown.clone();
+        let ends_at = self.context.arrived_at + self.state.settings.timeouts.completion;
         tokio::select! {
             biased;
             progress = self.read_tokens(texts) => progress,
+            () = sleep_until(ends_at.into()) => {
+                Err(self.refusal(RefusalReason::DeadlinePassed, None))
+            }
             () = shutdown.final_answers_due() => {
                 let reason = match self.may_have_run {
                     true => RefusalReason::ServerFailed,
--- a/crates/gs-entry/tests/time_limits.rs
+++ b/crates/gs-entry/tests/time_limits.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use gs_protocol::refusal::{RefusalReason, RequestOutcome};
 use gs_standin::harness::HarnessError;
 use serde_json::json;
-use support::CLERK;
+use support::{CLERK, completion};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,6 +17,34 @@
 /// Time after which an exchange without an end counts as endless.
 const ENDLESS: Duration = Duration::from_secs(10);
 
+/// Guards against completions that outlast their time-out because their engine is never silent for long.
+#[test_case(true; "streamed")]
+#[test_case(false; "not streamed")]
+#[actix_rt::test]
+async fn a_completion_ends_at_its_time_out(is_streamed: bool) -> TestResult {
+    let harness = support::start(1, &json!({ "timeouts": { "completionMs": 1_500 } })).await?;
+    support::set_faults(&harness, "notes-decode-0", &json!({ "slowFactor": 100.0 })).await?;
+    let entry = harness.entries[0].process.address;
+    let body = completion("label", 400, is_streamed);
+    let request = harness
+        .client
+        .post_as(entry, "/v1/completions", CLERK, &body);
+    let answer = tokio::time::timeout(ENDLESS, request).await;
+    let answer = answer.expect("the answer ends")?;
+    if is_streamed {
+        let stream = answer.parse_stream();
+        assert!(!stream.tokens.is_empty(), "{stream:?}");
+        assert!(!stream.complete, "{stream:?}");
+        assert!(stream.error.is_some(), "{stream:?}");
+        return Ok(());
+    }
+    assert_eq!(answer.status, 504);
+    let problem = answer.parse_problem()?;
+    assert_eq!(problem.reason, RefusalReason::DeadlinePassed);
+    assert_eq!(problem.outcome, RequestOutcome::Unknown);
+    Ok(())
+}
+
 /// Guards against connections that are held for a body that stops coming.
 #[test_case("/v1/completions")]
 #[test_case("/services/desk/tickets/1")]
