--- a/crates/gs-platform/src/http/adapter.rs
+++ b/crates/gs-platform/src/http/adapter.rs
@@ -11,6 +11,7 @@
 use gs_protocol::vm::VmRecord;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use super::exchange::{Exchange, Reply};
 use crate::memory::check_size;
@@ -182,7 +183,19 @@
     async fn list_vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
         let request = self.request(Method::GET, "/vms");
         let reply = self.exchange("vms").send(request, Bytes::new()).await?;
-        parse_ok(&reply, "vms")
+        let records: Vec<Box<RawValue>> = parse_ok(&reply, "vms")?;
+        Ok(records.iter().filter_map(|raw| parse_vm(raw)).collect())
+    }
+}
+
+/// Parses a record of the VM list; `None` if it cannot be read.
+fn parse_vm(raw: &RawValue) -> Option<VmRecord> {
+    match serde_json::from_str(raw.get()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::warn!(target: "platform", "VM record ignored: {error}.");
+            None
+        }
     }
 }
 
--- a/crates/gs-platform/tests/http_adapter.rs
+++ b/crates/gs-platform/tests/http_adapter.rs
@@ -1,12 +1,14 @@
 //! Runs [`HttpPlatform`] against the platform stand-in. Guards against a fault whose error
 //! misreports whether the write may have taken effect.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use bytes::Bytes;
 use gs_platform::{HttpPlatform, HttpPlatformOptions, Platform, PlatformError, WriteCondition};
 use gs_protocol::ids::ObjectVersion;
+use gs_protocol::vm::{VmRecord, VmState, VmWorkload};
 use gs_standin::platform::{
     CallStats, FaultSwitches, OutageKind, PlatformHandle, PlatformOptions, start,
 };
@@ -163,3 +165,41 @@
     assert_eq!((stats.reads, stats.refused), (40, refused as u64));
     handle.close().await;
 }
+
+/// Answers one request with a JSON body.
+fn answer_once(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]).expect("a request");
+        let length = body.len();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+        stream.write_all(answer.as_bytes()).expect("sent");
+    });
+    address
+}
+
+/// Guards against a VM list that cannot be used because one record in it cannot be read.
+#[test_case(r#"{"duty":"future","address":"127.0.0.1:1"}"#; "an unknown duty")]
+#[test_case(r#"{"duty":"server","name":"caf\ud83d"}"#; "half of a surrogate pair")]
+#[test_case("null"; "null")]
+#[actix_rt::test]
+async fn an_unreadable_vm_record_does_not_hide_the_others(record: &str) {
+    let sound = serde_json::to_string(&vm_record()).expect("a record");
+    let body: &'static str = format!("[{record},{sound}]").leak();
+    let listed = connect(answer_once(body)).list_vms().await;
+    assert_eq!(listed, Ok(vec![vm_record()]));
+}
+
+fn vm_record() -> VmRecord {
+    VmRecord {
+        workload: VmWorkload::Server {
+            name: "desk-1".into(),
+            kind: "desk".into(),
+        },
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "north".into(),
+        state: VmState::Live,
+    }
+}
