Count listed entries that were never heard as dead after a while

Cause: MembershipState had time limits for members, which have sent a heartbeat, and none for listed entries that have not. Ruled out: a stale list; the objects of entries are kept on purpose.

Change: a listed entry counts as dead when it was not heard for dead_after since it was listed.

--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -28,6 +28,15 @@
     last_heartbeat: Instant,
 }
 
+/// A listed entry, and since when the list has named it at these addresses.
+#[derive(Clone, Debug)]
+struct ListedCandidate {
+    candidate: MemberCandidate,
+    listed_since: Instant,
+    /// Whether it has been listed for so long that a heartbeat would have been received.
+    is_dead: bool,
+}
+
 /// The liveness of the other entries, as seen by this one.
 ///
 /// Only a heartbeat makes an entry alive. The list of candidates determines which entries to
@@ -37,7 +46,7 @@
 pub struct MembershipState {
     own: EntryName,
     settings: MembershipSettings,
-    candidates: BTreeMap<EntryName, MemberCandidate>,
+    candidates: BTreeMap<EntryName, ListedCandidate>,
     members: BTreeMap<EntryName, KnownMember>,
     /// Peer addresses of the entries to which a link was requested.
     links: BTreeMap<EntryName, SocketAddr>,
@@ -69,7 +78,9 @@
         effects: &mut Vec<MembershipEffect>,
     ) {
         match event {
-            MembershipEvent::CandidatesListed(candidates) => self.replace_candidates(candidates),
+            MembershipEvent::CandidatesListed(candidates) => {
+                self.replace_candidates(now, candidates);
+            }
             MembershipEvent::HeartbeatReceived { peer, state } => {
                 self.receive_heartbeat(now, peer, state, effects);
             }
@@ -94,7 +105,7 @@
 
     /// Returns the peer addresses of the other entries: of listed ones and of members.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let listed = self.candidates.values().map(|entry| entry.peer_address);
+        let listed = self.listed().map(|candidate| candidate.peer_address);
         let of_members = self.members().map(|record| record.peer.peer_address);
         let addresses: BTreeSet<SocketAddr> = listed.chain(of_members).collect();
         addresses.into_iter().collect()
@@ -120,8 +131,7 @@
             }
         });
         let unheard = self
-            .candidates
-            .values()
+            .listed()
             .filter(|candidate| !self.members.contains_key(&candidate.name));
         let unheard = unheard.map(|candidate| RelayMember {
             name: candidate.name.clone(),
@@ -138,8 +148,8 @@
     }
 
     /// Returns the other entries that callers can be sent to. If none is alive, returns those that
-    /// may be: suspected ones, and candidates that are not members. Excludes leaving entries:
-    /// members by their newest heartbeat, other candidates by the list.
+    /// may be: suspected ones, and candidates that are not members and were listed a short time ago.
+    /// Excludes leaving entries: members by their newest heartbeat, other candidates by the list.
     pub fn usable_entries(&self) -> Vec<MemberCandidate> {
         let alive = self.members_with_status(MemberStatus::Alive);
         if !alive.is_empty() {
@@ -147,14 +157,18 @@
         }
         let mut possible = self.members_with_status(MemberStatus::Suspect);
         possible.retain(|candidate| !candidate.leaving);
-        let silent_candidates = self
-            .candidates
-            .values()
+        let undecided = self.candidates.values().filter(|listed| !listed.is_dead);
+        let unheard = undecided
+            .map(|listed| &listed.candidate)
             .filter(|candidate| !candidate.leaving && !self.members.contains_key(&candidate.name));
-        possible.extend(silent_candidates.cloned());
+        possible.extend(unheard.cloned());
         possible
     }
 
+    fn listed(&self) -> impl Iterator<Item = &MemberCandidate> {
+        self.candidates.values().map(|listed| &listed.candidate)
+    }
+
     fn members_with_status(&self, status: MemberStatus) -> Vec<MemberCandidate> {
         self.members()
             .filter(|record| record.status == status)
@@ -168,12 +182,24 @@
             .collect()
     }
 
-    fn replace_candidates(&mut self, candidates: Vec<MemberCandidate>) {
+    fn replace_candidates(&mut self, now: Instant, candidates: Vec<MemberCandidate>) {
         self.are_links_outdated = true;
-        self.candidates = candidates
+        let before = std::mem::take(&mut self.candidates);
+        let others = candidates
             .into_iter()
-            .filter(|candidate| candidate.name != self.own)
-            .map(|candidate| (candidate.name.clone(), candidate))
+            .filter(|candidate| candidate.name != self.own);
+        self.candidates = others
+            .map(|candidate| {
+                let known = before
+                    .get(&candidate.name)
+                    .filter(|known| known.candidate.address == candidate.address);
+                let listed = ListedCandidate {
+                    listed_since: known.map_or(now, |known| known.listed_since),
+                    is_dead: known.is_some_and(|known| known.is_dead),
+                    candidate,
+                };
+                (listed.candidate.name.clone(), listed)
+            })
             .collect();
     }
 
@@ -240,19 +266,20 @@
 
     fn check_timeouts(&mut self, now: Instant, effects: &mut Vec<MembershipEffect>) {
         let (settings, heartbeat_interval) = (self.settings, self.heartbeat_interval);
+        let dead_after = settings
+            .dead_after
+            .max(heartbeat_interval.mul_f64(MIN_DEAD_INTERVALS));
+        let suspect_after = settings
+            .suspect_after
+            .max(heartbeat_interval.mul_f64(MIN_SUSPECT_INTERVALS));
+        for listed in self.candidates.values_mut() {
+            listed.is_dead = now.saturating_duration_since(listed.listed_since) >= dead_after;
+        }
         for member in self.members.values_mut() {
             let silence = now.saturating_duration_since(member.last_heartbeat);
-            let status = if silence
-                >= settings
-                    .dead_after
-                    .max(heartbeat_interval.mul_f64(MIN_DEAD_INTERVALS))
-            {
+            let status = if silence >= dead_after {
                 MemberStatus::Dead
-            } else if silence
-                >= settings
-                    .suspect_after
-                    .max(heartbeat_interval.mul_f64(MIN_SUSPECT_INTERVALS))
-            {
+            } else if silence >= suspect_after {
                 MemberStatus::Suspect
             } else {
                 continue;
@@ -275,8 +302,7 @@
     /// dead.
     fn update_links(&mut self, effects: &mut Vec<MembershipEffect>) {
         let mut required: BTreeMap<_, _> = self
-            .candidates
-            .values()
+            .listed()
             .map(|candidate| (candidate.name.clone(), candidate.peer_address))
             .collect();
         for record in self.members.values().map(|member| &member.record) {
