Count bodies of requests before they come in

What callers saw: in a burst of long bodies all entries exceeded their memory and were killed; requests that servers were running had no answer (LOST), and nobody may repeat them.

Cause: read_job collected the whole body before KeptBytes counted it, so that the bodies in memory were bounded by the number of connections. Ruled out: a limit that is too high; it is 22 MB of 110, and refused bodies only when they were in memory.

Change: a body counts before it comes in, with its declared length or part by part. What cannot be kept is refused at once, as not run, or with 413 if no body may be so long. Bodies of 64 KB and more may use three quarters of the memory for bodies, so that short requests are served beside them.

Four cases in tests/gateway/bodies.rs failed before.

--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use gs_control::forwarding::{RouteKind, RouteRule, RouteTable, ShutdownPhase};
 use gs_protocol::ids::ServiceName;
 use gs_protocol::suspicion::ContentHash;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -209,16 +209,12 @@
         service,
     } = find_route(gateway, &metadata, head.uri.path()).map_err(|answer| *answer)?;
     let time_limit = rule.time_limit(metadata.deadline);
-    let reading = read_body(body, table.limits.body_bytes, &metadata.request_id);
+    let reading = read_body(gateway, body, table.limits.body_bytes, &metadata.request_id);
     let Ok(body) = tokio::time::timeout_at((arrived + time_limit).into(), reading).await else {
         log::info!(target: "request", id:% = metadata.request_id, limit_ms = time_limit.as_millis() as u64; "refused: the body did not arrive within the time limit");
         return Err(not_run_answer(gateway, StatusCode::REQUEST_TIMEOUT));
     };
-    let body = body?;
-    let Some(kept_bytes) = KeptBytes::acquire(gateway, body.len()) else {
-        log::warn!(target: "request", id:% = metadata.request_id; "refused: the limit of buffered request bytes is reached");
-        return Err(not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE));
-    };
+    let (body, kept_bytes) = body?;
     let path = head.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
     let contents = request_contents(&metadata, &head.method, path, &body);
@@ -257,24 +253,51 @@
     shared.chain([whole]).collect()
 }
 
-async fn read_body(body: Incoming, limit: usize, request_id: &str) -> Result<Bytes, ClientAnswer> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            log::info!(target: "request", id = request_id, limit; "refused: the body exceeds the size limit");
-            Err(local_answer(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too long\n",
-            ))
-        }
-        Err(error) => {
+/// Reads a body and counts its bytes before they come in: all of them if its length is known, or else
+/// each part. An error is the answer to a request whose body is too long, cannot be kept or breaks off.
+async fn read_body(
+    gateway: &Rc<Gateway>,
+    mut body: Incoming,
+    limit: usize,
+    request_id: &str,
+) -> Result<(Bytes, KeptBytes), ClientAnswer> {
+    let too_long = || {
+        log::info!(target: "request", id = request_id, limit; "refused: the body exceeds the size limit");
+        local_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n")
+    };
+    let not_kept = || {
+        log::warn!(target: "request", id = request_id; "refused: the limit of buffered request bytes is reached");
+        not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE)
+    };
+    let declared = body.size_hint().lower();
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(too_long());
+    }
+    let mut kept_bytes = KeptBytes::none(gateway);
+    if !kept_bytes.extend_to(declared) {
+        return Err(not_kept());
+    }
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
             log::info!(target: "request", id = request_id, error:%; "the body is incomplete");
-            Err(local_answer(
-                StatusCode::BAD_REQUEST,
-                "the body broke off\n",
-            ))
+            local_answer(StatusCode::BAD_REQUEST, "the body broke off\n")
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > limit {
+            return Err(too_long());
+        }
+        if !kept_bytes.extend_to(length) {
+            return Err(not_kept());
         }
+        bytes.reserve(declared.saturating_sub(bytes.len()));
+        bytes.extend_from_slice(&data);
     }
+    Ok((bytes.freeze(), kept_bytes))
 }
 
 /// Serves requests from their head alone, such as health checks; their bodies are ignored.
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -131,17 +131,36 @@
 }
 
 impl KeptBytes {
-    /// Counts bytes; `None` if that would exceed `max_kept_bytes`.
-    pub fn acquire(gateway: &Rc<Gateway>, bytes: usize) -> Option<Self> {
-        let total = gateway.kept_bytes.get() + bytes;
-        if total > gateway.settings.max_kept_bytes {
-            return None;
-        }
-        gateway.kept_bytes.set(total);
-        Some(Self {
+    /// Fraction of the memory for bodies that long ones may use; the rest is left for short ones.
+    const LONG_BODY_FRACTION: f64 = 0.75;
+
+    /// Size from which a body is long.
+    const LONG_BODY_BYTES: usize = 65_536;
+
+    /// Starts to count a body of which no byte has come in.
+    pub fn none(gateway: &Rc<Gateway>) -> Self {
+        Self {
             gateway: Rc::clone(gateway),
-            bytes,
-        })
+            bytes: 0,
+        }
+    }
+
+    /// Counts a body as having `length` bytes, if it had fewer before; `false` if the memory for bodies
+    /// does not suffice.
+    pub fn extend_to(&mut self, length: usize) -> bool {
+        let limit = self.gateway.settings.max_kept_bytes;
+        let limit = match length < Self::LONG_BODY_BYTES {
+            true => limit,
+            false => (limit as f64 * Self::LONG_BODY_FRACTION) as usize,
+        };
+        let more = length.saturating_sub(self.bytes);
+        let total = self.gateway.kept_bytes.get() + more;
+        if more > 0 && total > limit {
+            return false;
+        }
+        self.gateway.kept_bytes.set(total);
+        self.bytes += more;
+        true
     }
 }
 
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway on loopback, in front of servers that fail.
 
+mod bodies;
 mod crashes;
 mod endless;
 mod generation;
