Split the end of a stream and the check of the membership model

The error of a stream that is broken off is now sent after its end is recorded, since a client that does not read delays it.

--- a/crates/gs-control/tests/membership.rs
+++ b/crates/gs-control/tests/membership.rs
@@ -192,6 +192,12 @@
                 "the entry itself is not among the others"
             );
         }
+        self.check_unheard(&usable);
+        self.check_members();
+    }
+
+    /// Checks that entries that were never heard are usable for a while, if no other is.
+    fn check_unheard(&self, usable: &[MemberCandidate]) {
         let is_unheard = |name: &EntryName| self.state.member(name).is_none();
         let listed_for = |name: &EntryName| self.now - self.listed_since[name];
         let may_be_alive = |entry: &&MemberCandidate| {
@@ -212,6 +218,9 @@
                 "entries that may be alive are usable if no other is"
             );
         }
+    }
+
+    fn check_members(&self) {
         for member in self.state.members() {
             let entry = &member.peer.identity.entry;
             let (incarnation, received, _) = self.heartbeats[entry];
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -144,7 +144,7 @@
             .record_stream_started(&self.generation.job, stream.reservation.server());
         let mut runs = 1;
         let mut excluded: Vec<ServerName> = Vec::new();
-        loop {
+        let is_broken_off = loop {
             let server = stream.reservation.server().clone();
             let software = self.gateway.server_software(&server);
             let end = self.forward_events(stream).await;
@@ -155,23 +155,12 @@
             let job = &self.generation.job;
             match end {
                 StreamEnd::Complete | StreamEnd::ClientDisconnected => {
-                    let is_complete = matches!(end, StreamEnd::Complete);
-                    if is_complete {
-                        let tokens = self.progress.events * u64::from(self.tokens_per_event());
-                        self.gateway.update_length_estimate(&job.rule.name, tokens);
-                        self.gateway
-                            .update_duration_estimate(self.started.elapsed());
-                        self.gateway
-                            .record_stream_duration(&job.service, job.arrived.elapsed());
-                    }
-                    log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_complete, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
-                    break;
+                    self.record_end(&server, matches!(end, StreamEnd::Complete));
+                    break false;
                 }
                 StreamEnd::TimedOut => {
                     self.record_timeout(&server);
-                    // Fails only if the client has disconnected.
-                    let _ = self.sender.send(Err(IncompleteAnswer)).await;
-                    break;
+                    break true;
                 }
                 StreamEnd::Broken(error) => {
                     log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, error:%, contents = job.contents_text(); "stream interrupted");
@@ -195,17 +184,31 @@
                         .record_stream_started(job, next.reservation.server());
                     stream = next;
                 }
-                None => {
-                    // Fails only if the client has disconnected.
-                    let _ = self.sender.send(Err(IncompleteAnswer)).await;
-                    break;
-                }
+                None => break true,
             }
-        }
+        };
         self.gateway.record_stream_ended(&self.generation.job);
+        if is_broken_off {
+            // Fails only if the client has disconnected.
+            let _ = self.sender.send(Err(IncompleteAnswer)).await;
+        }
         drop(self.active);
     }
 
+    /// Records the end of a stream that is complete or whose client has left.
+    fn record_end(&self, server: &ServerName, is_complete: bool) {
+        let job = &self.generation.job;
+        if is_complete {
+            let tokens = self.progress.events * u64::from(self.tokens_per_event());
+            self.gateway.update_length_estimate(&job.rule.name, tokens);
+            self.gateway
+                .update_duration_estimate(self.started.elapsed());
+            self.gateway
+                .record_stream_duration(&job.service, job.arrived.elapsed());
+        }
+        log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, gap_ms = self.progress.longest_gap.as_millis() as u64, whole = is_complete, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended");
+    }
+
     /// Records that the time limit has passed. An engine that was silent for longer than the route allows
     /// between two events has failed.
     fn record_timeout(&self, server: &ServerName) {
