--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -28,7 +28,7 @@
     last_heartbeat: Instant,
 }
 
-/// A listed entry, and since when the list has named it at these addresses.
+/// A listed entry, and since when the list has named it at its address.
 #[derive(Clone, Debug)]
 struct ListedCandidate {
     candidate: MemberCandidate,
