Recognize workspaces by their API keys at gs-node

Cause: no line of the product read the workspaces of the configuration. A client's key went on to servers, requests with unknown keys ran, and servers were not told whose request it was. Change: the configuration's workspaces become a WorkspaceTable of key digests. The ingress decides before it reads the body (401 with a challenge), servers get the workspace's name, and neither a key nor a client's own name is passed on. A workspace's priority replaces its route's. Each step that starts work checks the key again. Without workspaces, headers and answers are as before.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -21,6 +21,7 @@
 mod routes;
 mod shutdown;
 mod stages;
+mod workspaces;
 
 pub use admission::{
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
@@ -53,3 +54,6 @@
 };
 pub use shutdown::{RequestSpan, ShutdownPhase, ShutdownPlan};
 pub use stages::{StageChange, StageEstimate, StageNeed, next_stage_change};
+pub use workspaces::{
+    CostUnit, KeyDigest, KeyError, QuotaSpec, RequestCaller, WorkspaceSpec, WorkspaceTable,
+};
--- a/crates/gs-control/src/forwarding/routes.rs
+++ b/crates/gs-control/src/forwarding/routes.rs
@@ -6,6 +6,8 @@
 
 use gs_protocol::ids::ServiceName;
 
+use super::workspaces::{KeyDigest, KeyError, RequestCaller, WorkspaceTable};
+
 /// The kind of requests of a route, which determines whether they may be retried.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -59,6 +61,8 @@
     pub latency_target: Duration,
     /// Priority; 0 is the most urgent.
     pub rank: u8,
+    /// Whether its requests need no API key where the configuration has workspaces.
+    pub is_public: bool,
     /// The services that requests are forwarded to.
     pub targets: Vec<RouteTarget>,
     /// Maximum number of servers that may run one request.
@@ -143,6 +147,8 @@
     pub version: u64,
     /// Limits on what clients may send.
     pub limits: ClientLimits,
+    /// The workspaces; none if requests need no API key.
+    pub workspaces: Option<WorkspaceTable>,
     routes: BTreeMap<String, Vec<Arc<RouteRule>>>,
     services: BTreeMap<ServiceName, ServiceSpec>,
 }
@@ -166,6 +172,7 @@
         Self {
             version,
             limits,
+            workspaces: None,
             routes,
             services,
         }
@@ -181,6 +188,23 @@
             .find(|rule| path.starts_with(&rule.path_prefix))
     }
 
+    /// Returns whose request it is. Fails if the route needs an API key and no workspace holds `key`.
+    pub fn identify_caller(
+        &self,
+        rule: &RouteRule,
+        key: Option<&KeyDigest>,
+    ) -> Result<RequestCaller, KeyError> {
+        let Some(workspaces) = &self.workspaces else {
+            return Ok(RequestCaller::Unscoped);
+        };
+        if rule.is_public {
+            return Ok(RequestCaller::Public);
+        }
+        let workspace = workspaces.find(key.ok_or(KeyError::Missing)?);
+        let workspace = workspace.ok_or(KeyError::Unknown)?;
+        Ok(RequestCaller::Workspace(workspace.clone()))
+    }
+
     /// Returns the properties of a service.
     pub fn service(&self, service: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(service)
--- a/crates/gs-control/tests/forwarding/routes.rs
+++ b/crates/gs-control/tests/forwarding/routes.rs
@@ -22,6 +22,7 @@
         kind: RouteKind::Safe,
         timeout: milliseconds(600),
         latency_target: milliseconds(100),
+        is_public: false,
         rank: 0,
         targets: targets.collect(),
         max_attempts: 2,
--- a/crates/gs-gateway/src/crashes.rs
+++ b/crates/gs-gateway/src/crashes.rs
@@ -102,7 +102,7 @@
 impl Gateway {
     /// Returns the time after which a request may be sent whose content has crashed too many servers;
     /// `None` if it may be sent now.
-    pub(crate) fn content_refusal(&self, job: &ForwardJob) -> Option<Duration> {
+    pub(super) fn content_refusal(&self, job: &ForwardJob) -> Option<Duration> {
         let state = self.state.borrow();
         let peers = || -> Vec<EntryName> {
             let members = state.membership.usable_entries().into_iter();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -47,7 +47,7 @@
 impl GenerationJob {
     /// Returns the priority in the engines' queues.
     pub fn priority(&self) -> u8 {
-        self.job.rule.rank.min(LOWEST_PRIORITY)
+        self.job.rank().min(LOWEST_PRIORITY)
     }
 
     /// Returns the resources that a stream needs when it is placed outside the admission queue.
@@ -83,7 +83,7 @@
         .as_ref()
         .and_then(|table| table.service(&job.service))
         .and_then(|service| service.engine.clone());
-    if let Some(retry_after) = gateway.content_refusal(&job) {
+    if let Some(retry_after) = gateway.start_refusal(&job) {
         return job.refusal_answer(gateway, retry_after);
     }
     let software = match gateway.software_need(&job).await {
@@ -234,7 +234,7 @@
             excluded.push(reservation.server().clone());
             continue;
         }
-        let is_refused = gateway.content_refusal(job).is_some();
+        let is_refused = gateway.start_refusal(job).is_some();
         if is_refused || (is_retry && !gateway.spend_budget(&job.service)) {
             break;
         }
@@ -422,6 +422,7 @@
     };
     let options = ForwardOptions {
         server: decode_request.server,
+        caller: &job.caller,
         task: decode_request.task,
         deadline: job.answer_due().saturating_duration_since(Instant::now()),
         priority: Some(generation.priority()),
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use gs_control::forwarding::{RouteKind, RouteRule, RouteTable, ShutdownPhase};
+use gs_control::forwarding::{RequestCaller, RouteKind, RouteRule, RouteTable, ShutdownPhase};
 use gs_protocol::ids::ServiceName;
 use gs_protocol::suspicion::ContentHash;
 use http_body_util::BodyExt;
@@ -154,6 +154,7 @@
     table: Arc<RouteTable>,
     rule: Arc<RouteRule>,
     service: ServiceName,
+    caller: RequestCaller,
 }
 
 /// Finds the route of a request. An error is the answer to a request without one.
@@ -172,6 +173,7 @@
         let answer = local_answer(StatusCode::NOT_FOUND, "no route\n");
         return Err(Box::new(answer));
     };
+    let caller = gateway.identify_caller(&table, &rule, metadata)?;
     let Some(service) = rule.target(gateway.random_fraction()).cloned() else {
         log::warn!(target: "request", id:% = metadata.request_id, route = rule.name; "the route has no target service");
         let answer = not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE);
@@ -181,11 +183,12 @@
         table,
         rule,
         service,
+        caller,
     })
 }
 
 /// Builds the answer to a request that was not sent to a server.
-fn not_run_answer(gateway: &Gateway, status: StatusCode) -> ClientAnswer {
+pub(crate) fn not_run_answer(gateway: &Gateway, status: StatusCode) -> ClientAnswer {
     let mut answer = local_answer(status, "not run\n");
     let (name, value) = gateway.wire.retry_after(DEFAULT_RETRY_AFTER);
     answer.headers_mut().insert(name, value);
@@ -207,6 +210,7 @@
         table,
         rule,
         service,
+        caller,
     } = find_route(gateway, &metadata, head.uri.path()).map_err(|answer| *answer)?;
     let time_limit = rule.time_limit(metadata.deadline);
     let reading = read_body(gateway, body, table.limits.body_bytes, &metadata.request_id);
@@ -235,6 +239,7 @@
         body,
         rule,
         service,
+        caller,
         arrived,
         contents,
         _kept_bytes: kept_bytes,
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod generation;
 mod ingress;
+mod keys;
 mod lifecycle;
 mod notices;
 mod origins;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use gs_control::forwarding::{
-    AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RequestSpan, RouteKind, RouteRule,
-    ServerLoad, choose_server, limit_wait, next_step,
+    AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RequestCaller, RequestSpan, RouteKind,
+    RouteRule, ServerLoad, choose_server, limit_wait, next_step,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
 use gs_protocol::suspicion::ContentHash;
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub rule: Arc<RouteRule>,
+    /// Whose request it is.
+    pub caller: RequestCaller,
     pub service: ServiceName,
     pub arrived: Instant,
     /// Content that other requests may have in common with this one: the shared parts of its prompt, and last
@@ -70,6 +72,13 @@
         contents.join(",")
     }
 
+    /// Returns its priority: that of its workspace, or else that of its route. 0 is the most urgent.
+    pub fn rank(&self) -> u8 {
+        let workspace = self.caller.workspace();
+        let rank = workspace.and_then(|workspace| workspace.rank);
+        rank.unwrap_or(self.rule.rank)
+    }
+
     /// Returns the time from its arrival within which the request must have its final answer.
     fn time_limit(&self) -> Duration {
         self.rule.time_limit(self.metadata.deadline)
@@ -167,7 +176,7 @@
     let mut tried: Vec<ServerName> = Vec::new();
     let mut failure_answer: FailureAnswer = None;
     loop {
-        if let Some(retry_after) = gateway.content_refusal(job) {
+        if let Some(retry_after) = gateway.start_refusal(job) {
             return match history.runs {
                 0 => job.refusal_answer(gateway, retry_after),
                 _ => final_answer(gateway, job, failure_answer, FinalAnswer::Unknown),
@@ -327,6 +336,7 @@
     let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
     let options = ForwardOptions {
         server,
+        caller: &job.caller,
         task: ServerTask::Run,
         deadline: job.answer_due().saturating_duration_since(Instant::now()),
         priority: None,
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -110,7 +110,7 @@
             prompt_tokens: u64::from(generation.demand.shape.held_tokens),
         };
         let _reservation = Reservation::acquire(gateway, &server, load);
-        if gateway.content_refusal(&generation.job).is_some() {
+        if gateway.start_refusal(&generation.job).is_some() {
             return Err(PrefillFailed);
         }
         let run = ServerRun::start(gateway, &generation.job, &server);
@@ -158,6 +158,7 @@
     let limit = left.min(job.rule.latency_target.mul_f64(PREFILL_TIMEOUT_FACTOR));
     let options = ForwardOptions {
         server,
+        caller: &job.caller,
         task: ServerTask::Prefill,
         deadline: left,
         priority: Some(generation.priority()),
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -242,7 +242,7 @@
             0 => job.metadata.resume.as_ref(),
             _ => Some(self.progress.resume_point.as_ref()?),
         };
-        if self.gateway.content_refusal(job).is_some() {
+        if self.gateway.start_refusal(job).is_some() {
             return None;
         }
         let reservation = reserve_decode(&self.gateway, &self.generation, excluded)?;
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gs_control::forwarding::ServerStage;
+use gs_control::forwarding::{KeyDigest, RequestCaller, ServerStage};
 use gs_protocol::ids::{EntryName, ServerName};
 use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
@@ -48,6 +48,8 @@
     pub host: String,
     /// Time that the client waits for the answer.
     pub deadline: Option<Duration>,
+    /// Digest of the client's API key, if it sent one.
+    pub api_key: Option<KeyDigest>,
     /// Token counts; set for generation requests only.
     pub generation: Option<GenerationParams>,
     /// Last event that the client has received, if it resumes a stream.
@@ -87,6 +89,8 @@
 pub struct ForwardOptions<'a> {
     /// Intended server; another server at the same address rejects the request.
     pub server: &'a ServerName,
+    /// Whose request it is.
+    pub caller: &'a RequestCaller,
     /// Work that the server performs.
     pub task: ServerTask<'a>,
     /// Time left for the answer.
@@ -159,7 +163,8 @@
     /// Parses the head of a client's request.
     fn parse_request(&self, head: &http::request::Parts) -> Result<RequestMetadata, RequestError>;
 
-    /// Builds the headers of a request to a server: the client's end-to-end headers and the options.
+    /// Builds the headers of a request to a server: the client's end-to-end headers and the options. An API key is
+    /// not passed on where the configuration has workspaces.
     fn server_headers(&self, client: &HeaderMap, options: &ForwardOptions<'_>) -> HeaderMap;
 
     /// Classifies the answer to the request with the ID `request_id`, by its head.
@@ -183,6 +188,9 @@
     /// Builds the header that tells a client after which time to retry.
     fn retry_after(&self, after: Duration) -> (hyper::header::HeaderName, HeaderValue);
 
+    /// Builds the header that tells a client how to send its API key.
+    fn key_challenge(&self) -> (hyper::header::HeaderName, HeaderValue);
+
     /// Selects the headers of a server's answer that are forwarded to the client.
     fn client_headers(&self, server: &HeaderMap) -> HeaderMap;
 }
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -55,6 +55,7 @@
             timeout: Duration::from_secs(5),
             latency_target: Duration::from_millis(800),
             rank: 0,
+            is_public: false,
             targets: vec![RouteTarget {
                 service: service.into(),
                 weight: 1,
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gs_control::forwarding::{KeyDigest, RequestCaller};
 use gs_gateway::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, PrefillResult, RequestError,
     RequestMetadata, ResumePoint, ServerNotice, ServerTask, ServerWire, StageOrder,
@@ -31,6 +32,7 @@
                 .ok_or(RequestError::MissingHost)?
                 .to_owned(),
             deadline: deadline.map(Duration::from_millis),
+            api_key: text(headers, "t-key").map(|key| KeyDigest::new(key.as_bytes())),
             generation: tokens.map(|tokens| GenerationParams {
                 prompt_tokens: tokens,
                 max_output_tokens: 100,
@@ -53,6 +55,8 @@
             "transfer-encoding",
             "connection",
             "t-deadline",
+            "t-key",
+            "t-workspace",
         ] {
             headers.remove(name);
         }
@@ -62,6 +66,9 @@
         };
         set("t-server", options.server.to_string());
         set("t-left", options.deadline.as_millis().to_string());
+        if let RequestCaller::Workspace(workspace) = options.caller {
+            set("t-workspace", workspace.name.clone());
+        }
         match options.task {
             ServerTask::Run => set("t-stage", "run".to_owned()),
             ServerTask::Prefill => set("t-stage", "prefill".to_owned()),
@@ -139,6 +146,11 @@
         (name, value.expect("a plain value"))
     }
 
+    fn key_challenge(&self) -> (HeaderName, HeaderValue) {
+        let name = HeaderName::from_static("t-challenge");
+        (name, HeaderValue::from_static("key"))
+    }
+
     fn client_headers(&self, server: &HeaderMap) -> HeaderMap {
         let mut headers = server.clone();
         for name in ["content-length", "transfer-encoding", "connection"] {
