Test the recognition of API keys

Change: tests of the table of keys, of the configuration's fields, of the headers to servers, and of the gateway with the test protocol: the answer 401 before a body comes, no start after a key was removed (queue, retry, decode, resumed stream), the workspace's priority at the engine, and no key in a log line or at a server. The test deployment can apply a configuration with workspaces.

--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -16,3 +16,4 @@
 mod shutdown;
 mod stages;
 mod support;
+mod workspaces;
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endless;
 mod generation;
+mod keys;
 mod leaving;
 mod limits;
 mod logs;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -7,7 +7,7 @@
 
 use gs_control::forwarding::{
     ClientLimits, EngineSpec, ListedServer, RouteKind, RouteRule, RouteTable, RouteTarget,
-    ServerStage, ServiceSpec,
+    ServerStage, ServiceSpec, WorkspaceTable,
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
@@ -22,7 +22,7 @@
 use super::wire::TestWire;
 
 /// The routes of the tests, one of each kind.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Route {
     Safe,
     Unsafe,
@@ -119,27 +119,37 @@
     }
 
     pub async fn start_in(data_centre: &str, name: &str, servers: Vec<ListedServer>) -> Self {
+        let deployment = Self::start_unconfigured(data_centre, name).await;
+        deployment.apply_workspaces(1, None, &[]);
+        deployment.gateway.replace_servers(servers);
+        deployment.gateway.replace_software_records(BTreeMap::new());
+        deployment
+    }
+
+    /// Starts an entry that has received neither a configuration nor a list of servers.
+    pub async fn start_unconfigured(data_centre: &str, name: &str) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let gateway = Rc::new(Gateway::new(
             settings(data_centre, name, address),
             Box::new(TestWire),
         ));
-        let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
-        let rules = routes.map(Route::rule).into();
-        gateway.apply_table(RouteTable::new(
-            1,
-            ClientLimits::default(),
-            rules,
-            services(),
-        ));
-        gateway.replace_servers(servers);
-        gateway.replace_software_records(BTreeMap::new());
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
     }
 
+    /// Applies a configuration with these workspaces and public routes.
+    pub fn apply_workspaces(
+        &self,
+        version: u64,
+        workspaces: Option<WorkspaceTable>,
+        public: &[Route],
+    ) {
+        self.gateway
+            .apply_table(route_table(version, workspaces, public));
+    }
+
     /// Starts the exchange of heartbeats between entries.
     pub async fn join(entries: &[Self]) {
         Self::join_knowing(entries, |_, _| true).await;
@@ -194,6 +204,23 @@
     )
 }
 
+/// Builds a configuration of all routes with these workspaces and public routes.
+pub fn route_table(
+    version: u64,
+    workspaces: Option<WorkspaceTable>,
+    public: &[Route],
+) -> RouteTable {
+    let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
+    let rules = routes.map(|route| RouteRule {
+        is_public: public.contains(&route),
+        ..route.rule()
+    });
+    let limits = ClientLimits::default();
+    let mut table = RouteTable::new(version, limits, rules.into(), services());
+    table.workspaces = workspaces;
+    table
+}
+
 fn services() -> BTreeMap<gs_protocol::ids::ServiceName, ServiceSpec> {
     let engine = EngineSpec {
         slots: 4,
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -69,6 +69,9 @@
         if let RequestCaller::Workspace(workspace) = options.caller {
             set("t-workspace", workspace.name.clone());
         }
+        if let Some(priority) = options.priority {
+            set("t-priority", priority.to_string());
+        }
         match options.task {
             ServerTask::Run => set("t-stage", "run".to_owned()),
             ServerTask::Prefill => set("t-stage", "prefill".to_owned()),
