Prove that the configuration is current before requests with keys are served

Cause: an entry that the store does not reach served API keys that had been removed for as long as it was cut off.

Change: CurrencyTracker keeps the latest moment for which the configuration in force was proved to be the newest, from exact reads of the store and from questions to peers over the reports' socket, each dated by its start.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 //! addresses and the current time are passed in as arguments.
 
 mod admission;
+mod currency;
 mod deadlines;
 mod directory;
 mod freshness;
@@ -27,6 +28,10 @@
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
     StartClass, StreamDemand, TicketId, WaitingCounts, WaitingStream,
 };
+pub use currency::{
+    AnswerUse, BootTime, CurrencyAnswer, CurrencyChange, CurrencyProof, CurrencySettings,
+    CurrencyTracker, ProofSource, is_proof_reader,
+};
 pub use deadlines::DeadlineTracker;
 pub use directory::{DirectorySettings, ListedServer, ServerDirectory, ServerStage};
 pub use freshness::{
--- a/crates/gs-gateway/src/connection.rs
+++ b/crates/gs-gateway/src/connection.rs
@@ -37,6 +37,9 @@
     /// The connection ended before any byte of the request was written.
     #[error("the request was not sent: {0}")]
     NotSent(hyper::Error),
+    /// The request may no longer be sent to a server.
+    #[error("the request may no longer be sent")]
+    NotStarted,
     /// The connection failed after the server may have read the request.
     #[error("the connection failed during the exchange: {0}")]
     Broken(hyper::Error),
@@ -52,10 +55,17 @@
 }
 
 impl CallError {
+    /// Whether the server could not be reached.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_not_sent() && !matches!(self, Self::NotStarted)
+    }
+
     /// Whether the server certainly has not read any byte of the request.
     pub fn is_not_sent(&self) -> bool {
         match self {
-            Self::ConnectTimeout(_) | Self::Connect(_) | Self::NotSent(_) => true,
+            Self::ConnectTimeout(_) | Self::Connect(_) | Self::NotSent(_) | Self::NotStarted => {
+                true
+            }
             Self::Broken(_) | Self::TooLong | Self::Refused(_) | Self::AnswerTimeout(_) => false,
         }
     }
--- a/crates/gs-gateway/src/datagram.rs
+++ b/crates/gs-gateway/src/datagram.rs
@@ -1,5 +1,6 @@
 //! Datagrams between entries: reports, and how the receiver handles them.
 
+use gs_control::forwarding::CurrencyAnswer;
 use gs_control::relay::EntryReport;
 
 /// Maximum size of a datagram, in bytes.
@@ -64,3 +65,51 @@
     let reports = ciborium::from_reader(body).ok()?;
     Some((DatagramKind::from_byte(*kind)?, reports))
 }
+
+/// First byte of a question how current a peer's configuration is.
+const QUESTION: u8 = 4;
+
+/// First byte of the answer to it.
+const ANSWER: u8 = 5;
+
+/// A question how current a peer's configuration is, or the answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CurrencyMessage {
+    /// The question, with its nonce.
+    Question(u64),
+    /// The answer.
+    Answer(CurrencyAnswer),
+}
+
+/// Encodes a question or an answer into a datagram.
+pub(crate) fn encode_currency(message: CurrencyMessage) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let encoded = match message {
+        CurrencyMessage::Question(nonce) => {
+            bytes.push(QUESTION);
+            ciborium::into_writer(&nonce, &mut bytes)
+        }
+        CurrencyMessage::Answer(answer) => {
+            bytes.push(ANSWER);
+            ciborium::into_writer(&answer, &mut bytes)
+        }
+    };
+    if let Err(error) = encoded {
+        log::warn!(target: "peers", error:%; "cannot encode a question or an answer on the configuration");
+    }
+    bytes
+}
+
+/// Decodes a question or an answer; `None` if the datagram is something else.
+pub(crate) fn decode_currency(bytes: &[u8]) -> Option<CurrencyMessage> {
+    let (kind, body) = bytes.split_first()?;
+    match *kind {
+        QUESTION => ciborium::from_reader(body)
+            .ok()
+            .map(CurrencyMessage::Question),
+        ANSWER => ciborium::from_reader(body)
+            .ok()
+            .map(CurrencyMessage::Answer),
+        _ => None,
+    }
+}
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::answer_reader::AnswerBudget;
+use crate::currency::CurrencyState;
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
@@ -64,6 +65,8 @@
     pub max_answer_bytes: usize,
     /// Timeouts after which a silent entry is suspected or considered dead.
     pub membership: MembershipSettings,
+    /// Time within which removed API keys stop working even at an entry without the registry, if they must.
+    pub revoke_after: Option<Duration>,
 }
 
 /// Address of an entry, as given to clients.
@@ -160,6 +163,7 @@
     pub(crate) awaited_connections: Cell<usize>,
     pub(crate) kept_bytes: Cell<usize>,
     pub(crate) answer_budget: AnswerBudget,
+    pub(crate) currency: CurrencyState,
 }
 
 impl Gateway {
@@ -192,6 +196,7 @@
         Self {
             shutdown_plan: ShutdownPlan::new(settings.stop_grace),
             answer_budget: AnswerBudget::new(settings.max_answer_bytes),
+            currency: CurrencyState::new(settings.revoke_after),
             settings,
             wire,
             state: RefCell::new(state),
@@ -226,6 +231,7 @@
         state.table = Some(Arc::new(table));
         drop(state);
         self.record_version(RegistryView::Routes, RegistryVersion::across_eras(version));
+        self.record_table_version(version);
     }
 
     /// Returns the current configuration.
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -104,7 +104,7 @@
         SoftwareNeed::Only(_) => reserve_taken_up(gateway, &generation).await,
     };
     match admitted {
-        Ok(reservation) => match generation.job.shutdown_refusal(gateway) {
+        Ok(reservation) => match generation.job.late_refusal(gateway) {
             None => run_generation(gateway, generation, reservation).await,
             Some(refusal) => refusal,
         },
@@ -328,7 +328,9 @@
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) if error.is_not_sent() => {
             run.discard();
-            gateway.record_unreachable(server);
+            if error.is_unreachable() {
+                gateway.record_unreachable(server);
+            }
             return DecodeOutcome::Failed(AttemptFailure::NotSent, None);
         }
         Ok(Err(error)) => {
@@ -420,6 +422,9 @@
         }
         false => opened,
     };
+    if gateway.start_refusal(job).is_some() {
+        return Err(CallError::NotStarted);
+    }
     let options = ForwardOptions {
         server: decode_request.server,
         caller: &job.caller,
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -169,6 +169,10 @@
         return Err(Box::new(answer));
     };
     let Some(rule) = table.find(&metadata.host, path).cloned() else {
+        // A newer configuration may have a route.
+        if let Some(retry_after) = gateway.currency_refusal(&table, &metadata.request_id) {
+            return Err(Box::new(not_run_after(gateway, retry_after)));
+        }
         log::info!(target: "request", id:% = metadata.request_id, version = table.version; "no route matches the request");
         let answer = local_answer(StatusCode::NOT_FOUND, "no route\n");
         return Err(Box::new(answer));
@@ -195,6 +199,14 @@
     answer
 }
 
+/// Builds the answer to a request that cannot be served now and may be sent again after a time.
+pub(crate) fn not_run_after(gateway: &Gateway, after: Duration) -> ClientAnswer {
+    let mut answer = not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE);
+    let (name, value) = gateway.wire.retry_after(after);
+    answer.headers_mut().insert(name, value);
+    answer
+}
+
 /// Reads a complete request and finds its route. An error is the answer to an invalid or refused request.
 async fn read_job(
     gateway: &Rc<Gateway>,
--- a/crates/gs-gateway/src/keys.rs
+++ b/crates/gs-gateway/src/keys.rs
@@ -7,17 +7,24 @@
 
 use crate::answer::{ClientAnswer, local_answer};
 use crate::gateway::Gateway;
+use crate::ingress::not_run_after;
 use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob};
 use crate::wire::RequestMetadata;
 
 impl Gateway {
-    /// Returns whose request it is. An error is the answer to a request whose key is missing or unknown.
+    /// Returns whose request it is. An error is the answer to a request whose key is missing or unknown, or cannot be
+    /// judged since the configuration is not proved to be current.
     pub(crate) fn identify_caller(
         &self,
         table: &RouteTable,
         rule: &RouteRule,
         metadata: &RequestMetadata,
     ) -> Result<RequestCaller, Box<ClientAnswer>> {
+        if !rule.is_public
+            && let Some(retry_after) = self.currency_refusal(table, &metadata.request_id)
+        {
+            return Err(Box::new(not_run_after(self, retry_after)));
+        }
         let identified = table.identify_caller(rule, metadata.api_key.as_ref());
         identified.map_err(|error| {
             log::info!(target: "request", id:% = metadata.request_id, route = rule.name, version = table.version, key:? = metadata.api_key, error:%; "refused: not authorized");
@@ -38,12 +45,17 @@
         self.content_refusal(job).or_else(|| self.key_refusal(job))
     }
 
-    /// Checks that the workspace of a request still holds its key: the configuration may have changed since
-    /// the request was read.
+    /// Checks that the workspace of a request still holds its key and that the configuration is proved to be
+    /// current: both may have changed since the request was read.
     fn key_refusal(&self, job: &ForwardJob) -> Option<Duration> {
         let workspace = job.caller.workspace()?;
         let table = self.table();
         let workspaces = table.as_ref().and_then(|table| table.workspaces.as_ref());
+        if let Some(table) = &table
+            && let Some(retry_after) = self.currency_refusal(table, &job.metadata.request_id)
+        {
+            return Some(retry_after);
+        }
         let holder = match (workspaces, &job.metadata.api_key) {
             (Some(workspaces), Some(key)) => workspaces.find(key),
             // Without workspaces, the configuration in force needs no key.
@@ -57,3 +69,14 @@
         Some(DEFAULT_RETRY_AFTER)
     }
 }
+
+impl ForwardJob {
+    /// Returns the refusal of a request that has waited and must not be sent to a server now; `None` if it may be.
+    pub(crate) fn late_refusal(&self, gateway: &Gateway) -> Option<ClientAnswer> {
+        let refused = gateway.start_refusal(self);
+        match refused {
+            Some(retry_after) => Some(self.refusal_answer(gateway, retry_after)),
+            None => self.shutdown_refusal(gateway),
+        }
+    }
+}
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer_reader;
 mod connection;
 mod crashes;
+mod currency;
 mod datagram;
 mod error;
 mod event_stream;
@@ -34,6 +35,7 @@
 
 pub use answer::{AnswerBody, ClientAnswer};
 pub use connection::{CallError, ServerConnection, fetch};
+pub use currency::run_currency;
 pub use error::GatewayError;
 pub use event_stream::{EventSplitter, StreamEvent};
 pub use gateway::{EntryEndpoint, Gateway, GatewaySettings};
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -16,7 +16,10 @@
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 
-use crate::datagram::{DatagramKind, MAX_DATAGRAM_BYTES, decode_reports, encode_reports};
+use crate::datagram::{
+    DatagramKind, MAX_DATAGRAM_BYTES, decode_currency, decode_reports, encode_currency,
+    encode_reports,
+};
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
 use crate::relays::send_relayed;
@@ -71,12 +74,17 @@
     ) {
         for bytes in encode_reports(kind, reports) {
             for address in addresses {
-                if let Err(error) = self.udp.send_to(&bytes, address).await {
-                    log::debug!(target: "peers", "cannot send reports to {address}: {error}");
-                }
+                self.send_bytes(&bytes, *address).await;
             }
         }
     }
+
+    /// Sends a datagram. What cannot be sent is lost.
+    pub(crate) async fn send_bytes(&self, bytes: &[u8], address: SocketAddr) {
+        if let Err(error) = self.udp.send_to(bytes, address).await {
+            log::debug!(target: "peers", "cannot send a datagram to {address}: {error}");
+        }
+    }
 }
 
 impl Gateway {
@@ -208,14 +216,20 @@
 pub async fn receive_reports(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let length = match socket.udp.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, peer) = match socket.udp.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::debug!(target: "peers", "cannot receive a datagram: {error}");
                 tokio::time::sleep(BASE_REPORT_GAP).await;
                 continue;
             }
         };
+        if let Some(message) = decode_currency(&buffer[..length]) {
+            if let Some(answer) = gateway.handle_currency(peer, message) {
+                socket.send_bytes(&encode_currency(answer), peer).await;
+            }
+            continue;
+        }
         match decode_reports(&buffer[..length]) {
             Some((kind, reports)) => handle_reports(&gateway, &socket, kind, reports),
             None => log::info!(target: "peers", length; "invalid datagram ignored"),
@@ -255,6 +269,7 @@
         if let (Some(presence), Some((peer, state))) = (&report.presence, report.peer()) {
             let routes_version = RegistryVersion::across_eras(presence.routes_version);
             self.record_peer_version(RegistryView::Routes, routes_version);
+            self.record_peer_table(presence.routes_version);
             self.record_peer_version(RegistryView::Servers, presence.servers_version);
             self.record_peer_outages(&report.identity(), presence.ended_outages);
             self.handle_membership(MembershipEvent::HeartbeatReceived { peer, state });
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -313,7 +313,9 @@
             log::info!(target: "request", id:% = job.metadata.request_id, server:%, error:%, contents = job.contents_text(); "attempt failed");
             if error.is_not_sent() {
                 run.discard();
-                gateway.record_unreachable(server);
+                if error.is_unreachable() {
+                    gateway.record_unreachable(server);
+                }
                 return AttemptOutcome::Failed(AttemptFailure::NotSent, None);
             }
             gateway.record_answer(server, true);
@@ -334,6 +336,10 @@
     let address = gateway.server_address(server);
     let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
     let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
+    // The process may have been suspended while it connected.
+    if gateway.start_refusal(job).is_some() {
+        return Err(CallError::NotStarted);
+    }
     let options = ForwardOptions {
         server,
         caller: &job.caller,
--- a/crates/gs-gateway/src/registry.rs
+++ b/crates/gs-gateway/src/registry.rs
@@ -83,7 +83,9 @@
     /// time until its next call.
     pub fn record_registry_failure(&self, reader: RegistryView, failures: u32) -> Duration {
         let random = self.random_fraction();
-        let role = self.probe_role();
+        let mut role = self.probe_role();
+        // Its data centre gets proofs from a proof reader, so that it probes as often as an exact reader.
+        role.is_exact_reader |= self.proof_reading().is_some();
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let outage = &mut state.registry.outage;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -236,5 +236,6 @@
             suspect_after: Duration::from_secs(2),
             dead_after: Duration::from_secs(5),
         },
+        revoke_after: None,
     }
 }
