Test refusals without a young proof at each step that starts work

Guards the ingress, retries, the decode after a prefill, resumed streams and the queue against a suspended process and a key removed meanwhile, and two entries of which one gets its proofs by datagrams.

--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod crashes;
+mod currency;
 mod endless;
 mod generation;
 mod leaving;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    ClientLimits, EngineSpec, ListedServer, RouteKind, RouteRule, RouteTable, RouteTarget,
-    ServerStage, ServiceSpec,
+    ClientLimits, CostUnit, EngineSpec, KeyDigest, ListedServer, RouteKind, RouteRule, RouteTable,
+    RouteTarget, ServerStage, ServiceSpec, WorkspaceSpec, WorkspaceTable,
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
-    Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, send_reports,
-    serve_clients,
+    Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, run_currency,
+    send_reports, serve_clients,
 };
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::PeerIdentity;
@@ -119,20 +119,24 @@
     }
 
     pub async fn start_in(data_centre: &str, name: &str, servers: Vec<ListedServer>) -> Self {
+        Self::start_revoking(data_centre, name, servers, None).await
+    }
+
+    /// Starts an entry at which removed keys must stop working within a time.
+    pub async fn start_revoking(
+        data_centre: &str,
+        name: &str,
+        servers: Vec<ListedServer>,
+        revoke_after: Option<Duration>,
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let gateway = Rc::new(Gateway::new(
-            settings(data_centre, name, address),
-            Box::new(TestWire),
-        ));
-        let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
-        let rules = routes.map(Route::rule).into();
-        gateway.apply_table(RouteTable::new(
-            1,
-            ClientLimits::default(),
-            rules,
-            services(),
-        ));
+        let settings = GatewaySettings {
+            revoke_after,
+            ..settings(data_centre, name, address)
+        };
+        let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
+        gateway.apply_table(route_table(1, false));
         gateway.replace_servers(servers);
         gateway.replace_software_records(BTreeMap::new());
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
@@ -171,6 +175,7 @@
             let listed = candidates.iter().filter(|other| is_listed(own, other));
             gateway.apply_entries(listed.cloned().collect());
             actix_rt::spawn(receive_reports(Rc::clone(&gateway), Rc::clone(&socket)));
+            actix_rt::spawn(run_currency(Rc::clone(&gateway), Rc::clone(&socket)));
             actix_rt::spawn(send_reports(gateway, socket, Incarnation(1)));
         }
     }
@@ -194,6 +199,30 @@
     )
 }
 
+/// Returns a configuration with all routes, of which the unsafe one may be public.
+fn route_table(version: u64, is_public: bool) -> RouteTable {
+    let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
+    let mut rules = routes.map(Route::rule);
+    rules[1].is_public = is_public;
+    RouteTable::new(version, ClientLimits::default(), rules.into(), services())
+}
+
+/// Returns a configuration with a public route, in which a workspace holds these keys.
+pub fn keyed_table(version: u64, keys: &[&str]) -> RouteTable {
+    let workspace = WorkspaceSpec {
+        name: "huka".to_owned(),
+        rank: None,
+        unit: CostUnit::Requests,
+        quota: None,
+    };
+    let mut workspaces = WorkspaceTable::new();
+    let digests = keys.iter().map(|key| KeyDigest::new(key.as_bytes()));
+    workspaces.insert(workspace, digests);
+    let mut table = route_table(version, true);
+    table.workspaces = Some(workspaces);
+    table
+}
+
 fn services() -> BTreeMap<gs_protocol::ids::ServiceName, ServiceSpec> {
     let engine = EngineSpec {
         slots: 4,
--- a/crates/gs-gateway/tests/gateway/support/mod.rs
+++ b/crates/gs-gateway/tests/gateway/support/mod.rs
@@ -7,7 +7,9 @@
 mod wire;
 
 pub use client::{RawAnswer, RawClient};
-pub use deployment::{Deployment, Route, decode_server, plain_server, prefill_server, request};
+pub use deployment::{
+    Deployment, Route, decode_server, keyed_table, plain_server, prefill_server, request,
+};
 pub use events::{EVENT_PAUSE, event, events};
 pub use server::{Script, StubServer, header};
 
