--- a/crates/gs-control/tests/forwarding/currency.rs
+++ b/crates/gs-control/tests/forwarding/currency.rs
@@ -252,6 +252,32 @@
     assert!((2..=10).contains(&reads), "{reads}");
 }
 
+/// Every second of usual age is a second less of service in an outage of the store.
+#[test]
+fn the_usual_age_of_the_proof_is_low() {
+    let (mut reader, mut other) = (tracker(1), tracker(1));
+    let interval = SETTINGS.read_interval().as_millis() as u64;
+    let took = SETTINGS.watch_wait().as_millis() as u64 + 10;
+    let (mut ask_at, mut oldest) = (10_000, 0);
+    for ms in 10_000..60_000_u64 {
+        if ms % interval == took {
+            reader.record_read(at(ms), at(ms - took));
+        }
+        if ms == ask_at {
+            other.begin_ask(at(ms), ms);
+            if let Some(answer) = reader.answer(at(ms), ms) {
+                other.record_answer(at(ms + 2), peer(), answer);
+            }
+            ask_at += other.ask_interval(at(ms)).as_millis() as u64 + 1;
+        }
+        if ms > 12_000 {
+            let age = other.age(at(ms)).expect("a proof").as_millis();
+            oldest = oldest.max(age);
+        }
+    }
+    assert!(oldest <= 1_500, "{oldest}");
+}
+
 /// Entries of a data centre, a store that is cut off from some of them at random, and an operator who writes new
 /// versions. Datagrams are late, lost and repeated; clocks differ; processes are suspended.
 struct Fleet {
--- a/crates/gs-gateway/tests/gateway/currency.rs
+++ b/crates/gs-gateway/tests/gateway/currency.rs
@@ -92,7 +92,12 @@
     if has_workspaces {
         deployment.gateway.apply_table(keyed_table(2, &["k1"]));
     }
-    assert!(!deployment.gateway.needs_currency());
+    assert!(
+        !deployment.gateway.needs_currency(),
+        "no questions to peers"
+    );
+    assert!(deployment.gateway.proof_reading().is_none());
+    assert!(!deployment.gateway.begin_due_read());
     assert_eq!(
         send(&deployment, "/safe/", "t-key: k1\r\n").await.status(),
         200
@@ -115,10 +120,13 @@
     }
 }
 
+/// The gateway that a server meddles with once, and its clock.
+type MeddledGateway = Rc<Cell<Option<(Rc<Gateway>, ManualClock)>>>;
+
 /// Starts a server that does something when a request comes, then follows its script.
 async fn meddling_server(
     meanwhile: Meanwhile,
-    shared: &Rc<Cell<Option<(Rc<Gateway>, ManualClock)>>>,
+    shared: &MeddledGateway,
     script: Script,
 ) -> StubServer {
     let shared = Rc::clone(shared);
@@ -243,7 +251,9 @@
     }
     assert_eq!(status, 200);
     // The age at the peer counts: half of the time was over when the question came.
-    clocks.iter().for_each(|clock| clock.advance(REVOKE_AFTER / 2));
+    clocks
+        .iter()
+        .for_each(|clock| clock.advance(REVOKE_AFTER / 2));
     assert_eq!(
         send(&entries[1], "/safe/", "t-key: k1\r\n").await.status(),
         503
