--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -6,13 +6,18 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
+<<<<<<< HEAD
     ClientLimits, EngineSpec, ListedServer, RouteKind, RouteRule, RouteTable, RouteTarget,
     ServerStage, ServiceSpec, WorkspaceTable,
+=======
+    ClientLimits, CostUnit, EngineSpec, KeyDigest, ListedServer, RouteKind, RouteRule, RouteTable,
+    RouteTarget, ServerStage, ServiceSpec, WorkspaceSpec, WorkspaceTable,
+>>>>>>> currency
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
-    Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, send_reports,
-    serve_clients,
+    Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, run_currency,
+    send_reports, serve_clients,
 };
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::PeerIdentity;
@@ -119,6 +124,7 @@
     }
 
     pub async fn start_in(data_centre: &str, name: &str, servers: Vec<ListedServer>) -> Self {
+<<<<<<< HEAD
         let deployment = Self::start_unconfigured(data_centre, name).await;
         deployment.apply_workspaces(1, None, &[]);
         deployment.gateway.replace_servers(servers);
@@ -134,6 +140,28 @@
             settings(data_centre, name, address),
             Box::new(TestWire),
         ));
+=======
+        Self::start_revoking(data_centre, name, servers, None).await
+    }
+
+    /// Starts an entry at which removed keys must stop working within a time.
+    pub async fn start_revoking(
+        data_centre: &str,
+        name: &str,
+        servers: Vec<ListedServer>,
+        revoke_after: Option<Duration>,
+    ) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let settings = GatewaySettings {
+            revoke_after,
+            ..settings(data_centre, name, address)
+        };
+        let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
+        gateway.apply_table(route_table(1, false));
+        gateway.replace_servers(servers);
+        gateway.replace_software_records(BTreeMap::new());
+>>>>>>> currency
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
@@ -181,6 +209,7 @@
             let listed = candidates.iter().filter(|other| is_listed(own, other));
             gateway.apply_entries(listed.cloned().collect());
             actix_rt::spawn(receive_reports(Rc::clone(&gateway), Rc::clone(&socket)));
+            actix_rt::spawn(run_currency(Rc::clone(&gateway), Rc::clone(&socket)));
             actix_rt::spawn(send_reports(gateway, socket, Incarnation(1)));
         }
     }
@@ -204,6 +233,7 @@
     )
 }
 
+<<<<<<< HEAD
 /// Builds a configuration of all routes with these workspaces and public routes.
 pub fn route_table(
     version: u64,
@@ -218,6 +248,29 @@
     let limits = ClientLimits::default();
     let mut table = RouteTable::new(version, limits, rules.into(), services());
     table.workspaces = workspaces;
+=======
+/// Returns a configuration with all routes, of which the unsafe one may be public.
+fn route_table(version: u64, is_public: bool) -> RouteTable {
+    let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
+    let mut rules = routes.map(Route::rule);
+    rules[1].is_public = is_public;
+    RouteTable::new(version, ClientLimits::default(), rules.into(), services())
+}
+
+/// Returns a configuration with a public route, in which a workspace holds these keys.
+pub fn keyed_table(version: u64, keys: &[&str]) -> RouteTable {
+    let workspace = WorkspaceSpec {
+        name: "huka".to_owned(),
+        rank: None,
+        unit: CostUnit::Requests,
+        quota: None,
+    };
+    let mut workspaces = WorkspaceTable::new();
+    let digests = keys.iter().map(|key| KeyDigest::new(key.as_bytes()));
+    workspaces.insert(workspace, digests);
+    let mut table = route_table(version, true);
+    table.workspaces = Some(workspaces);
+>>>>>>> currency
     table
 }
 
@@ -263,5 +316,6 @@
             suspect_after: Duration::from_secs(2),
             dead_after: Duration::from_secs(5),
         },
+        revoke_after: None,
     }
 }
