Add the state machine of fleet-wide quotas

Cause: quotas of workspaces are read from the configuration, but nothing holds them, and other parts need the fleet's cost by workspace. Change: QuotaTracker keeps a token bucket of the fleet for each workspace from what peers report.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod outage;
 mod placement;
+mod quotas;
 mod recent_maximum;
 mod retries;
 mod routes;
@@ -47,6 +48,9 @@
     DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
     decode_wait, limit_wait,
 };
+pub use quotas::{
+    QuotaDecision, QuotaDigest, QuotaRefusal, QuotaReport, QuotaSettings, QuotaTracker,
+};
 pub use recent_maximum::RecentMaximum;
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, OriginDigest, RegistryVersion, ServerLoad, ServerWork,
-    StreamShape, WaitingCounts,
+    IssueReport, LimitDigest, LoadDigest, OriginDigest, QuotaDigest, RegistryVersion, ServerLoad,
+    ServerWork, StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -67,6 +67,8 @@
     pub limits: LimitDigest,
     /// Streams that run at the entry, by the software versions that began them.
     pub origins: OriginDigest,
+    /// Cost of the requests of workspaces that were used lately; empty without quotas.
+    pub quotas: QuotaDigest,
 }
 
 type ReportFields = (
@@ -87,8 +89,8 @@
     u64,
 );
 
-/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, and
-/// origins of streams.
+/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits,
+/// origins of streams, and quotas.
 type LoadFields = (
     u32,
     u32,
@@ -97,6 +99,7 @@
     SuspicionDigest,
     LimitDigest,
     OriginDigest,
+    QuotaDigest,
 );
 
 /// Server, open requests, prompt tokens, and for each stream the held and the remaining tokens.
@@ -208,7 +211,7 @@
 
 impl From<LoadFields> for EntryLoad {
     fn from(fields: LoadFields) -> Self {
-        let (on_time, late, works, issues, suspicions, limits, origins) = fields;
+        let (on_time, late, works, issues, suspicions, limits, origins, quotas) = fields;
         let digest = works
             .into_iter()
             .map(|(server, requests, prompt_tokens, streams)| {
@@ -234,6 +237,7 @@
             suspicions,
             limits,
             origins,
+            quotas,
         }
     }
 }
@@ -258,6 +262,7 @@
             load.suspicions,
             load.limits,
             load.origins,
+            load.quotas,
         )
     }
 }
