Hold requests to the quotas of their workspaces at gs-node

Cause: a workspace's quota was read and never applied. Change: the ingress counts a request's cost before it reads the body and answers 429 with Retry-After when the fleet's quota is used up. QuotaGuard gives the cost back unless the request was sent and may have run. Reports carry the digest. The settings bounds.quota_window_s, quota_overage and quota_slack are optional.

--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,9 +9,9 @@
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
     LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView, RequestSpan,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions, decode_wait,
+    OriginTracker, PlacementView, QuotaSettings, RecentMaximum, RegistryVersion, RegistryView,
+    RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase,
+    ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::answer_reader::AnswerBudget;
+use crate::quotas::QuotaState;
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
@@ -64,6 +65,8 @@
     pub max_answer_bytes: usize,
     /// Timeouts after which a silent entry is suspected or considered dead.
     pub membership: MembershipSettings,
+    /// The rule that quotas of workspaces are held to.
+    pub quotas: QuotaSettings,
 }
 
 /// Address of an entry, as given to clients.
@@ -112,6 +115,7 @@
     pub relays: RelayState,
     pub quarantine: ContentQuarantine,
     pub origins: OriginTracker,
+    pub quotas: QuotaState,
     pub rng: Pcg64Mcg,
 }
 
@@ -187,6 +191,7 @@
             membership: MembershipState::new(own, settings.membership),
             relays: RelayState::default(),
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
+            quotas: QuotaState::new(settings.quotas),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -223,6 +228,7 @@
             return;
         }
         log::info!(target: "config", version, before:? = current; "configuration applied");
+        state.quotas.apply_table(&table);
         state.table = Some(Arc::new(table));
         drop(state);
         self.record_version(RegistryView::Routes, RegistryVersion::across_eras(version));
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -429,6 +429,7 @@
         resume: decode_request.resume,
     };
     let request = job.build_server_request(gateway, &options);
+    job.quota.record_sent();
     let answer = connection.send(request).await?;
     Ok((answer, connection))
 }
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -212,6 +212,9 @@
         service,
         caller,
     } = find_route(gateway, &metadata, head.uri.path()).map_err(|answer| *answer)?;
+    let quota = gateway
+        .take_quota(&caller, &metadata)
+        .map_err(|answer| *answer)?;
     let time_limit = rule.time_limit(metadata.deadline);
     let reading = read_body(gateway, body, table.limits.body_bytes, &metadata.request_id);
     let Ok(body) = tokio::time::timeout_at((arrived + time_limit).into(), reading).await else {
@@ -240,6 +243,7 @@
         rule,
         service,
         caller,
+        quota,
         arrived,
         contents,
         _kept_bytes: kept_bytes,
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod plain;
 mod prefill;
+mod quotas;
 mod registry;
 mod relays;
 mod release;
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -138,6 +138,7 @@
             false => Duration::ZERO,
         };
         gateway.set_heartbeat_interval(interval + relay_delay);
+        gateway.update_quota_peers(interval + relay_delay);
         let is_due = last_full.is_none_or(|last_full| last_full.elapsed() >= interval)
             || gateway.is_stopping();
         if is_due {
@@ -176,7 +177,7 @@
     let servers_version = gateway.own_version(RegistryView::Servers);
     let own = &gateway.settings.own;
     let is_leaving = !gateway.is_ready();
-    let state = gateway.state.borrow();
+    let mut state = gateway.state.borrow_mut();
     let mut issues = state.loads.own_issues(now);
     issues.extend(state.directory.own_issues(now));
     let presence = with_presence.then(|| EntryPresence {
@@ -200,6 +201,7 @@
             suspicions: state.quarantine.digest(now),
             limits: state.limits.digest(now),
             origins: state.origins.digest(now),
+            quotas: state.quotas.tracker.digest(now),
         },
     }
 }
@@ -267,6 +269,7 @@
             suspicions,
             limits,
             origins,
+            quotas,
         } = report.load.clone();
         let changes = {
             let mut state = self.state.borrow_mut();
@@ -275,6 +278,8 @@
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
         state.origins.apply_digest(now, &origins);
+        let tracker = &mut state.quotas.tracker;
+        tracker.apply_digest(now, &report.entry, report.incarnation, &quotas);
         for change in state.limits.apply_digest(now, &report.entry, &limits) {
             let LimitChange { server, limit } = change;
             log::info!(target: "servers", server:%, limit:?, source:% = report.entry; "request limit changed");
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::connection::{CallError, ServerConnection};
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
+use crate::quotas::QuotaGuard;
 use crate::reservation::{KeptBytes, Reservation};
 use crate::wire::{AnswerClass, ForwardOptions, RequestMetadata, ServerTask};
 
@@ -56,6 +57,8 @@
     pub rule: Arc<RouteRule>,
     /// Whose request it is.
     pub caller: RequestCaller,
+    /// Its cost in the quota of its workspace.
+    pub quota: QuotaGuard,
     pub service: ServiceName,
     pub arrived: Instant,
     /// Content that other requests may have in common with this one: the shared parts of its prompt, and last
@@ -134,6 +137,7 @@
 
     /// Builds the answer to a request that has not run.
     pub fn refusal_answer(&self, gateway: &Gateway, after: Duration) -> ClientAnswer {
+        self.quota.record_not_run();
         let mut answer = local_answer(StatusCode::SERVICE_UNAVAILABLE, "not run\n");
         let (name, value) = gateway.wire.retry_after(after);
         answer.headers_mut().insert(name, value);
@@ -344,6 +348,7 @@
     };
     let request = job.build_server_request(gateway, &options);
     *is_sent = true;
+    job.quota.record_sent();
     let sent = gateway.note_sent(server);
     let (head, body) = connection.send(request).await?.into_parts();
     let class = gateway
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -165,6 +165,7 @@
         resume: None,
     };
     let request = job.build_server_request(gateway, &options);
+    job.quota.record_sent();
     let exchange = async {
         let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
         let (head, body) = connection.send(request).await?.into_parts();
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    ClientLimits, EngineSpec, ListedServer, RouteKind, RouteRule, RouteTable, RouteTarget,
-    ServerStage, ServiceSpec,
+    ClientLimits, EngineSpec, ListedServer, QuotaSettings, RouteKind, RouteRule, RouteTable,
+    RouteTarget, ServerStage, ServiceSpec,
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
@@ -236,5 +236,6 @@
             suspect_after: Duration::from_secs(2),
             dead_after: Duration::from_secs(5),
         },
+        quotas: QuotaSettings::default(),
     }
 }
