--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -9,9 +9,9 @@
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
     LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView, RequestSpan,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions, decode_wait,
+    OriginTracker, PlacementView, QuotaSettings, RecentMaximum, RegistryVersion, RegistryView,
+    RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase,
+    ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -24,6 +24,7 @@
 
 use crate::answer_reader::AnswerBudget;
 use crate::currency::CurrencyState;
+use crate::quotas::QuotaState;
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
@@ -67,6 +68,8 @@
     pub membership: MembershipSettings,
     /// Time within which removed API keys stop working even at an entry without the registry, if they must.
     pub revoke_after: Option<Duration>,
+    /// The rule that quotas of workspaces are held to.
+    pub quotas: QuotaSettings,
 }
 
 /// Address of an entry, as given to clients.
@@ -115,6 +118,7 @@
     pub relays: RelayState,
     pub quarantine: ContentQuarantine,
     pub origins: OriginTracker,
+    pub quotas: QuotaState,
     pub rng: Pcg64Mcg,
 }
 
@@ -191,6 +195,7 @@
             membership: MembershipState::new(own, settings.membership),
             relays: RelayState::default(),
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
+            quotas: QuotaState::new(settings.quotas),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -228,6 +233,7 @@
             return;
         }
         log::info!(target: "config", version, before:? = current; "configuration applied");
+        state.quotas.apply_table(&table);
         state.table = Some(Arc::new(table));
         drop(state);
         self.record_version(RegistryView::Routes, RegistryVersion::across_eras(version));
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -6,13 +6,8 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-<<<<<<< HEAD
-    ClientLimits, EngineSpec, ListedServer, RouteKind, RouteRule, RouteTable, RouteTarget,
-    ServerStage, ServiceSpec, WorkspaceTable,
-=======
-    ClientLimits, CostUnit, EngineSpec, KeyDigest, ListedServer, RouteKind, RouteRule, RouteTable,
-    RouteTarget, ServerStage, ServiceSpec, WorkspaceSpec, WorkspaceTable,
->>>>>>> currency
+    ClientLimits, CostUnit, EngineSpec, KeyDigest, ListedServer, QuotaSettings, RouteKind,
+    RouteRule, RouteTable, RouteTarget, ServerStage, ServiceSpec, WorkspaceSpec, WorkspaceTable,
 };
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
@@ -124,24 +119,12 @@
     }
 
     pub async fn start_in(data_centre: &str, name: &str, servers: Vec<ListedServer>) -> Self {
-<<<<<<< HEAD
-        let deployment = Self::start_unconfigured(data_centre, name).await;
-        deployment.apply_workspaces(1, None, &[]);
-        deployment.gateway.replace_servers(servers);
-        deployment.gateway.replace_software_records(BTreeMap::new());
-        deployment
+        Self::start_revoking(data_centre, name, servers, None).await
     }
 
     /// Starts an entry that has received neither a configuration nor a list of servers.
     pub async fn start_unconfigured(data_centre: &str, name: &str) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let gateway = Rc::new(Gateway::new(
-            settings(data_centre, name, address),
-            Box::new(TestWire),
-        ));
-=======
-        Self::start_revoking(data_centre, name, servers, None).await
+        Self::start_empty(data_centre, name, None).await
     }
 
     /// Starts an entry at which removed keys must stop working within a time.
@@ -151,6 +134,14 @@
         servers: Vec<ListedServer>,
         revoke_after: Option<Duration>,
     ) -> Self {
+        let deployment = Self::start_empty(data_centre, name, revoke_after).await;
+        deployment.apply_workspaces(1, None, &[]);
+        deployment.gateway.replace_servers(servers);
+        deployment.gateway.replace_software_records(BTreeMap::new());
+        deployment
+    }
+
+    async fn start_empty(data_centre: &str, name: &str, revoke_after: Option<Duration>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let settings = GatewaySettings {
@@ -158,10 +149,6 @@
             ..settings(data_centre, name, address)
         };
         let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
-        gateway.apply_table(route_table(1, false));
-        gateway.replace_servers(servers);
-        gateway.replace_software_records(BTreeMap::new());
->>>>>>> currency
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
@@ -233,7 +220,6 @@
     )
 }
 
-<<<<<<< HEAD
 /// Builds a configuration of all routes with these workspaces and public routes.
 pub fn route_table(
     version: u64,
@@ -248,13 +234,7 @@
     let limits = ClientLimits::default();
     let mut table = RouteTable::new(version, limits, rules.into(), services());
     table.workspaces = workspaces;
-=======
-/// Returns a configuration with all routes, of which the unsafe one may be public.
-fn route_table(version: u64, is_public: bool) -> RouteTable {
-    let routes = [Route::Safe, Route::Unsafe, Route::Stream, Route::Resumable];
-    let mut rules = routes.map(Route::rule);
-    rules[1].is_public = is_public;
-    RouteTable::new(version, ClientLimits::default(), rules.into(), services())
+    table
 }
 
 /// Returns a configuration with a public route, in which a workspace holds these keys.
@@ -268,10 +248,7 @@
     let mut workspaces = WorkspaceTable::new();
     let digests = keys.iter().map(|key| KeyDigest::new(key.as_bytes()));
     workspaces.insert(workspace, digests);
-    let mut table = route_table(version, true);
-    table.workspaces = Some(workspaces);
->>>>>>> currency
-    table
+    route_table(version, Some(workspaces), &[Route::Unsafe])
 }
 
 fn services() -> BTreeMap<gs_protocol::ids::ServiceName, ServiceSpec> {
@@ -317,5 +294,6 @@
             dead_after: Duration::from_secs(5),
         },
         revoke_after: None,
+        quotas: QuotaSettings::default(),
     }
 }
