Read a newer configuration from a peer at once while the proof is old

Cause: at the return of the store, an entry with an old proof waited 300 ms for a configuration that the store had not given it for seconds.

--- a/crates/gs-control/src/forwarding/currency.rs
+++ b/crates/gs-control/src/forwarding/currency.rs
@@ -376,10 +376,12 @@
         });
     }
 
-    /// Returns the peer from which to read a newer configuration that the store has not given in time.
+    /// Returns the peer from which to read a newer configuration that the store has not given in time. With an old
+    /// proof, the store is not waited for.
     pub fn fetch_source(&self, now: BootTime) -> Option<SocketAddr> {
         let pending = self.pending?;
-        (now.since(pending.heard) >= FETCH_GRACE).then_some(pending.peer)
+        let is_due = self.is_old(now) || now.since(pending.heard) >= FETCH_GRACE;
+        is_due.then_some(pending.peer)
     }
 
     /// Returns the age of the proof; `None` if there is none.
--- a/crates/gs-control/tests/forwarding/currency.rs
+++ b/crates/gs-control/tests/forwarding/currency.rs
@@ -110,6 +110,11 @@
 fn a_newer_configuration_of_a_peer_brings_its_proof() {
     let mut tracker = tracker(5);
     ask(&mut tracker, [9_000, 9_010], 6, Some(100));
+    let without_proof = tracker.fetch_source(at(9_010));
+    assert_eq!(without_proof, Some(peer()), "nothing to wait for");
+    let mut tracker = self::tracker(5);
+    tracker.record_read(at(8_950), at(8_900));
+    ask(&mut tracker, [9_000, 9_010], 6, Some(100));
     assert_eq!(
         tracker.fetch_source(at(9_020)),
         None,
