--- a/crates/gs-gateway/src/currency.rs
+++ b/crates/gs-gateway/src/currency.rs
@@ -13,11 +13,12 @@
 use gs_control::membership::MemberCandidate;
 use gs_protocol::ids::EntryName;
 use nix::time::{ClockId, clock_gettime};
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
 use crate::datagram::{CurrencyMessage, encode_currency};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, GatewaySettings};
 use crate::peers::ReportSocket;
 use crate::plain::DEFAULT_RETRY_AFTER;
 
@@ -45,10 +46,10 @@
 }
 
 impl CurrencyState {
-    /// Creates the state. `revoke_after` is the time within which removed keys must stop working, if they must.
-    pub fn new(revoke_after: Option<Duration>) -> Self {
-        let random = rand::thread_rng().gen_range(0.0..1.0);
-        let tracker = revoke_after.map(|revoke_after| {
+    /// Creates the state of a gateway with these settings.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let random = Pcg64Mcg::seed_from_u64(settings.seed).gen_range(0.0..1.0);
+        let tracker = settings.revoke_after.map(|revoke_after| {
             RefCell::new(CurrencyTracker::new(
                 CurrencySettings { revoke_after },
                 random,
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -196,7 +196,7 @@
         Self {
             shutdown_plan: ShutdownPlan::new(settings.stop_grace),
             answer_budget: AnswerBudget::new(settings.max_answer_bytes),
-            currency: CurrencyState::new(settings.revoke_after),
+            currency: CurrencyState::new(&settings),
             settings,
             wire,
             state: RefCell::new(state),
