Report cost that is given back, and space the early reports of quotas

Requests that the engines refused had given their cost back at their entry only; peers kept counting it. One entry applied a configuration 3.6 s late because its link of 10 Mbit/s was full: each admitted request could cause a report. Change: the reported total falls when cost is given back, totals are kept while an entry runs, and quotas cause at most ten early reports a second.

--- a/crates/gs-control/src/forwarding/quotas/bucket.rs
+++ b/crates/gs-control/src/forwarding/quotas/bucket.rs
@@ -154,9 +154,6 @@
     waiting_at: Instant,
     admitted: u64,
     refused: u64,
-    /// Cost that was given back and is contained in `admitted`. Totals only grow, so that a total that is
-    /// lower than before is one of a new count.
-    returned: u64,
     reported: Option<(QuotaReport, Instant)>,
     changed_at: Instant,
     peers: Vec<Option<PeerCost>>,
@@ -176,7 +173,6 @@
             waiting_at: now,
             admitted: 0,
             refused: 0,
-            returned: 0,
             reported: None,
             changed_at: now,
             peers: Vec::new(),
@@ -317,14 +313,11 @@
         self.level -= amount;
         self.recent.add(now, amount);
         self.own_recent.add(now, amount);
-        let returned = self.returned.min(cost);
-        self.returned -= returned;
-        self.admitted += cost - returned;
+        self.admitted += cost;
         self.changed_at = now;
     }
 
-    /// Gives back the cost of a request that has not run. Peers learn of it when this entry admits another
-    /// one, which then costs nothing until what was given back is used.
+    /// Gives back the cost of a request that has not run. Peers learn of it from the lower total.
     pub fn give_back(&mut self, now: Instant, cost: u64, share: &FleetShare) {
         self.advance(now, share);
         let amount = cost as f64;
@@ -333,7 +326,8 @@
         self.own_recent.add(now, -amount);
         self.demand.add(now, -amount);
         self.own_demand.add(now, -amount);
-        self.returned = (self.returned + cost).min(self.admitted);
+        self.admitted = self.admitted.saturating_sub(cost);
+        self.changed_at = now;
         self.advance(now, share);
     }
 
@@ -342,8 +336,7 @@
         self.changed_at
     }
 
-    /// Returns what is reported of the workspace, or `None` if it was not used lately. The totals then
-    /// start again.
+    /// Returns what is reported of the workspace, or `None` if it was not used lately.
     pub fn report(
         &mut self,
         now: Instant,
@@ -351,10 +344,9 @@
         settings: &QuotaSettings,
     ) -> Option<QuotaReport> {
         if now.saturating_duration_since(self.changed_at) >= settings.report_period {
-            (self.admitted, self.refused, self.returned) = (0, 0, 0);
-            self.reported = None;
+            return None;
         }
-        if self.admitted == 0 && self.refused == 0 {
+        if self.admitted == 0 && self.refused == 0 && self.reported.is_none() {
             return None;
         }
         let (refused, refused_at) = match self.reported {
@@ -372,7 +364,7 @@
         Some(report)
     }
 
-    /// Applies what a peer reports: its totals, which are 0 if it reports nothing of the workspace. The peer
+    /// Applies the totals that a peer reports. The total of admitted cost falls if cost is given back. The peer
     /// is given as it was before the report.
     pub fn apply(
         &mut self,
@@ -391,16 +383,9 @@
         self.advance(now, share);
         let is_new = known.is_none();
         let mut known = known.unwrap_or_else(|| PeerCost::new(now));
-        let increase = |before, total| {
-            if total >= before {
-                total - before
-            } else {
-                total
-            }
-        };
         let (mut new_admitted, mut new_refused) = (
-            increase(known.admitted, admitted) as f64,
-            increase(known.refused, refused) as f64,
+            admitted as f64 - known.admitted as f64,
+            refused.saturating_sub(known.refused) as f64,
         );
         if is_new && first == FirstReport::Baseline {
             (new_admitted, new_refused) = (0.0, 0.0);
@@ -410,7 +395,10 @@
             None => 0.0,
         };
         let before = self.level;
-        self.level -= (new_admitted - assumed).max(0.0);
+        self.level -= match assumed > 0.0 {
+            true => (new_admitted - assumed).max(0.0),
+            false => new_admitted,
+        };
         if peer.silent_since.is_some() {
             self.limit_sudden_debt(before, share);
         }
@@ -425,6 +413,12 @@
         self.peers[slot] = Some(known);
     }
 
+    /// Returns the totals that a peer has reported last.
+    pub fn known_totals(&self, slot: usize) -> (u64, u64) {
+        let known = self.peers.get(slot).copied().flatten();
+        known.map_or((0, 0), |known| (known.admitted, known.refused))
+    }
+
     /// Returns the part of a silent peer since a time.
     fn assumed_since(&self, now: Instant, since: Instant, share: &FleetShare) -> f64 {
         let rate = self.limit.map_or(0.0, |limit| limit.rate) / share.entries as f64;
--- a/crates/gs-control/src/forwarding/quotas/messages.rs
+++ b/crates/gs-control/src/forwarding/quotas/messages.rs
@@ -10,9 +10,9 @@
 pub struct QuotaReport {
     /// Hash of the workspace's name.
     pub workspace: u32,
-    /// Cost of the requests that were admitted since the workspace was last idle.
+    /// Cost of the requests that were admitted since the start of the entry, less what was given back.
     pub admitted: u64,
-    /// Cost of the requests that were refused since the workspace was last idle.
+    /// Cost of the requests that were refused since the start of the entry.
     pub refused: u64,
 }
 
--- a/crates/gs-control/src/forwarding/quotas/tracker.rs
+++ b/crates/gs-control/src/forwarding/quotas/tracker.rs
@@ -169,16 +169,15 @@
             true => FirstReport::Baseline,
             false => FirstReport::Counted,
         };
-        let is_complete = digest.len() < MAX_REPORTED;
         for (key, bucket) in &mut self.buckets {
             if is_restarted {
                 bucket.restart_peer(slot);
             }
-            let found = digest.iter().find(|report| report.workspace == *key);
-            let totals = match found {
+            // A workspace that is not reported was not used since.
+            let found = digest.binary_search_by_key(key, |report| report.workspace);
+            let totals = match found.ok().and_then(|index| digest.get(index)) {
                 Some(report) => (report.admitted, report.refused),
-                None if is_complete => (0, 0),
-                None => continue,
+                None => bucket.known_totals(slot),
             };
             bucket.apply(now, slot, &before, totals, first, &self.share);
         }
--- a/crates/gs-gateway/src/quotas.rs
+++ b/crates/gs-gateway/src/quotas.rs
@@ -20,6 +20,10 @@
 /// Interval at which the tracker is told which entries are listed.
 const PEERS_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Minimum time between two early reports because of the quotas. With one for each admitted request, the link of a
+/// small VM was full and the entry heard of changes seconds late.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time without a report, in the usual intervals, after which a peer is assumed to spend its part of a
 /// quota unheard. One report may be lost.
 const MAX_SILENCE_INTERVALS: f64 = 2.2;
@@ -48,6 +52,8 @@
     /// Whether the configuration has workspaces.
     is_used: bool,
     peers_set_at: Option<Instant>,
+    /// When a report was last sent early because of the quotas.
+    reported_at: Option<Instant>,
     refusals: BTreeMap<String, RefusalCount>,
 }
 
@@ -58,6 +64,7 @@
             tracker: QuotaTracker::new(Instant::now(), settings, PEERS_INTERVAL),
             is_used: false,
             peers_set_at: None,
+            reported_at: None,
             refusals: BTreeMap::new(),
         }
     }
@@ -146,7 +153,11 @@
         match quotas.tracker.take(now, &workspace.name, cost, draw) {
             QuotaDecision::Admitted { is_report_due } => {
                 quotas.log_admission(now, &workspace.name);
-                if is_report_due {
+                let is_spaced = quotas
+                    .reported_at
+                    .is_none_or(|at| now.saturating_duration_since(at) >= MIN_REPORT_INTERVAL);
+                if is_report_due && is_spaced {
+                    quotas.reported_at = Some(now);
                     self.report_changed.notify_one();
                 }
                 let held = HeldQuota {
