--- a/crates/gs-control/src/forwarding/quotas/bucket.rs
+++ b/crates/gs-control/src/forwarding/quotas/bucket.rs
@@ -40,6 +40,10 @@
 /// Part of the random spread in the time after which a refused request may be sent again.
 const RETRY_SPREAD: f64 = 0.3;
 
+/// Minimum part of the rate from which the time is worked out after which a refused request may be sent
+/// again: an entry that has just started gets more soon.
+const MIN_RATE_PART: f64 = 0.001;
+
 /// Part of an entry's unreported cost in what the fleet may admit at once from which a report is due.
 const URGENT_FRACTION: f64 = 0.125;
 
@@ -287,7 +291,7 @@
         }
         self.refused += cost;
         self.changed_at = now;
-        let rate = (limit.rate * share.rate_part).max(f64::MIN_POSITIVE);
+        let rate = limit.rate * share.rate_part.max(MIN_RATE_PART);
         let wait = (-available).max(0.0) / rate + self.wait_in_line(now, amount, rate * own_share);
         let wait = wait * (1.0 + RETRY_SPREAD * draw);
         let (min, max) = (settings.min_retry, settings.max_retry);
@@ -385,7 +389,8 @@
     ) {
         let (admitted, refused) = totals;
         let known = self.peers.get(slot).copied().flatten();
-        if known.is_none() && admitted == 0 && refused == 0 {
+        let before = known.map_or((0, 0), |known| (known.admitted, known.refused));
+        if before == totals && (known.is_none() || peer.silent_since.is_none()) {
             return;
         }
         self.advance(now, share);
--- a/crates/gs-control/src/forwarding/quotas/tracker.rs
+++ b/crates/gs-control/src/forwarding/quotas/tracker.rs
@@ -22,6 +22,10 @@
 /// Time between two reports of a peer that is assumed until it was heard twice.
 const INITIAL_GAP: Duration = Duration::from_millis(500);
 
+/// Time from the first list of entries until this entry spends quotas: of a fleet that starts as a whole,
+/// the list is not complete at first, and each entry would take too large a part.
+const START_PAUSE: Duration = Duration::from_secs(1);
+
 /// Part of a minority's rate that it may spend while it does not know whether it is still listed: the
 /// others may spend its part already.
 const UNCONFIRMED_PART: f64 = 0.05;
@@ -35,6 +39,8 @@
     checked_at: Instant,
     /// When the list of entries was last known to be current.
     listed_at: Instant,
+    /// From when on quotas may be spent; `None` until the other entries are known.
+    opens_at: Option<Instant>,
     has_quotas: bool,
     buckets: BTreeMap<u32, WorkspaceBucket>,
     peers: PeerTable,
@@ -50,13 +56,14 @@
             started_at: now,
             checked_at: now,
             listed_at: now,
+            opens_at: None,
             has_quotas: false,
             buckets: BTreeMap::new(),
             peers: PeerTable::default(),
             share: FleetShare {
                 entries: 1,
                 heard: 1,
-                rate_part: 1.0,
+                rate_part: 0.0,
                 is_majority: true,
             },
         }
@@ -80,11 +87,12 @@
         }
     }
 
-    /// Sets which other entries are listed. `is_current` tells whether the list is known to be current.
+    /// Sets which other entries are listed. No quota is spent before the first call. `is_current` tells whether the list is known to be current.
     pub fn set_peers(&mut self, now: Instant, listed: &[EntryName], is_current: bool) {
         if is_current {
             self.listed_at = now;
         }
+        self.opens_at.get_or_insert(now + START_PAUSE);
         for name in self.peers.set_listed(now, listed) {
             let slot = self.peers.insert(now, &name, INITIAL_GAP);
             if let Some(peer) = self.peers.get_mut(slot) {
@@ -143,7 +151,8 @@
         reports.into_iter().map(|(_, report)| report).collect()
     }
 
-    /// Applies the report of a peer; reports of a peer must be applied in their order.
+    /// Applies the report of a peer, in which workspaces are sorted; reports of a peer must be applied in
+    /// their order.
     pub fn apply_digest(
         &mut self,
         now: Instant,
@@ -174,8 +183,8 @@
             if is_restarted {
                 bucket.restart_peer(slot);
             }
-            let found = digest.iter().find(|report| report.workspace == *key);
-            let totals = match found {
+            let found = digest.binary_search_by_key(key, |report| report.workspace);
+            let totals = match found.ok().and_then(|index| digest.get(index)) {
                 Some(report) => (report.admitted, report.refused),
                 None if is_complete => (0, 0),
                 None => continue,
@@ -233,14 +242,16 @@
         let (entries, heard) = (others + 1, others_heard + 1);
         let is_majority = 2 * heard > entries;
         let list_age = now.saturating_duration_since(self.listed_at);
+        let is_open = self.opens_at.is_some_and(|opens_at| now >= opens_at);
         let is_confirmed = is_majority || list_age < self.settings.unlisted_grace;
         let heard_part = heard as f64 / entries as f64;
         let share = FleetShare {
             entries,
             heard,
-            rate_part: match is_confirmed {
-                true => heard_part,
-                false => heard_part * UNCONFIRMED_PART,
+            rate_part: match (is_open, is_confirmed) {
+                (false, _) => 0.0,
+                (true, true) => heard_part,
+                (true, false) => heard_part * UNCONFIRMED_PART,
             },
             is_majority,
         };
--- a/crates/gs-control/tests/forwarding/quotas.rs
+++ b/crates/gs-control/tests/forwarding/quotas.rs
@@ -189,13 +189,33 @@
     assert_eq!(tracker.recent_cost(now, "other"), 0.0);
 }
 
+/// Tells a tracker that there is no other entry, and returns when its buckets are full.
+fn open(tracker: &mut QuotaTracker, start: Instant) -> Instant {
+    for second in 0..2 {
+        tracker.set_peers(start + SECONDS(second), &[], true);
+    }
+    start + SECONDS(60)
+}
+
+/// Guards against a quota for each entry of a fleet whose entries do not know of each other yet.
+#[test]
+fn an_entry_that_does_not_know_the_others_spends_nothing() {
+    let start = Instant::now();
+    let mut tracker = QuotaTracker::new(start, settings(), SECONDS(1));
+    tracker.set_workspaces(start, &[workspace(LARGE)]);
+    for second in 1..20 {
+        let decision = tracker.take(start + SECONDS(second), "w", COST, 0.0);
+        assert!(matches!(decision, QuotaDecision::Refused(_)));
+    }
+}
+
 /// Guards against a quota that refused requests use up: 503 answers and clients that leave give it back.
 #[test]
 fn cost_that_is_given_back_can_be_spent_again() {
     let start = Instant::now();
     let mut tracker = QuotaTracker::new(start, settings(), SECONDS(1));
     tracker.set_workspaces(start, &[workspace(SMALL)]);
-    let now = start + SECONDS(60);
+    let now = open(&mut tracker, start);
     for _ in 0..1_000 {
         let decision = tracker.take(now, "w", COST, 0.5);
         assert!(matches!(decision, QuotaDecision::Admitted { .. }));
@@ -211,7 +231,7 @@
     let start = Instant::now();
     let mut tracker = QuotaTracker::new(start, settings(), SECONDS(1));
     tracker.set_workspaces(start, &[workspace(1_000.0)]);
-    let now = start + SECONDS(10);
+    let now = open(&mut tracker, start);
     let decision = tracker.take(now, "w", 50_000, 0.5);
     assert!(matches!(decision, QuotaDecision::Admitted { .. }));
     let QuotaDecision::Refused(refusal) = tracker.take(now, "w", COST, 0.0) else {
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -83,6 +83,7 @@
     /// Applies the list of entries from the registry.
     pub fn apply_entries(&self, candidates: Vec<MemberCandidate>) {
         self.handle_membership(MembershipEvent::CandidatesListed(candidates));
+        self.state.borrow_mut().quotas.are_entries_listed = true;
     }
 
     /// Sets the expected interval between heartbeats of a peer.
--- a/crates/gs-gateway/src/quotas.rs
+++ b/crates/gs-gateway/src/quotas.rs
@@ -47,6 +47,8 @@
     pub tracker: QuotaTracker,
     /// Whether the configuration has workspaces.
     is_used: bool,
+    /// Whether the registry has listed the entries.
+    pub are_entries_listed: bool,
     peers_set_at: Option<Instant>,
     refusals: BTreeMap<String, RefusalCount>,
 }
@@ -57,6 +59,7 @@
         Self {
             tracker: QuotaTracker::new(Instant::now(), settings, PEERS_INTERVAL),
             is_used: false,
+            are_entries_listed: false,
             peers_set_at: None,
             refusals: BTreeMap::new(),
         }
@@ -179,7 +182,7 @@
         let is_recent = quotas
             .peers_set_at
             .is_some_and(|at| now.saturating_duration_since(at) < PEERS_INTERVAL);
-        if !quotas.is_used || is_recent {
+        if !quotas.is_used || !quotas.are_entries_listed || is_recent {
             return;
         }
         quotas.peers_set_at = Some(now);
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod logs;
 mod pauses;
 mod plain;
+mod quotas;
 mod registry;
 mod relays;
 mod shutdown;
