--- a/crates/gs-control/src/forwarding/quotas/bucket.rs
+++ b/crates/gs-control/src/forwarding/quotas/bucket.rs
@@ -27,6 +27,11 @@
 /// Maximum of that addition, as the time in which the rate allows as much.
 const MAX_BURST_ADDITION: Duration = Duration::from_secs(2);
 
+/// A request is cheap if this many like it fit into the permitted overrun. Cheap requests are admitted while the
+/// level is below zero: with requests of 10,000 and of 200 tokens in one bucket, each large one closed it to the
+/// small ones, which together need a small part of the rate.
+const CHEAP_REQUESTS: f64 = 500.0;
+
 /// Minimum size of a bucket, as the time in which the rate fills it: without a burst the level would
 /// never be above zero.
 const MIN_BURST: Duration = Duration::from_millis(500);
@@ -273,10 +278,16 @@
         let unseen_demand = demand_rate * settings.propagation.as_secs_f64();
         // A small group of entries makes no debt that all such groups together could not pay back.
         let is_covered = share.is_majority || available - amount >= -concurrent;
-        let is_admitted = available > 0.0
-            && is_covered
-            && draw * unseen_demand < available + overrun * UNTHINNED_FRACTION
-            && self.own_recent.value(now) < (available + concurrent) * own_share;
+        let is_cheap = amount * CHEAP_REQUESTS <= limit.overrun;
+        let is_admitted = is_covered
+            && match is_cheap {
+                true => available > -concurrent,
+                false => {
+                    available > 0.0
+                        && draw * unseen_demand < available + overrun * UNTHINNED_FRACTION
+                        && self.own_recent.value(now) < (available + concurrent) * own_share
+                }
+            };
         if is_admitted {
             self.admit(now, cost);
             let unreported = self.own_recent.value(now);
