Order streams and hold plain requests back by rank and workspace

Cause: the admission queue goes by time alone, so a workspace that floods the entries is paid for by all others, and plain requests are sent to servers that are known to be full and shed them.

Change: where the configuration has workspaces, streams go by class, rank, the workspace's share of recent service and due time; ranks, routes and large requests have a floor. Queued streams without hope are refused. Reports hold waiting streams by rank in place of the total, without a byte more where there are no ranks. Without workspaces nothing changes.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -6,14 +6,18 @@
 //! therefore orders streams by class, those that can still be on time first, and within a class by
 //! the latest time to start. Streams that are retried after a refusal are usually late. A stream
 //! that is not expected to start by its latest start time is refused on arrival.
+//!
+//! Where the configuration has workspaces, streams of a class go by rank and by what their workspaces were
+//! served recently before they go by time (`ranking.rs`).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::ServiceName;
 
 use super::memory::StreamShape;
 use super::origins::SoftwareNeed;
+use super::ranking::{CallerOrder, RankCounts, RankWaiting, RankedOrder};
 
 /// Identifies a queued stream.
 pub type TicketId = u64;
@@ -80,6 +84,8 @@
     pub arrived_at: Instant,
     /// Maximum time from the first attempt to the first event for the stream to count as on time.
     pub latency_target: Duration,
+    /// Its place among others; none where the configuration has no workspaces.
+    pub order: Option<CallerOrder>,
 }
 
 /// The queues of the other entries, and how fast memory becomes free in the whole fleet.
@@ -140,6 +146,8 @@
     pub on_time: u32,
     /// Streams that will be late.
     pub late: u32,
+    /// Those of them that have ranks.
+    pub by_rank: RankCounts,
 }
 
 impl WaitingCounts {
@@ -150,23 +158,33 @@
             StartClass::Late => self.late,
         }
     }
+
+    /// Returns the number of streams of a class at a rank and better ones; all of them without a rank.
+    pub fn up_to(&self, class: StartClass, rank: Option<u8>) -> u32 {
+        rank.map_or(self.count(class), |rank| {
+            self.by_rank.before(class, rank) + self.by_rank.at(class, rank)
+        })
+    }
 }
 
 /// Sort key of the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct QueuePosition {
-    class: StartClass,
-    start_by: Instant,
-    ticket: TicketId,
+pub(super) struct QueuePosition {
+    pub class: StartClass,
+    pub start_by: Instant,
+    pub ticket: TicketId,
 }
 
 /// The queue of streams that wait at this entry.
 #[derive(Debug)]
 pub struct AdmissionQueue {
-    settings: AdmissionSettings,
-    waiting: BTreeMap<QueuePosition, WaitingStream>,
+    pub(super) settings: AdmissionSettings,
+    pub(super) waiting: BTreeMap<QueuePosition, WaitingStream>,
     positions: BTreeMap<TicketId, QueuePosition>,
     next_ticket: TicketId,
+    pub(super) ranked: RankedOrder,
+    /// The latest backlog of the fleet; kept where streams have ranks only.
+    pub(super) last_backlog: FleetBacklog,
 }
 
 impl AdmissionQueue {
@@ -177,6 +195,8 @@
             waiting: BTreeMap::new(),
             positions: BTreeMap::new(),
             next_ticket: 0,
+            ranked: RankedOrder::default(),
+            last_backlog: FleetBacklog::default(),
         }
     }
 
@@ -194,9 +214,16 @@
     pub fn waiting(&self) -> WaitingCounts {
         let classes = self.waiting.keys().map(|position| position.class);
         let on_time = classes.filter(|class| *class == StartClass::OnTime).count();
+        let mut by_rank = RankCounts::NONE;
+        for (position, stream) in &self.waiting {
+            if let Some(order) = &stream.order {
+                by_rank.add(order.rank, RankWaiting::one(position.class));
+            }
+        }
         WaitingCounts {
             on_time: on_time as u32,
             late: (self.waiting.len() - on_time) as u32,
+            by_rank,
         }
     }
 
@@ -210,10 +237,13 @@
     pub fn offer(
         &mut self,
         now: Instant,
-        stream: WaitingStream,
+        mut stream: WaitingStream,
         backlog: FleetBacklog,
         draw: f64,
     ) -> AdmissionDecision {
+        if let Some(retry_after) = self.record_arrival(now, &mut stream, backlog) {
+            return AdmissionDecision::Refused { retry_after };
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let on_time_by = stream.requested_at
@@ -232,9 +262,13 @@
             start_by,
             ticket,
         };
-        let expected_wait = self.expected_wait(&position, backlog);
+        let expected_wait = match &stream.order {
+            None => self.expected_wait(&position, backlog),
+            Some(order) => self.ranked_wait(now, &position, &stream, order, backlog),
+        };
         if expected_wait.max(backlog.engines_wait) > start_by.saturating_duration_since(now) {
-            let retry_after = self.retry_after(draw).max(backlog.engines_wait);
+            let retry_after = self.refuse(now, &stream, draw);
+            let retry_after = retry_after.max(backlog.engines_wait);
             return AdmissionDecision::Refused { retry_after };
         }
         self.waiting.insert(position, stream);
@@ -244,18 +278,22 @@
 
     /// Removes a stream from the queue, for example because its client has disconnected.
     pub fn withdraw(&mut self, ticket: TicketId) {
-        if let Some(position) = self.positions.remove(&ticket) {
-            self.waiting.remove(&position);
-        }
+        self.take(ticket);
+    }
+
+    pub(super) fn take(&mut self, ticket: TicketId) -> Option<WaitingStream> {
+        let position = self.positions.remove(&ticket)?;
+        self.waiting.remove(&position)
     }
 
     /// Refuses streams whose latest start time has passed, then starts streams in queue order until
-    /// `find_placement` returns none.
+    /// `find_placement` returns none. Among streams that have ranks, one without a placement holds up
+    /// those of its own service only.
     pub fn advance<P>(
         &mut self,
         now: Instant,
         mut draw: impl FnMut() -> f64,
-        mut find_placement: impl FnMut(&StreamDemand, StartClass) -> Option<P>,
+        mut find_placement: impl FnMut(&WaitingStream, StartClass) -> Option<P>,
     ) -> Vec<AdmissionEffect<P>> {
         let mut effects = Vec::new();
         let expired: Vec<QueuePosition> = self
@@ -265,23 +303,59 @@
             .copied()
             .collect();
         for position in expired {
-            self.withdraw(position.ticket);
+            let Some(stream) = self.take(position.ticket) else {
+                continue;
+            };
             effects.push(AdmissionEffect::Refuse {
                 ticket: position.ticket,
-                retry_after: self.retry_after(draw()),
+                retry_after: self.refuse(now, &stream, draw()),
             });
         }
-        while let Some((position, stream)) = self.waiting.first_key_value() {
-            let Some(placement) = find_placement(&stream.demand, position.class) else {
-                break;
+        let mut blocked: BTreeSet<ServiceName> = BTreeSet::new();
+        for position in self.start_order(now) {
+            let Some(stream) = self.waiting.get(&position) else {
+                continue;
+            };
+            if blocked.contains(&stream.demand.service) {
+                continue;
+            }
+            let Some(placement) = find_placement(stream, position.class) else {
+                if stream.order.is_none() {
+                    break;
+                }
+                blocked.insert(stream.demand.service.clone());
+                continue;
             };
             let ticket = position.ticket;
-            self.withdraw(ticket);
+            let started = self.take(ticket).and_then(|stream| stream.order);
+            if let Some(order) = started {
+                self.ranked.record_served(now, &order);
+            }
             effects.push(AdmissionEffect::Start { ticket, placement });
         }
         effects
     }
 
+    /// Returns the waiting streams in the order in which they start. Those without ranks come first.
+    fn start_order(&self, now: Instant) -> Vec<QueuePosition> {
+        let unranked = self.waiting.iter();
+        let unranked = unranked.filter(|(_, stream)| stream.order.is_none());
+        let ranked = self.ranked_streams(now, None).into_iter();
+        let ranked = ranked.filter_map(|(key, _)| self.positions.get(&key.ticket()));
+        unranked
+            .map(|(position, _)| position)
+            .chain(ranked)
+            .copied()
+            .collect()
+    }
+
+    /// Returns the latest time at which a queued stream may start.
+    pub(super) fn start_by(&self, ticket: TicketId) -> Option<Instant> {
+        self.positions
+            .get(&ticket)
+            .map(|position| position.start_by)
+    }
+
     /// Estimates the time in the queue for a position, from the number of streams ahead of it and
     /// the rate at which streams complete. Streams that wait at other entries count as ahead,
     /// because the engines are shared. While any stream that can be on time waits, a late one
@@ -296,16 +370,24 @@
             StartClass::Late => peers.late,
         };
         let ahead = f64::from(ahead) + self.waiting.range(..position).count() as f64;
-        match ahead > 0.0 {
-            true => Duration::try_from_secs_f64(ahead / backlog.completions_per_second)
-                .unwrap_or(Duration::MAX),
-            false => Duration::ZERO,
-        }
+        completion_time(ahead, backlog.completions_per_second)
     }
 
-    /// Returns the delay before a retry, with jitter so that refused clients do not retry at once.
-    fn retry_after(&self, draw: f64) -> Duration {
+    /// Records a refusal and returns the delay before a retry, with jitter so that refused clients do not
+    /// retry at once.
+    pub(super) fn refuse(&mut self, now: Instant, stream: &WaitingStream, draw: f64) -> Duration {
+        if let Some(order) = &stream.order {
+            return self.refuse_ranked(now, stream, order, draw);
+        }
         let (shortest, longest) = self.settings.retry_after;
         shortest + (longest - shortest).mul_f64(draw.clamp(0.0, 1.0))
     }
 }
+
+/// Returns the time in which a number of streams complete.
+pub(super) fn completion_time(streams: f64, per_second: f64) -> Duration {
+    match streams > 0.0 {
+        true => Duration::try_from_secs_f64(streams / per_second).unwrap_or(Duration::MAX),
+        false => Duration::ZERO,
+    }
+}
--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -297,6 +297,7 @@
         for digest in self.peers.values() {
             total.on_time += digest.waiting.on_time;
             total.late += digest.waiting.late;
+            total.by_rank.add_all(&digest.waiting.by_rank);
         }
         total
     }
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -16,9 +16,14 @@
 mod origins;
 mod outage;
 mod placement;
+mod plain_queue;
+mod ranked_admission;
+mod ranking;
 mod recent_maximum;
 mod retries;
+mod returns;
 mod routes;
+mod shares;
 mod shutdown;
 mod stages;
 mod workspaces;
@@ -44,14 +49,20 @@
 };
 pub use outage::{OutageSettings, OutageTracker, ProbeRole, Recovery};
 pub use placement::{
-    DecodeDemand, EngineSubset, PlacementView, choose_decode, choose_prefill, choose_server,
-    decode_wait, limit_wait,
+    DecodeDemand, EngineSubset, FreeServer, PlacementView, choose_decode, choose_free_server,
+    choose_prefill, choose_server, decode_wait, limit_wait, service_slots,
 };
+pub use plain_queue::{
+    HeldRequest, PlainDecision, PlainEffect, PlainPlacement, PlainQueue, PlainSettings,
+    ServiceCapacity,
+};
+pub use ranking::{CallerOrder, RANK_COUNT, RankCounts, RankWaiting};
 pub use recent_maximum::RecentMaximum;
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
     ClientLimits, EngineSpec, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceSpec,
 };
+pub use shares::{RecentUsage, ShareScale};
 pub use shutdown::{RequestSpan, ShutdownPhase, ShutdownPlan};
 pub use stages::{StageChange, StageEstimate, StageNeed, next_stage_change};
 pub use workspaces::{
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -143,7 +143,14 @@
     excluded: &[ServerName],
 ) -> Option<ServerName> {
     let candidates = view.candidates(service, None, excluded, &SoftwareNeed::Any);
-    lowest_cost(candidates.into_iter().map(|server| {
+    cheapest_server(view, candidates.into_iter())
+}
+
+fn cheapest_server<'v>(
+    view: &PlacementView<'_>,
+    candidates: impl Iterator<Item = &'v ListedServer>,
+) -> Option<ServerName> {
+    lowest_cost(candidates.map(|server| {
         let load = view.loads.load(&server.name);
         let busy = f64::from(load.requests) / f64::from(server.slots.max(1));
         let cost = busy
@@ -153,6 +160,43 @@
     }))
 }
 
+/// Result of the search for a server of a plain service with a free slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FreeServer {
+    /// The server with the lowest cost among those with a free slot.
+    Free(ServerName),
+    /// All servers are known to be at their slots.
+    Full,
+    /// No server takes requests.
+    NoServer,
+}
+
+/// Returns the server of a plain service with the lowest cost among those that are not known to have all
+/// their slots in use and have not just refused a request. `excluded` servers are not considered.
+pub fn choose_free_server(
+    view: &PlacementView<'_>,
+    service: &ServiceName,
+    excluded: &[ServerName],
+) -> FreeServer {
+    let candidates = view.candidates(service, None, excluded, &SoftwareNeed::Any);
+    if candidates.is_empty() {
+        return FreeServer::NoServer;
+    }
+    let has_slot = |server: &&ListedServer| {
+        let is_full = view.loads.is_full(view.now, &server.name);
+        !is_full && view.loads.load(&server.name).requests < server.slots.max(1)
+    };
+    let free = candidates.into_iter().filter(has_slot);
+    cheapest_server(view, free).map_or(FreeServer::Full, FreeServer::Free)
+}
+
+/// Returns the number of slots of all servers of a plain service that take requests.
+pub fn service_slots(view: &PlacementView<'_>, service: &ServiceName) -> u32 {
+    let candidates = view.candidates(service, None, &[], &SoftwareNeed::Any);
+    let slots = candidates.into_iter().map(|server| server.slots.max(1));
+    slots.sum()
+}
+
 /// Returns how long all servers of a plain service that are not excluded have reached their limits;
 /// `None` if there is no such server.
 pub fn limit_wait(
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, OriginDigest, RegistryVersion, ServerLoad, ServerWork,
-    StreamShape, WaitingCounts,
+    IssueReport, LimitDigest, LoadDigest, OriginDigest, RankCounts, RankWaiting, RegistryVersion,
+    ServerLoad, ServerWork, StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -90,7 +90,7 @@
 /// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, and
 /// origins of streams.
 type LoadFields = (
-    u32,
+    WaitingField,
     u32,
     Vec<WorkFields>,
     IssueReport,
@@ -99,6 +99,50 @@
     OriginDigest,
 );
 
+/// Waiting streams that are on time. Where the configuration has workspaces: for each rank with waiting
+/// streams, the number of those that are on time and late. Without workspaces ranks thus take no bytes.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(untagged)]
+enum WaitingField {
+    OnTime(u32),
+    ByRank(Vec<(u8, u32, u32)>),
+}
+
+impl WaitingField {
+    /// Encodes the streams that are on time, with the ranks if there are any.
+    fn encode(waiting: &WaitingCounts) -> Self {
+        let ranks = waiting.by_rank.iter();
+        let ranks: Vec<(u8, u32, u32)> = ranks
+            .map(|(rank, waiting)| (rank, waiting.on_time, waiting.late))
+            .collect();
+        match ranks.is_empty() {
+            true => Self::OnTime(waiting.on_time),
+            false => Self::ByRank(ranks),
+        }
+    }
+
+    /// Decodes the waiting streams; `late` is the number of those that are late.
+    fn decode(self, late: u32) -> WaitingCounts {
+        let mut by_rank = RankCounts::NONE;
+        let on_time = match self {
+            Self::OnTime(on_time) => on_time,
+            Self::ByRank(ranks) => {
+                let mut total = 0_u32;
+                for (rank, on_time, late) in ranks {
+                    total = total.saturating_add(on_time);
+                    by_rank.add(rank, RankWaiting { on_time, late });
+                }
+                total
+            }
+        };
+        WaitingCounts {
+            on_time,
+            late,
+            by_rank,
+        }
+    }
+}
+
 /// Server, open requests, prompt tokens, and for each stream the held and the remaining tokens.
 type WorkFields = (ServerName, u32, u64, Vec<(u32, u32)>);
 
@@ -228,7 +272,7 @@
                 (server, work)
             });
         Self {
-            waiting: WaitingCounts { on_time, late },
+            waiting: on_time.decode(late),
             digest: digest.collect(),
             issues,
             suspicions,
@@ -249,10 +293,9 @@
             } = work.load;
             (server, requests, prompt_tokens, streams.collect())
         });
-        let WaitingCounts { on_time, late } = load.waiting;
         (
-            on_time,
-            late,
+            WaitingField::encode(&load.waiting),
+            load.waiting.late,
             works.collect(),
             load.issues,
             load.suspicions,
--- a/crates/gs-control/tests/forwarding/admission.rs
+++ b/crates/gs-control/tests/forwarding/admission.rs
@@ -5,7 +5,8 @@
 
 use gs_control::forwarding::{
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
-    SoftwareNeed, StartClass, StreamDemand, StreamShape, TicketId, WaitingCounts, WaitingStream,
+    RankCounts, SoftwareNeed, StartClass, StreamDemand, StreamShape, TicketId, WaitingCounts,
+    WaitingStream,
 };
 use proptest::prelude::*;
 use test_case::test_case;
@@ -17,6 +18,7 @@
     peers_waiting: WaitingCounts {
         on_time: 0,
         late: 0,
+        by_rank: RankCounts::NONE,
     },
     completions_per_second: 10.0,
     engines_wait: Duration::ZERO,
@@ -41,6 +43,7 @@
         },
         requested_at,
         latency_target: target,
+        order: None,
     }
 }
 
@@ -173,6 +176,7 @@
         peers_waiting: WaitingCounts {
             on_time: peers_on_time,
             late: 50,
+            by_rank: RankCounts::NONE,
         },
         completions_per_second,
         engines_wait: Duration::ZERO,
--- /dev/null
+++ b/crates/gs-control/tests/forwarding/overload.rs
@@ -0,0 +1,256 @@
+//! Clients of several workspaces that send more than a fleet can run, and what they get.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use gs_control::forwarding::{CallerOrder, RecentUsage};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::support::{milliseconds, start};
+
+/// How a client reacts to a refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Returning {
+    AsTold,
+    AtOnce,
+}
+
+/// Clients of one workspace on one route.
+#[derive(Clone, Debug)]
+pub struct ClientGroup {
+    pub workspace: &'static str,
+    pub route: &'static str,
+    pub rank: u8,
+    /// Requests per second; each costs 1.
+    pub rate: f64,
+    /// Rate of the workspace's quota.
+    pub quota: f64,
+    pub target: Duration,
+    pub returning: Returning,
+    /// Whether one in ten requests is large.
+    pub has_sizes: bool,
+}
+
+impl ClientGroup {
+    pub fn new(workspace: &'static str, rate: f64, quota: f64) -> Self {
+        Self {
+            workspace,
+            route: "chat",
+            rank: 1,
+            rate,
+            quota,
+            target: milliseconds(800),
+            returning: Returning::AsTold,
+            has_sizes: false,
+        }
+    }
+}
+
+/// What the requests of a group got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    pub requests: f64,
+    pub on_time: f64,
+    pub late: f64,
+    /// Refusals of first attempts, and of clients that had come back.
+    pub refused: f64,
+    pub refused_again: f64,
+    pub returned: f64,
+    /// Large requests, and those of them that were served.
+    pub large: f64,
+    pub large_served: f64,
+    /// Refusals of attempts that had waited in the queue for more than 100 ms.
+    pub refused_late: f64,
+}
+
+impl Outcome {
+    pub fn served(&self) -> f64 {
+        (self.on_time + self.late) / self.requests
+    }
+
+    /// Returns the fraction of the returns of refused clients that were refused again.
+    pub fn refused_again(&self) -> f64 {
+        self.refused_again / self.returned.max(1.0)
+    }
+
+    pub fn first_refused(&self) -> f64 {
+        self.refused / self.requests
+    }
+}
+
+/// An attempt of a client.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub group: usize,
+    pub requested_at: Instant,
+    pub arrived_at: Instant,
+    pub size: u64,
+}
+
+impl Attempt {
+    fn is_first(&self) -> bool {
+        self.requested_at == self.arrived_at
+    }
+}
+
+/// A queue under test, in front of a fleet that runs a number of requests at a time.
+pub trait QueueModel {
+    /// Returns the delay that a client is told if it is refused at once.
+    fn offer(
+        &mut self,
+        now: Instant,
+        id: u64,
+        attempt: &Attempt,
+        order: CallerOrder,
+    ) -> Option<Duration>;
+    /// Returns the requests that start, whose sizes must fit, and those that are refused with their delays.
+    fn advance(
+        &mut self,
+        now: Instant,
+        fits: &mut dyn FnMut(u64) -> bool,
+        share_of: &dyn Fn(&str) -> f64,
+    ) -> (Vec<u64>, Vec<(u64, Duration)>);
+    fn record_end(&mut self, _now: Instant, _took: Duration) {}
+}
+
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time that a client waits for an answer before it gives up.
+const PATIENCE: Duration = Duration::from_secs(14);
+
+/// Sizes of requests: one in ten is five times as large as the others.
+const SIZES: (u64, u64) = (1, 5);
+
+/// Runs clients for a time before a fleet that runs requests of `capacity` together, each for
+/// `service_time` on average.
+pub fn run(
+    queue: &mut impl QueueModel,
+    groups: &[ClientGroup],
+    capacity: u64,
+    service_time: Duration,
+    length: Duration,
+) -> Vec<Outcome> {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut outcomes = vec![Outcome::default(); groups.len()];
+    let mut usage = RecentUsage::default();
+    let mut running: Vec<(Instant, Duration, u64)> = Vec::new();
+    let mut open: BTreeMap<u64, Attempt> = BTreeMap::new();
+    let mut returns: Vec<Attempt> = Vec::new();
+    let mut next_id = 0;
+    let mut now = start();
+    let end = now + length;
+    while now < end {
+        running.retain(|(ends_at, took, _)| {
+            let is_running = *ends_at > now;
+            if !is_running {
+                queue.record_end(now, *took);
+            }
+            is_running
+        });
+        let quota = |name: &str| groups.iter().find(|group| group.workspace == name);
+        let quota = |name: &str| quota(name).map_or(1.0, |group| group.quota);
+        let mut arriving: Vec<Attempt> = Vec::new();
+        for (number, group) in groups.iter().enumerate() {
+            if rng.gen_range(0.0..1.0) < group.rate * TICK.as_secs_f64() {
+                let size = match group.has_sizes && rng.gen_range(0.0..1.0) < 0.1 {
+                    true => SIZES.1,
+                    false => SIZES.0,
+                };
+                outcomes[number].requests += 1.0;
+                outcomes[number].large += f64::from(u8::from(size == SIZES.1));
+                arriving.push(Attempt {
+                    group: number,
+                    requested_at: now,
+                    arrived_at: now,
+                    size,
+                });
+            }
+        }
+        let due = |attempt: &mut Attempt| attempt.arrived_at <= now;
+        arriving.extend(returns.extract_if(.., due));
+        let mut refusals: Vec<(Attempt, Duration)> = Vec::new();
+        for attempt in arriving {
+            let group = &groups[attempt.group];
+            outcomes[attempt.group].returned += f64::from(u8::from(!attempt.is_first()));
+            let order = CallerOrder {
+                rank: group.rank,
+                workspace: group.workspace.to_owned(),
+                route: group.route.to_owned(),
+                share: usage.recent_cost(now, group.workspace) / group.quota,
+                increment: 1.0 / group.quota,
+                size: attempt.size,
+                gives_up_at: Some(attempt.requested_at + PATIENCE),
+                has_waited: false,
+            };
+            next_id += 1;
+            match queue.offer(now, next_id, &attempt, order) {
+                Some(delay) => refusals.push((attempt, delay)),
+                None => drop(open.insert(next_id, attempt)),
+            }
+        }
+        let share_of = |name: &str| usage.recent_cost(now, name) / quota(name);
+        let mut used: u64 = running.iter().map(|(_, _, size)| size).sum();
+        let mut fits = |size: u64| {
+            let fits = used + size <= capacity;
+            used += if fits { size } else { 0 };
+            fits
+        };
+        let (started, refused) = queue.advance(now, &mut fits, &share_of);
+        for id in started {
+            let attempt = open.remove(&id).expect("a waiting request");
+            let group = &groups[attempt.group];
+            let outcome = &mut outcomes[attempt.group];
+            match now - attempt.requested_at < group.target {
+                true => outcome.on_time += 1.0,
+                false => outcome.late += 1.0,
+            }
+            usage.record(now, group.workspace, 1.0);
+            let took = service_time.mul_f64(rng.gen_range(0.5..1.5));
+            running.push((now + took, took, attempt.size));
+            if attempt.size == SIZES.1 {
+                outcome.large_served += 1.0;
+            }
+        }
+        for (id, delay) in refused {
+            refusals.push((open.remove(&id).expect("a waiting request"), delay));
+        }
+        for (mut attempt, delay) in refusals {
+            let group = &groups[attempt.group];
+            let outcome = &mut outcomes[attempt.group];
+            match attempt.is_first() {
+                true => outcome.refused += 1.0,
+                false => outcome.refused_again += 1.0,
+            }
+            let held = now - attempt.arrived_at;
+            outcome.refused_late += f64::from(u8::from(held > milliseconds(100)));
+            attempt.arrived_at = now
+                + match group.returning {
+                    Returning::AsTold => delay,
+                    Returning::AtOnce => milliseconds(50),
+                };
+            if attempt.arrived_at < attempt.requested_at + PATIENCE {
+                returns.push(attempt);
+            }
+        }
+        now += TICK;
+    }
+    outcomes
+}
+
+/// Adds up the outcomes of the groups that a condition selects.
+pub fn total<'o>(outcomes: impl IntoIterator<Item = &'o Outcome>) -> Outcome {
+    let mut total = Outcome::default();
+    for outcome in outcomes {
+        total.requests += outcome.requests;
+        total.on_time += outcome.on_time;
+        total.late += outcome.late;
+        total.refused += outcome.refused;
+        total.refused_again += outcome.refused_again;
+        total.returned += outcome.returned;
+        total.large += outcome.large;
+        total.large_served += outcome.large_served;
+        total.refused_late += outcome.refused_late;
+    }
+    total
+}
--- /dev/null
+++ b/crates/gs-control/tests/forwarding/plain_queue.rs
@@ -0,0 +1,1 @@
+//! Tests of the queue of plain requests under overload.
--- /dev/null
+++ b/crates/gs-control/tests/forwarding/scheduling.rs
@@ -0,0 +1,344 @@
+//! Tests of the order of streams of several workspaces under overload.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use gs_control::forwarding::{
+    AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, CallerOrder,
+    FleetBacklog, RankWaiting, SoftwareNeed, StartClass, StreamDemand, StreamShape, TicketId,
+    WaitingStream,
+};
+use gs_control::relay::EntryLoad;
+use test_case::test_case;
+
+use super::overload::{Attempt, ClientGroup, Outcome, QueueModel, Returning, run, total};
+use super::support::{milliseconds, start};
+
+/// The admission queue of one entry in front of engines that run `slots` streams.
+struct StreamQueue {
+    queue: AdmissionQueue,
+    tickets: BTreeMap<TicketId, u64>,
+    targets: Vec<Duration>,
+    backlog: FleetBacklog,
+}
+
+impl StreamQueue {
+    fn new(groups: &[ClientGroup], completions_per_second: f64) -> Self {
+        Self {
+            queue: AdmissionQueue::new(AdmissionSettings::default()),
+            tickets: BTreeMap::new(),
+            targets: groups.iter().map(|group| group.target).collect(),
+            backlog: FleetBacklog {
+                completions_per_second,
+                ..FleetBacklog::default()
+            },
+        }
+    }
+}
+
+fn stream(attempt: &Attempt, target: Duration, order: Option<CallerOrder>) -> WaitingStream {
+    WaitingStream {
+        demand: StreamDemand {
+            service: "notes".into(),
+            shape: StreamShape {
+                held_tokens: 5_000,
+                remaining_tokens: 4_000,
+            },
+            software: SoftwareNeed::Any,
+        },
+        requested_at: attempt.requested_at,
+        arrived_at: attempt.arrived_at,
+        latency_target: target,
+        order,
+    }
+}
+
+impl QueueModel for StreamQueue {
+    fn offer(
+        &mut self,
+        now: Instant,
+        id: u64,
+        attempt: &Attempt,
+        order: CallerOrder,
+    ) -> Option<Duration> {
+        let waiting = stream(attempt, self.targets[attempt.group], Some(order));
+        let draw = id as f64 * 0.618 % 1.0;
+        match self.queue.offer(now, waiting, self.backlog, draw) {
+            AdmissionDecision::Queued(ticket) => {
+                self.tickets.insert(ticket, id);
+                None
+            }
+            AdmissionDecision::Refused { retry_after } => Some(retry_after),
+        }
+    }
+
+    fn advance(
+        &mut self,
+        now: Instant,
+        fits: &mut dyn FnMut(u64) -> bool,
+        share_of: &dyn Fn(&str) -> f64,
+    ) -> (Vec<u64>, Vec<(u64, Duration)>) {
+        self.queue.refresh_shares(now, share_of);
+        let start = |stream: &WaitingStream, _| {
+            let order = stream.order.as_ref().expect("a rank");
+            fits(order.size).then_some(())
+        };
+        let mut effects = self.queue.advance(now, || 0.5, start);
+        effects.extend(self.queue.refuse_hopeless(now, self.backlog, || 0.5));
+        let mut decided = (Vec::new(), Vec::new());
+        for effect in effects {
+            match effect {
+                AdmissionEffect::Start { ticket, .. } => {
+                    decided.0.extend(self.tickets.remove(&ticket));
+                }
+                AdmissionEffect::Refuse {
+                    ticket,
+                    retry_after,
+                } => {
+                    let id = self.tickets.remove(&ticket);
+                    decided.1.extend(id.map(|id| (id, retry_after)));
+                }
+            }
+        }
+        decided
+    }
+}
+
+/// Runs clients for two minutes before engines that complete ten streams per second.
+fn run_streams(groups: &[ClientGroup]) -> Vec<Outcome> {
+    let mut queue = StreamQueue::new(groups, 10.0);
+    let service_time = Duration::from_secs(2);
+    run(
+        &mut queue,
+        groups,
+        20,
+        service_time,
+        Duration::from_secs(120),
+    )
+}
+
+fn assert_order<const N: usize>(served: [f64; N]) {
+    assert!(
+        served.is_sorted_by(|left, right| left >= right),
+        "{served:?}"
+    );
+}
+
+/// Load: twice as much as fits, from four workspaces of different sizes. Guards against engines that idle
+/// or run what is late, and against a workspace that is served less than the others.
+#[test]
+fn twice_as_much_as_fits_is_served_on_time_in_equal_parts() {
+    let sizes = [("a", 10.0), ("b", 6.0), ("c", 2.0), ("d", 2.0)];
+    let groups = sizes.map(|(name, rate)| ClientGroup::new(name, rate, rate / 2.0));
+    let outcomes = run_streams(&groups);
+    let all = total(&outcomes);
+    assert!(all.on_time > 0.9 * 1_200.0, "{all:?}");
+    for outcome in &outcomes {
+        let part = outcome.served() / all.served();
+        assert!((0.8..1.25).contains(&part), "{part} {outcome:?}");
+    }
+    // Most refusals come on arrival.
+    assert!(
+        all.refused_late < 0.4 * (all.refused + all.refused_again),
+        "{all:?}"
+    );
+}
+
+/// Load: one workspace sends 7.5 times its usual rate, while the others send what they usually do. Guards
+/// against a flood that is paid by others, and against one that is shut out.
+#[test]
+fn a_workspace_at_7_5_times_its_usual_load_pays_for_it_itself() {
+    let groups = [
+        ClientGroup::new("flood", 15.0, 2.0),
+        ClientGroup::new("large", 4.0, 4.0),
+        ClientGroup::new("small", 1.0, 1.0),
+        ClientGroup::new("tiny", 0.5, 0.5),
+    ];
+    let outcomes = run_streams(&groups);
+    let all = total(&outcomes);
+    let others = total(&outcomes[1..]);
+    assert!(others.served() > 0.9, "{others:?}");
+    assert!(outcomes[1..].iter().all(|other| other.served() > 0.8));
+    let flood = outcomes[0];
+    let usual = 2.0 * 120.0;
+    assert!(flood.on_time > usual, "no less than its quota: {flood:?}");
+    assert!(flood.served() > all.served() / 4.0, "{flood:?}");
+}
+
+/// Load: twice as much as fits, in three ranks. Guards against less urgent requests that are served more
+/// often than urgent ones, and against ranks that starve.
+#[test]
+fn urgent_ranks_are_served_more_often_and_none_starves() {
+    let ranked = |name, rank| ClientGroup {
+        rank,
+        ..ClientGroup::new(name, 7.0, 5.0)
+    };
+    let outcomes = run_streams(&[ranked("a", 0), ranked("b", 1), ranked("c", 3)]);
+    let all = total(&outcomes);
+    let [first, second, third] = outcomes[..] else {
+        panic!("three groups");
+    };
+    assert_order([first.served(), second.served(), third.served()]);
+    assert!(first.served() > 0.8, "{first:?}");
+    assert!(third.served() > all.served() / 4.0, "{third:?}");
+}
+
+/// Load: one workspace sends twice as much as fits; half of its clients repeat at once. Guards against
+/// clients that gain by that.
+#[test_case(milliseconds(800); "where a return is always late")]
+#[test_case(Duration::from_secs(5); "where a return can be on time")]
+fn clients_that_repeat_at_once_gain_nothing(target: Duration) {
+    let group = |returning| ClientGroup {
+        returning,
+        target,
+        ..ClientGroup::new("a", 10.0, 5.0)
+    };
+    let outcomes = run_streams(&[group(Returning::AsTold), group(Returning::AtOnce)]);
+    let [as_told, at_once] = outcomes[..] else {
+        panic!("two groups");
+    };
+    assert!(as_told.returned > 100.0 && at_once.returned > 100.0);
+    assert!(
+        at_once.served() < 1.1 * as_told.served(),
+        "{at_once:?} {as_told:?}"
+    );
+}
+
+/// Load: twice as much as fits, by clients that can come back in time. Guards against clients that came
+/// back as told and are refused again while others are served at their first attempt.
+#[test]
+fn clients_that_came_back_as_told_are_refused_less_often_than_new_ones() {
+    let group = |name| ClientGroup {
+        target: Duration::from_secs(6),
+        ..ClientGroup::new(name, 10.0, 5.0)
+    };
+    let all = total(&run_streams(&[group("a"), group("b")]));
+    assert!(all.returned > 500.0, "{all:?}");
+    assert!(all.refused_again() < all.first_refused(), "{all:?}");
+}
+
+/// Load: twice as much memory as there is, one request in ten five times as large as the others. Guards
+/// against large requests that others always overtake.
+#[test]
+fn the_largest_tenth_is_served_at_least_half_as_often() {
+    let group = |name| ClientGroup {
+        has_sizes: true,
+        ..ClientGroup::new(name, 21.0, 10.0)
+    };
+    let groups = [group("a"), group("b")];
+    let mut queue = StreamQueue::new(&groups, 21.0);
+    let service_time = Duration::from_secs(2);
+    let outcomes = run(
+        &mut queue,
+        &groups,
+        60,
+        service_time,
+        Duration::from_secs(60),
+    );
+    let all = total(&outcomes);
+    let large = all.large_served / all.large;
+    assert!(large > all.served() / 2.0, "{large} {all:?}");
+}
+
+fn ranked_order(rank: u8, workspace: &str, share: f64) -> CallerOrder {
+    CallerOrder {
+        rank,
+        workspace: workspace.to_owned(),
+        route: "chat".to_owned(),
+        share,
+        increment: 1.0,
+        size: 1,
+        gives_up_at: None,
+        has_waited: false,
+    }
+}
+
+/// Offers streams of the given orders; returns their tickets in the order in which they start.
+fn start_order(orders: &[Option<CallerOrder>]) -> Vec<TicketId> {
+    let backlog = FleetBacklog {
+        completions_per_second: 100.0,
+        ..FleetBacklog::default()
+    };
+    let mut queue = AdmissionQueue::new(AdmissionSettings::default());
+    for order in orders {
+        let attempt = Attempt {
+            group: 0,
+            requested_at: start(),
+            arrived_at: start(),
+            size: 1,
+        };
+        let waiting = stream(&attempt, milliseconds(800), order.clone());
+        queue.offer(start(), waiting, backlog, 0.5);
+    }
+    let effects = queue.advance(start(), || 0.5, |_, _| Some(()));
+    let tickets = effects.into_iter().map(|effect| match effect {
+        AdmissionEffect::Start { ticket, .. } | AdmissionEffect::Refuse { ticket, .. } => ticket,
+    });
+    tickets.collect()
+}
+
+#[test]
+fn streams_go_by_rank_then_by_share_and_without_workspaces_by_time() {
+    let orders = [(1, "a", 0.0), (0, "b", 5.0), (0, "c", 4.5), (0, "c", 4.5)];
+    let orders = orders.map(|(rank, name, share)| Some(ranked_order(rank, name, share)));
+    // The first stream of c raises its share by 1, above that of b.
+    assert_eq!(start_order(&orders), [2, 1, 3, 0]);
+    assert_eq!(start_order(&[None, None, None]), [0, 1, 2]);
+}
+
+/// Guards against one service without memory that holds up the streams of all others.
+#[test_case(true, 1; "with ranks")]
+#[test_case(false, 0; "without ranks as before")]
+fn a_stream_without_a_placement_holds_up_its_own_service(has_ranks: bool, started: usize) {
+    let mut queue = AdmissionQueue::new(AdmissionSettings::default());
+    for service in ["full", "full", "free"] {
+        let attempt = Attempt {
+            group: 0,
+            requested_at: start(),
+            arrived_at: start(),
+            size: 1,
+        };
+        let order = has_ranks.then(|| ranked_order(0, "a", 0.0));
+        let mut waiting = stream(&attempt, milliseconds(800), order);
+        waiting.demand.service = service.into();
+        let backlog = FleetBacklog {
+            completions_per_second: 100.0,
+            ..FleetBacklog::default()
+        };
+        queue.offer(start(), waiting, backlog, 0.5);
+    }
+    let place =
+        |stream: &WaitingStream, _| (stream.demand.service.as_str() == "free").then_some(());
+    assert_eq!(queue.advance(start(), || 0.5, place).len(), started);
+}
+
+/// Guards against a report that grows where no workspaces are configured, and against ranks that are lost
+/// on the way.
+#[test]
+fn reports_hold_the_waiting_streams_by_rank_only_where_there_are_ranks() {
+    let mut load = EntryLoad::default();
+    load.waiting.on_time = 3;
+    load.waiting.late = 2;
+    let text = serde_json::to_string(&load).expect("a report");
+    assert_eq!(text, "[3,2,[],[],[],[],[]]");
+    load.waiting.by_rank.add(
+        0,
+        RankWaiting {
+            on_time: 1,
+            late: 2,
+        },
+    );
+    load.waiting.by_rank.add(
+        200,
+        RankWaiting {
+            on_time: 2,
+            late: 0,
+        },
+    );
+    let text = serde_json::to_string(&load).expect("a report");
+    let read: EntryLoad = serde_json::from_str(&text).expect("a report");
+    assert_eq!(read, load);
+    let ranks = &read.waiting.by_rank;
+    assert_eq!(ranks.before(StartClass::OnTime, 255), 1);
+    assert_eq!(ranks.at(StartClass::OnTime, 255), 2);
+}
--- a/crates/gs-control/tests/relay/fleet.rs
+++ b/crates/gs-control/tests/relay/fleet.rs
@@ -329,7 +329,7 @@
         load: EntryLoad {
             waiting: WaitingCounts {
                 on_time: load,
-                late: 0,
+                ..WaitingCounts::default()
             },
             ..EntryLoad::default()
         },
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
+use crate::scheduling::SchedulingState;
 use crate::wire::{AnswerClass, ServerWire};
 
 /// Minimum number of endpoints returned to a client, provided that many entries are known.
@@ -112,6 +113,7 @@
     pub relays: RelayState,
     pub quarantine: ContentQuarantine,
     pub origins: OriginTracker,
+    pub scheduling: SchedulingState,
     pub rng: Pcg64Mcg,
 }
 
@@ -187,6 +189,7 @@
             membership: MembershipState::new(own, settings.membership),
             relays: RelayState::default(),
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
+            scheduling: SchedulingState::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -105,7 +105,10 @@
     };
     match admitted {
         Ok(reservation) => match generation.job.shutdown_refusal(gateway) {
-            None => run_generation(gateway, generation, reservation).await,
+            None => {
+                gateway.record_usage(&generation.job);
+                run_generation(gateway, generation, reservation).await
+            }
             Some(refusal) => refusal,
         },
         Err(retry_after) => {
@@ -157,6 +160,7 @@
         requested_at: job.arrived.checked_sub(earlier_time).unwrap_or(job.arrived),
         arrived_at: job.arrived,
         latency_target: job.rule.latency_target,
+        order: gateway.caller_order(job, u64::from(generation.demand.shape.held_tokens)),
     };
     let (draw, backlog) = (
         gateway.random_fraction(),
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod relays;
 mod release;
 mod reservation;
+mod scheduling;
 mod server_list;
 mod stages;
 mod stream_forwarder;
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionEffect, DecodeDemand, EngineSubset, PlacementView, ShutdownPhase, StreamKey,
-    choose_decode,
+    AdmissionEffect, DecodeDemand, EngineSubset, FleetBacklog, PlacementView, ShutdownPhase,
+    StreamKey, choose_decode,
 };
 use gs_protocol::ids::ServerName;
 use rand::{Rng, SeedableRng};
@@ -33,7 +33,7 @@
     let mut is_waiting = false;
     loop {
         // A stream that joins the empty queue is notified.
-        let interval = match gateway.has_waiting_streams() {
+        let interval = match gateway.has_waiting_streams() || gateway.holds_requests() {
             true => ADMISSION_INTERVAL,
             false => EXPIRY_INTERVAL,
         };
@@ -52,6 +52,9 @@
         if gateway.has_waiting_streams() {
             advance_queue(&gateway, subset_salt);
         }
+        if gateway.holds_requests() {
+            gateway.advance_plain();
+        }
         let was_waiting = std::mem::replace(&mut is_waiting, gateway.has_waiting_streams());
         if was_waiting != is_waiting {
             gateway.report_changed.notify_one();
@@ -112,6 +115,8 @@
         origins,
         queue,
         rng,
+        scheduling,
+        mean_stream_seconds,
         ..
     } = &mut *guard;
     let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
@@ -121,10 +126,16 @@
     let (own, peers) = (queue.waiting(), loads.peers_waiting());
     let settings = *queue.settings();
     let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
-    queue.advance(
+    let has_workspaces = table.workspaces.is_some();
+    if has_workspaces {
+        queue.refresh_shares(now, |workspace| scheduling.shares.share(now, workspace));
+    }
+    let mut effects = queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
-        |demand, class| {
+        |stream, class| {
+            let demand = &stream.demand;
+            let rank = stream.order.as_ref().map(|order| order.rank);
             let engine = table.service(&demand.service)?.engine.as_ref()?;
             let view = PlacementView {
                 now,
@@ -138,7 +149,11 @@
             let needs = DecodeDemand {
                 shape: demand.shape,
                 memory_fraction: settings.memory_fraction(class),
-                subset: EngineSubset::new(subset_salt, own.count(class), peers.count(class)),
+                subset: EngineSubset::new(
+                    subset_salt,
+                    own.up_to(class, rank),
+                    peers.up_to(class, rank),
+                ),
                 software: &demand.software,
             };
             let server = choose_decode(&view, &demand.service, engine, needs, &[])?;
@@ -146,7 +161,16 @@
             let key = loads.add_stream(&server, demand.shape);
             Some((server, key))
         },
-    )
+    );
+    if has_workspaces {
+        let backlog = FleetBacklog {
+            peers_waiting: peers,
+            completions_per_second: loads.running_streams() as f64 / *mean_stream_seconds,
+            engines_wait: Duration::ZERO,
+        };
+        effects.extend(queue.refuse_hopeless(now, backlog, || rng.gen_range(0.0..1.0)));
+    }
+    effects
 }
 
 /// Waits for a stop signal, then returns when the process should exit.
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use gs_control::forwarding::{
     AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RequestCaller, RequestSpan, RouteKind,
-    RouteRule, ServerLoad, choose_server, limit_wait, next_step,
+    RouteRule, ServerLoad, limit_wait, next_step,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
 use gs_protocol::suspicion::ContentHash;
@@ -22,6 +22,7 @@
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
 use crate::reservation::{KeptBytes, Reservation};
+use crate::scheduling::{TakenServer, take_server};
 use crate::wire::{AnswerClass, ForwardOptions, RequestMetadata, ServerTask};
 
 /// Timeout for connecting to a server.
@@ -182,9 +183,11 @@
                 _ => final_answer(gateway, job, failure_answer, FinalAnswer::Unknown),
             };
         }
-        let chosen = gateway.with_placement_view(|view| choose_server(view, &job.service, &tried));
-        let Some(server) = chosen else {
-            match wait_for_limit(gateway, job, &tried).await {
+        let (server, reservation) = match take_server(gateway, job, &tried, history.runs > 0).await
+        {
+            TakenServer::Server(server, reservation) => (server, reservation),
+            TakenServer::Refused(retry_after) => return job.refusal_answer(gateway, retry_after),
+            TakenServer::NoServer => match wait_for_limit(gateway, job, &tried).await {
                 LimitWait::Over => continue,
                 LimitWait::TooLong(retry_after) if history.runs == 0 => {
                     log::info!(target: "request", id:% = job.metadata.request_id, retry_ms = retry_after.as_millis() as u64; "refused: all servers have reached their limits or asked for a pause");
@@ -194,15 +197,18 @@
                     let kind = history.outcome();
                     return final_answer(gateway, job, failure_answer, kind);
                 }
-            }
+            },
         };
         let sent_before = history.sends;
-        let outcome = attempt_server(gateway, job, &server, &history).await;
-        tried.push(server);
+        let outcome = attempt_server(gateway, job, &server, reservation, &history).await;
         let (failure, answer) = match outcome {
             AttemptOutcome::Answered(answer) => return answer,
             AttemptOutcome::Failed(failure, answer) => (failure, answer),
         };
+        if failure == AttemptFailure::NotExecuted {
+            gateway.record_plain_full(job, &server);
+        }
+        tried.push(server);
         history.sends += u32::from(failure != AttemptFailure::NotSent);
         history.runs += u32::from(!failure.is_not_run());
         failure_answer = answer.or(failure_answer);
@@ -282,9 +288,12 @@
     gateway: &Rc<Gateway>,
     job: &ForwardJob,
     server: &ServerName,
+    reservation: Option<Reservation>,
     history: &AttemptHistory,
 ) -> AttemptOutcome {
-    let _reservation = Reservation::acquire(gateway, server, ServerLoad::REQUEST);
+    let _reservation =
+        reservation.unwrap_or_else(|| Reservation::acquire(gateway, server, ServerLoad::REQUEST));
+    let started = Instant::now();
     let left = job.answer_due().saturating_duration_since(Instant::now());
     let can_fail_over =
         job.rule.kind == RouteKind::Safe && history.runs + 1 < job.rule.max_attempts;
@@ -304,7 +313,10 @@
         Ok((head, body)) => {
             let outcome = classify_attempt(gateway, job, server, Response::from_parts(head, body));
             match outcome.is_servers_answer() {
-                true => run.complete(),
+                true => {
+                    gateway.record_plain_answer(job, started.elapsed());
+                    run.complete();
+                }
                 false => run.discard(),
             }
             outcome
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -53,6 +53,11 @@
     fn drop(&mut self) {
         let mut state = self.gateway.state.borrow_mut();
         state.loads.remove(&self.server, self.load);
+        let holds_requests = !state.scheduling.plain.is_empty();
+        drop(state);
+        if holds_requests {
+            self.gateway.capacity_changed.notify_one();
+        }
     }
 }
 
