--- a/crates/gs-control/src/forwarding/plain_queue.rs
+++ b/crates/gs-control/src/forwarding/plain_queue.rs
@@ -374,11 +374,17 @@
         self.ranked.sort(keyed.collect())
     }
 
-    /// Returns the place of a request. All have the same class: the client of a plain request that came
-    /// back as told is sent before those who have not waited.
+    /// Returns the place of a request. Those that can be on time come first: if clients that came back
+    /// late went first, nearly all answers would be late while twice as much as fits is requested.
     fn key(&self, now: Instant, ticket: TicketId, held: &HeldRequest) -> RankedKey {
+        let flow = self.flows.get(&held.service);
+        let mean_seconds = flow.map_or(0.0, |flow| flow.mean_seconds);
+        let answered_at = now + Duration::from_secs_f64(mean_seconds);
+        let class = match held.requested_at + held.latency_target > answered_at {
+            true => StartClass::OnTime,
+            false => StartClass::Late,
+        };
         let timing = held.timing();
-        self.ranked
-            .key(now, StartClass::OnTime, &held.order, &timing, ticket)
+        self.ranked.key(now, class, &held.order, &timing, ticket)
     }
 }
--- a/crates/gs-control/tests/forwarding/plain_queue.rs
+++ b/crates/gs-control/tests/forwarding/plain_queue.rs
@@ -1,1 +1,341 @@
 //! Tests of the queue of plain requests under overload.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use gs_control::forwarding::{
+    CallerOrder, DirectorySettings, FreeServer, HeldRequest, LimitSettings, LimitTracker,
+    LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView, PlainDecision,
+    PlainEffect, PlainPlacement, PlainQueue, PlainSettings, ServerDirectory, ServerLoad,
+    ServiceCapacity, TicketId, choose_free_server, service_slots,
+};
+use test_case::test_case;
+
+use super::overload::{Attempt, ClientGroup, Outcome, QueueModel, Returning, run, total};
+use super::support::{milliseconds, server, start};
+
+/// Time limit of the requests.
+const TIME_LIMIT: Duration = Duration::from_secs(14);
+
+/// Servers with 12 slots in all, of one entry.
+const CAPACITY: ServiceCapacity = ServiceCapacity {
+    slots: 12,
+    entries: 1,
+};
+
+/// The queue of one entry that is alone in front of the servers.
+struct PlainModel {
+    queue: PlainQueue,
+    tickets: BTreeMap<TicketId, u64>,
+    targets: Vec<Duration>,
+}
+
+fn request(attempt: &Attempt, target: Duration, order: CallerOrder) -> HeldRequest {
+    HeldRequest {
+        service: "desk".into(),
+        excluded: Vec::new(),
+        order,
+        requested_at: attempt.requested_at,
+        arrived_at: attempt.arrived_at,
+        latency_target: target,
+        answer_due: attempt.requested_at + TIME_LIMIT,
+    }
+}
+
+impl QueueModel for PlainModel {
+    fn offer(
+        &mut self,
+        now: Instant,
+        id: u64,
+        attempt: &Attempt,
+        order: CallerOrder,
+    ) -> Option<Duration> {
+        let held = request(attempt, self.targets[attempt.group], order);
+        let draw = id as f64 * 0.618 % 1.0;
+        match self.queue.offer(now, held, CAPACITY, draw) {
+            PlainDecision::Held(ticket) => {
+                self.tickets.insert(ticket, id);
+                None
+            }
+            PlainDecision::Refused { retry_after } => Some(retry_after),
+        }
+    }
+
+    fn advance(
+        &mut self,
+        now: Instant,
+        fits: &mut dyn FnMut(u64) -> bool,
+        share_of: &dyn Fn(&str) -> f64,
+    ) -> (Vec<u64>, Vec<(u64, Duration)>) {
+        self.queue.refresh_shares(now, share_of);
+        let find = |held: &HeldRequest| match fits(held.order.size) {
+            true => PlainPlacement::Free(()),
+            false => PlainPlacement::Full,
+        };
+        let effects = self.queue.advance(now, |_| CAPACITY, || 0.5, find);
+        let mut decided = (Vec::new(), Vec::new());
+        for effect in effects {
+            match effect {
+                PlainEffect::Send { ticket, .. } => {
+                    decided.0.extend(self.tickets.remove(&ticket));
+                }
+                PlainEffect::Refuse {
+                    ticket,
+                    retry_after,
+                } => {
+                    let id = self.tickets.remove(&ticket);
+                    decided.1.extend(id.map(|id| (id, retry_after)));
+                }
+                PlainEffect::Release { .. } => panic!("a server takes requests"),
+            }
+        }
+        decided
+    }
+
+    fn record_end(&mut self, now: Instant, took: Duration) {
+        self.queue.record_answer(now, &"desk".into(), took);
+    }
+}
+
+/// Runs clients for a minute before servers that complete 40 requests per second.
+fn run_plain(groups: &[ClientGroup]) -> Vec<Outcome> {
+    let mut model = PlainModel {
+        queue: PlainQueue::new(PlainSettings::default()),
+        tickets: BTreeMap::new(),
+        targets: groups.iter().map(|group| group.target).collect(),
+    };
+    let service_time = milliseconds(300);
+    let length = Duration::from_secs(60);
+    run(
+        &mut model,
+        groups,
+        u64::from(CAPACITY.slots),
+        service_time,
+        length,
+    )
+}
+
+/// Load: twice as much as fits, from four workspaces of different sizes. Guards against answers that are all
+/// late, as they are if clients that come back late go first, and against a workspace that gets less.
+#[test]
+fn twice_as_much_as_fits_is_served_on_time_in_equal_parts() {
+    let sizes = [("a", 40.0), ("b", 24.0), ("c", 8.0), ("d", 8.0)];
+    let groups = sizes.map(|(name, rate)| ClientGroup::new(name, rate, rate / 2.0));
+    let outcomes = run_plain(&groups);
+    let all = total(&outcomes);
+    assert!(all.on_time > 0.95 * 2_400.0, "{all:?}");
+    for outcome in &outcomes {
+        let part = outcome.served() / all.served();
+        assert!((0.8..1.25).contains(&part), "{part} {outcome:?}");
+    }
+    assert!(
+        all.refused_late < 0.4 * (all.refused + all.refused_again),
+        "{all:?}"
+    );
+}
+
+/// Load: one workspace sends 7.5 times its usual rate. Guards against a flood that others pay for.
+#[test]
+fn a_workspace_at_7_5_times_its_usual_load_pays_for_it_itself() {
+    let groups = [
+        ClientGroup::new("flood", 60.0, 8.0),
+        ClientGroup::new("large", 16.0, 16.0),
+        ClientGroup::new("small", 4.0, 4.0),
+    ];
+    let outcomes = run_plain(&groups);
+    let all = total(&outcomes);
+    assert!(outcomes[1..].iter().all(|other| other.served() > 0.97));
+    assert!(outcomes[0].on_time > 8.0 * 60.0, "{outcomes:?}");
+    assert!(outcomes[0].served() > all.served() / 4.0, "{outcomes:?}");
+}
+
+/// Load: twice as much as fits, in three ranks. Guards against ranks that are mixed up or starve.
+#[test]
+fn urgent_ranks_are_served_more_often_and_none_starves() {
+    let ranked = |name, rank| ClientGroup {
+        rank,
+        ..ClientGroup::new(name, 28.0, 20.0)
+    };
+    let outcomes = run_plain(&[ranked("a", 0), ranked("b", 1), ranked("c", 3)]);
+    let all = total(&outcomes);
+    let served: Vec<f64> = outcomes.iter().map(Outcome::served).collect();
+    assert!(
+        served.is_sorted_by(|left, right| left >= right),
+        "{served:?}"
+    );
+    assert!(
+        served[0] > 0.95 && served[2] > all.served() / 4.0,
+        "{served:?}"
+    );
+}
+
+/// Load: one workspace sends twice as much as fits; half of its clients repeat at once.
+#[test]
+fn clients_that_repeat_at_once_gain_nothing() {
+    let group = |returning| ClientGroup {
+        returning,
+        ..ClientGroup::new("a", 40.0, 20.0)
+    };
+    let outcomes = run_plain(&[group(Returning::AsTold), group(Returning::AtOnce)]);
+    let [as_told, at_once] = outcomes[..] else {
+        panic!("two groups");
+    };
+    assert!(at_once.served() < 1.1 * as_told.served(), "{outcomes:?}");
+}
+
+/// Load: twice as much as fits, by clients that can come back in time.
+#[test]
+fn clients_that_came_back_as_told_are_refused_less_often_than_new_ones() {
+    let group = |name| ClientGroup {
+        target: Duration::from_secs(5),
+        ..ClientGroup::new(name, 40.0, 20.0)
+    };
+    let all = total(&run_plain(&[group("a"), group("b")]));
+    assert!(all.returned > 1_000.0, "{all:?}");
+    assert!(all.refused_again() < all.first_refused(), "{all:?}");
+}
+
+fn held(rank: u8, workspace: &str, share: f64) -> HeldRequest {
+    let attempt = Attempt {
+        group: 0,
+        requested_at: start(),
+        arrived_at: start(),
+        size: 1,
+    };
+    let order = CallerOrder {
+        rank,
+        workspace: workspace.to_owned(),
+        route: "x".to_owned(),
+        share,
+        increment: 1.0,
+        size: 1,
+        gives_up_at: None,
+        has_waited: false,
+    };
+    request(&attempt, milliseconds(800), order)
+}
+
+/// Offers requests at one moment to a queue; returns it with their tickets.
+fn holding(requests: Vec<HeldRequest>) -> (PlainQueue, Vec<TicketId>) {
+    let mut queue = PlainQueue::new(PlainSettings::default());
+    let now = requests[0].arrived_at;
+    let tickets = requests
+        .into_iter()
+        .map(|request| match queue.offer(now, request, CAPACITY, 0.5) {
+            PlainDecision::Held(ticket) => ticket,
+            refused @ PlainDecision::Refused { .. } => panic!("{refused:?}"),
+        })
+        .collect();
+    (queue, tickets)
+}
+
+fn advance<P>(
+    queue: &mut PlainQueue,
+    now: Instant,
+    find: impl FnMut(&HeldRequest) -> PlainPlacement<P>,
+) -> Vec<PlainEffect<P>> {
+    queue.advance(now, |_| CAPACITY, || 0.5, find)
+}
+
+#[test]
+fn held_requests_go_by_rank_then_share_then_due_time() {
+    let requests = vec![held(1, "a", 0.0), held(0, "b", 5.0), held(0, "c", 4.5)];
+    let now = requests[0].arrived_at;
+    let (mut queue, tickets) = holding(requests);
+    let sent = advance(&mut queue, now, |_| PlainPlacement::Free(()));
+    let sent = sent.iter().map(|effect| match effect {
+        PlainEffect::Send { ticket, .. } => *ticket,
+        other => panic!("{other:?}"),
+    });
+    let expected = [tickets[2], tickets[1], tickets[0]];
+    assert_eq!(sent.collect::<Vec<_>>(), expected);
+    assert!(queue.is_empty());
+}
+
+/// Guards against requests that are held beyond half of their latency target or their deadline.
+#[test_case(TIME_LIMIT, 400; "half of the latency target")]
+#[test_case(milliseconds(150), 150; "the deadline")]
+fn a_request_is_held_for_a_bounded_time(time_limit: Duration, held_ms: u64) {
+    let mut bounded = held(0, "a", 0.0);
+    bounded.answer_due = bounded.arrived_at + time_limit;
+    let arrived = bounded.arrived_at;
+    let (mut queue, tickets) = holding(vec![bounded]);
+    let full = |_: &HeldRequest| PlainPlacement::<()>::Full;
+    let before = arrived + milliseconds(held_ms - 1);
+    assert_eq!(advance(&mut queue, before, full), []);
+    let effects = advance(&mut queue, arrived + milliseconds(held_ms), full);
+    let [PlainEffect::Refuse { ticket, .. }] = effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(ticket, tickets[0]);
+}
+
+#[test]
+fn a_withdrawn_request_is_not_sent_and_one_without_servers_is_released() {
+    let requests = vec![held(0, "a", 0.0), held(0, "b", 0.0)];
+    let now = requests[0].arrived_at;
+    let (mut queue, tickets) = holding(requests);
+    queue.withdraw(tickets[0]);
+    let effects = advance(&mut queue, now, |_| PlainPlacement::<()>::NoServer);
+    let released = PlainEffect::Release { ticket: tickets[1] };
+    assert_eq!(effects, [released]);
+}
+
+/// Guards against a retried request whose remaining servers are full and that holds up the others.
+#[test]
+fn a_request_that_excludes_servers_does_not_hold_up_others() {
+    let mut retried = held(0, "a", 0.0);
+    retried.excluded = vec!["server-1".into()];
+    let now = retried.arrived_at;
+    let (mut queue, _) = holding(vec![retried, held(1, "b", 0.0)]);
+    let effects = advance(&mut queue, now, |request| {
+        match request.excluded.is_empty() {
+            true => PlainPlacement::Free(()),
+            false => PlainPlacement::Full,
+        }
+    });
+    assert!(
+        matches!(effects[..], [PlainEffect::Send { .. }]),
+        "{effects:?}"
+    );
+}
+
+/// Guards against requests that are held while a server has a free slot, and against ones that are sent to
+/// servers that are full by the load of all entries or have just refused a request.
+#[test]
+fn a_server_is_free_until_all_its_slots_are_used_or_it_refuses() {
+    let now = start();
+    let data_centre = "north".into();
+    let mut directory = ServerDirectory::new(DirectorySettings::default());
+    directory.apply_list(now, vec![server(1, None), server(2, None)]);
+    let (limits, origins) = (
+        LimitTracker::new(LimitSettings::default()),
+        OriginTracker::new(now, OriginSettings::default()),
+    );
+    let mut loads = LoadTracker::new(LoadSettings::default());
+    let choose = |loads: &LoadTracker, excluded: &[_]| {
+        let view = PlacementView {
+            now,
+            salt: 1,
+            data_centre: &data_centre,
+            directory: &directory,
+            loads,
+            limits: &limits,
+            origins: &origins,
+        };
+        assert_eq!(service_slots(&view, &"notes".into()), 8);
+        choose_free_server(&view, &"notes".into(), excluded)
+    };
+    let (first, second) = (server(1, None).name, server(2, None).name);
+    for _ in 0..4 {
+        loads.add(&first, ServerLoad::REQUEST);
+    }
+    assert_eq!(choose(&loads, &[]), FreeServer::Free(second.clone()));
+    assert_eq!(choose(&loads, &[second.clone()]), FreeServer::Full);
+    assert_eq!(
+        choose(&loads, &[first, second.clone()]),
+        FreeServer::NoServer
+    );
+    loads.record_full(now, &second);
+    assert_eq!(choose(&loads, &[]), FreeServer::Full);
+}
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod registry;
 mod relays;
+mod scheduling;
 mod shutdown;
 mod soak;
 mod stages;
