Work out the floors of ranks and routes once for each ordering

Change: ServedFloors is worked out once for each ordering; ranks and counts by rank have a file of their own. Decisions are unchanged.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -17,7 +17,8 @@
 
 use super::memory::StreamShape;
 use super::origins::SoftwareNeed;
-use super::ranking::{CallerOrder, RankCounts, RankWaiting, RankedOrder};
+use super::ranking::RankedOrder;
+use super::ranks::{CallerOrder, RankCounts, RankWaiting};
 
 /// Identifies a queued stream.
 pub type TicketId = u64;
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -19,6 +19,7 @@
 mod plain_queue;
 mod ranked_admission;
 mod ranking;
+mod ranks;
 mod recent_maximum;
 mod retries;
 mod returns;
@@ -56,7 +57,7 @@
     HeldRequest, PlainDecision, PlainEffect, PlainPlacement, PlainQueue, PlainSettings,
     ServiceCapacity,
 };
-pub use ranking::{CallerOrder, RANK_COUNT, RankCounts, RankWaiting};
+pub use ranks::{CallerOrder, RANK_COUNT, RankCounts, RankWaiting};
 pub use recent_maximum::RecentMaximum;
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
 pub use routes::{
--- a/crates/gs-control/src/forwarding/plain_queue.rs
+++ b/crates/gs-control/src/forwarding/plain_queue.rs
@@ -11,7 +11,8 @@
 use gs_protocol::ids::{ServerName, ServiceName};
 
 use super::admission::{StartClass, TicketId, completion_time};
-use super::ranking::{CallerOrder, CallerTiming, RankedKey, RankedOrder};
+use super::ranking::{CallerTiming, RankedKey, RankedOrder, ServedFloors};
+use super::ranks::CallerOrder;
 use super::shares::DecayedSum;
 
 /// Half-life of the count of answers, from which the rate of free slots is estimated.
@@ -398,15 +399,22 @@
         now: Instant,
         offered: Option<(&'q TicketId, &'q HeldRequest)>,
     ) -> Vec<(RankedKey, &'q HeldRequest)> {
+        let floors = self.ranked.floors(now);
         let requests = self.held.iter().chain(offered);
-        let keyed =
-            requests.map(|(ticket, held)| (self.key(now, *ticket, held), &held.order, held));
+        let keyed = requests
+            .map(|(ticket, held)| (self.key(now, &floors, *ticket, held), &held.order, held));
         self.ranked.sort(keyed.collect())
     }
 
     /// Returns the place of a request. Those that can be on time come first: if clients that came back
     /// late went first, nearly all answers would be late while twice as much as fits is requested.
-    fn key(&self, now: Instant, ticket: TicketId, held: &HeldRequest) -> RankedKey {
+    fn key(
+        &self,
+        now: Instant,
+        floors: &ServedFloors<'_>,
+        ticket: TicketId,
+        held: &HeldRequest,
+    ) -> RankedKey {
         let flow = self.flows.get(&held.service);
         let mean_seconds = flow.map_or(0.0, |flow| flow.mean_seconds);
         let answered_at = now + Duration::from_secs_f64(mean_seconds);
@@ -415,6 +423,6 @@
             false => StartClass::Late,
         };
         let timing = held.timing();
-        self.ranked.key(now, class, &held.order, &timing, ticket)
+        self.ranked.key(floors, class, &held.order, &timing, ticket)
     }
 }
--- a/crates/gs-control/src/forwarding/ranked_admission.rs
+++ b/crates/gs-control/src/forwarding/ranked_admission.rs
@@ -6,7 +6,8 @@
     AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog, QueuePosition, StartClass,
     WaitingStream, completion_time,
 };
-use super::ranking::{ArrivalMix, CallerOrder, CallerTiming, RankedKey};
+use super::ranking::{ArrivalMix, CallerTiming, RankedKey, ServedFloors};
+use super::ranks::CallerOrder;
 
 /// Factor by which the expected wait of a queued stream must exceed the time that it can still wait for it
 /// to be refused. The times at which streams end are as uncertain.
@@ -86,17 +87,22 @@
         now: Instant,
         offered: Option<(&'s QueuePosition, &'s WaitingStream)>,
     ) -> Vec<(RankedKey, &'s WaitingStream)> {
+        let floors = self.ranked.floors(now);
         let streams = self.waiting.iter().chain(offered);
         let keyed = streams.filter_map(|(position, stream)| {
             let order = stream.order.as_ref()?;
-            Some((self.ranked_key(now, position, stream, order), order, stream))
+            Some((
+                self.ranked_key(&floors, position, stream, order),
+                order,
+                stream,
+            ))
         });
         self.ranked.sort(keyed.collect())
     }
 
     fn ranked_key(
         &self,
-        now: Instant,
+        floors: &ServedFloors<'_>,
         position: &QueuePosition,
         stream: &WaitingStream,
         order: &CallerOrder,
@@ -107,7 +113,7 @@
             latency_target: stream.latency_target,
         };
         self.ranked
-            .key(now, position.class, order, &timing, position.ticket)
+            .key(floors, position.class, order, &timing, position.ticket)
     }
 
     /// Estimates the time in the queue of a stream that is not queued yet. While any stream that can be
--- a/crates/gs-control/src/forwarding/ranking.rs
+++ b/crates/gs-control/src/forwarding/ranking.rs
@@ -5,16 +5,14 @@
 //! or a route that is served far less often than all therefore goes first until it has its floor.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use super::admission::{StartClass, TicketId};
+use super::ranks::{CallerOrder, RANK_COUNT, RankCounts};
 use super::returns::{ReturnLedger, ReturnState};
 use super::shares::DecayedSum;
 
-/// Number of ranks that are told apart. Less urgent ones count as the last.
-pub const RANK_COUNT: usize = 10;
-
 /// Half-life of the counts of offered and served requests.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(10);
 
@@ -36,107 +34,6 @@
 /// Shares that differ by less than this are equal, so that their requests go by due time.
 const SHARE_STEP: f64 = 1e-3;
 
-/// What decides the place of a request among others.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CallerOrder {
-    /// Priority; 0 is the most urgent.
-    pub rank: u8,
-    /// Name of the workspace; empty on public routes.
-    pub workspace: String,
-    /// Name of the route.
-    pub route: String,
-    /// The workspace's share of recent service.
-    pub share: f64,
-    /// What the request adds to the share when it is sent to a server.
-    pub increment: f64,
-    /// Size of the request, to be compared with others of its route.
-    pub size: u64,
-    /// When its client gives up, if it said so.
-    pub gives_up_at: Option<Instant>,
-    /// Whether its client came back as told after a refusal. Set by the queue.
-    pub has_waited: bool,
-}
-
-impl CallerOrder {
-    /// Returns the rank as an index of [`RankCounts`].
-    fn level(&self) -> usize {
-        usize::from(self.rank).min(RANK_COUNT - 1)
-    }
-}
-
-/// Number of waiting requests of one rank.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct RankWaiting {
-    /// Requests that can be on time.
-    pub on_time: u32,
-    /// Requests that will be late.
-    pub late: u32,
-}
-
-impl RankWaiting {
-    /// One request of a class.
-    pub fn one(class: StartClass) -> Self {
-        let is_late = class == StartClass::Late;
-        Self {
-            on_time: u32::from(!is_late),
-            late: u32::from(is_late),
-        }
-    }
-
-    fn count(self, class: StartClass) -> u32 {
-        match class {
-            StartClass::OnTime => self.on_time,
-            StartClass::Late => self.late,
-        }
-    }
-}
-
-/// Number of waiting requests by rank. All are 0 where the configuration has no workspaces.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct RankCounts([RankWaiting; RANK_COUNT]);
-
-impl RankCounts {
-    /// Counts without any request.
-    pub const NONE: Self = Self(
-        [RankWaiting {
-            on_time: 0,
-            late: 0,
-        }; RANK_COUNT],
-    );
-
-    /// Adds waiting requests of a rank.
-    pub fn add(&mut self, rank: u8, waiting: RankWaiting) {
-        let level = usize::from(rank).min(RANK_COUNT - 1);
-        self.0[level].on_time = self.0[level].on_time.saturating_add(waiting.on_time);
-        self.0[level].late = self.0[level].late.saturating_add(waiting.late);
-    }
-
-    /// Adds all counts of an entry.
-    pub fn add_all(&mut self, other: &Self) {
-        for (rank, waiting) in other.iter() {
-            self.add(rank, waiting);
-        }
-    }
-
-    /// Returns the ranks that have waiting requests.
-    pub fn iter(&self) -> impl Iterator<Item = (u8, RankWaiting)> + '_ {
-        let ranks = (0..).zip(self.0);
-        ranks.filter(|(_, waiting)| *waiting != RankWaiting::default())
-    }
-
-    /// Returns the number of requests of a class and a rank.
-    pub fn at(&self, class: StartClass, rank: u8) -> u32 {
-        self.0[usize::from(rank).min(RANK_COUNT - 1)].count(class)
-    }
-
-    /// Returns the number of requests of a class that are more urgent than a rank.
-    pub fn before(&self, class: StartClass, rank: u8) -> u32 {
-        let level = usize::from(rank).min(RANK_COUNT - 1);
-        let better = self.0[..level].iter();
-        better.map(|waiting| waiting.count(class)).sum()
-    }
-}
-
 /// Requests that are compared with others in how often they are served.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum ServedGroup {
@@ -197,6 +94,15 @@
     }
 }
 
+/// The ranks and routes that are served less often than their floors.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServedFloors<'a> {
+    ranks: [bool; RANK_COUNT],
+    routes: BTreeSet<&'a str>,
+    /// The routes whose large requests are served less often than their floor.
+    large: BTreeSet<&'a str>,
+}
+
 /// Returns a share in steps of [`SHARE_STEP`].
 fn share_steps(share: f64) -> u64 {
     (share.max(0.0) / SHARE_STEP) as u64
@@ -312,7 +218,7 @@
     /// Returns the place of a request.
     pub fn key(
         &self,
-        now: Instant,
+        floors: &ServedFloors<'_>,
         class: StartClass,
         order: &CallerOrder,
         timing: &CallerTiming,
@@ -321,7 +227,7 @@
         let share = self.shares.get(&order.workspace).copied();
         RankedKey {
             class,
-            tier: match self.is_underserved(now, order) {
+            tier: match self.is_underserved(floors, order) {
                 true => 0,
                 false => order.level() + 1,
             },
@@ -467,17 +373,40 @@
         large.is_some_and(|large| order.size as f64 > *large)
     }
 
-    /// Whether the rank, the route or the size of a request is served less often than its floor.
-    fn is_underserved(&self, now: Instant, order: &CallerOrder) -> bool {
+    /// Returns which ranks and routes are served less often than their floors.
+    pub fn floors(&self, now: Instant) -> ServedFloors<'_> {
         let rate = |group: &ServedGroup, prior: f64| {
             let counts = self.served.get(group);
             counts.map_or(prior, |counts| counts.rate(now, prior))
         };
         let all = rate(&ServedGroup::All, 1.0);
-        let route = rate(&ServedGroup::Route(order.route.clone()), all);
-        let large = ServedGroup::Large(order.route.clone());
-        rate(&ServedGroup::Rank(order.level()), all) < SERVED_FLOOR * all
-            || route < SERVED_FLOOR * all
-            || (self.is_large(order) && rate(&large, route) < LARGE_FLOOR * route)
+        let mut floors = ServedFloors::default();
+        for group in self.served.keys() {
+            match group {
+                ServedGroup::All => {}
+                ServedGroup::Rank(level) => {
+                    floors.ranks[*level] = rate(group, all) < SERVED_FLOOR * all;
+                }
+                ServedGroup::Route(route) if rate(group, all) < SERVED_FLOOR * all => {
+                    floors.routes.insert(route);
+                }
+                ServedGroup::Route(_) => {}
+                ServedGroup::Large(route) => {
+                    let of_route = rate(&ServedGroup::Route(route.clone()), all);
+                    if rate(group, of_route) < LARGE_FLOOR * of_route {
+                        floors.large.insert(route);
+                    }
+                }
+            }
+        }
+        floors
+    }
+
+    /// Whether the rank, the route or the size of a request is served less often than its floor.
+    fn is_underserved(&self, floors: &ServedFloors<'_>, order: &CallerOrder) -> bool {
+        let route = order.route.as_str();
+        floors.ranks[order.level()]
+            || floors.routes.contains(route)
+            || (floors.large.contains(route) && self.is_large(order))
     }
 }
