--- a/crates/gs-control/tests/forwarding/overload.rs
+++ b/crates/gs-control/tests/forwarding/overload.rs
@@ -266,3 +266,97 @@
     }
     total
 }
+
+/// Twice as much as fits, from four workspaces of different sizes; `rate` requests per second fit.
+pub fn twice_as_much(rate: f64) -> [ClientGroup; 4] {
+    let parts = [("a", 1.0), ("b", 0.6), ("c", 0.2), ("d", 0.2)];
+    parts.map(|(name, part)| ClientGroup::new(name, part * rate, part * rate / 2.0))
+}
+
+/// Guards against servers that idle or run what is late, against a workspace that is served less than the
+/// others, and against requests that are held only to be refused.
+pub fn assert_equal_parts(outcomes: &[Outcome], fitting: f64) {
+    let all = total(outcomes);
+    assert!(all.on_time > 0.9 * fitting, "{all:?}");
+    for outcome in outcomes {
+        let part = outcome.served() / all.served();
+        assert!((0.8..1.25).contains(&part), "{part} {outcome:?}");
+    }
+    let refused = all.refused + all.refused_again;
+    assert!(all.refused_late < 0.4 * refused, "{all:?}");
+}
+
+/// One workspace at 7.5 times its usual rate, and others at theirs; `rate` requests per second fit.
+pub fn flooded(rate: f64) -> [ClientGroup; 3] {
+    [
+        ClientGroup::new("flood", 1.5 * rate, 0.2 * rate),
+        ClientGroup::new("large", 0.4 * rate, 0.4 * rate),
+        ClientGroup::new("small", 0.1 * rate, 0.1 * rate),
+    ]
+}
+
+/// Guards against a flood that is paid by others, of whose requests a part is `owed`, and against one that is
+/// shut out or gets less than its usual number of requests.
+pub fn assert_flood_pays(outcomes: &[Outcome], owed: f64, usual: f64) {
+    let all = total(outcomes);
+    assert!(total(&outcomes[1..]).served() > owed, "{outcomes:?}");
+    let others = outcomes[1..].iter();
+    assert!(
+        others
+            .map(Outcome::served)
+            .all(|served| served > owed - 0.1)
+    );
+    assert!(outcomes[0].on_time > usual, "{outcomes:?}");
+    assert!(outcomes[0].served() > all.served() / 4.0, "{outcomes:?}");
+}
+
+/// Twice as much as fits, in three ranks; `rate` requests per second fit.
+pub fn three_ranks(rate: f64) -> [ClientGroup; 3] {
+    [("a", 0), ("b", 1), ("c", 3)].map(|(name, rank)| ClientGroup {
+        rank,
+        ..ClientGroup::new(name, 0.7 * rate, 0.5 * rate)
+    })
+}
+
+/// Guards against less urgent requests that are served more often than urgent ones, and against ranks that
+/// starve. `first` is what is owed to the first rank.
+pub fn assert_ranks(outcomes: &[Outcome], first: f64) {
+    let served: Vec<f64> = outcomes.iter().map(Outcome::served).collect();
+    let is_ordered = served.is_sorted_by(|left, right| left >= right);
+    assert!(is_ordered && served[0] > first, "{served:?}");
+    assert!(served[2] > total(outcomes).served() / 4.0, "{served:?}");
+}
+
+/// Twice as much as fits by one workspace, half of whose clients repeat at once.
+pub fn impatient(rate: f64, target: Duration) -> [ClientGroup; 2] {
+    [Returning::AsTold, Returning::AtOnce].map(|returning| ClientGroup {
+        returning,
+        target,
+        ..ClientGroup::new("a", rate, rate / 2.0)
+    })
+}
+
+/// Guards against clients that gain by repeating at once.
+pub fn assert_nothing_gained(outcomes: &[Outcome]) {
+    assert!(outcomes.iter().all(|outcome| outcome.returned > 100.0));
+    assert!(
+        outcomes[1].served() < 1.1 * outcomes[0].served(),
+        "{outcomes:?}"
+    );
+}
+
+/// Twice as much as fits, by clients that come back as told and can do so in time.
+pub fn patient(rate: f64, target: Duration) -> [ClientGroup; 2] {
+    ["a", "b"].map(|name| ClientGroup {
+        target,
+        ..ClientGroup::new(name, rate, rate / 2.0)
+    })
+}
+
+/// Guards against clients that came back as told and are refused again while others are served at their first
+/// attempt.
+pub fn assert_returns_preferred(outcomes: &[Outcome]) {
+    let all = total(outcomes);
+    assert!(all.returned > 500.0, "{all:?}");
+    assert!(all.refused_again() < all.first_refused(), "{all:?}");
+}
