Tell clients of shed plain requests when there will be room

Cause: a request that all servers refused was answered with a fixed delay of 0.5 s, whatever the load.

Change: with workspaces the delay comes from the queue of plain requests. A gateway test sends a stream of a workspace.

--- a/crates/gs-control/src/forwarding/plain_queue.rs
+++ b/crates/gs-control/src/forwarding/plain_queue.rs
@@ -371,8 +371,8 @@
         completion_time(ahead as f64, flow.answers.rate(now).max(equal_part))
     }
 
-    /// Records a refusal and returns the time until there will be room for a request of its rank.
-    fn refuse(
+    /// Records that a request is refused and returns the time until there will be room for one of its rank.
+    pub fn refuse(
         &mut self,
         now: Instant,
         request: &HeldRequest,
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -272,7 +272,7 @@
         return answer;
     }
     match kind {
-        FinalAnswer::NotRun => job.refusal_answer(gateway, DEFAULT_RETRY_AFTER),
+        FinalAnswer::NotRun => job.refusal_answer(gateway, gateway.shed_delay(job)),
         FinalAnswer::ServersOwn | FinalAnswer::Unknown => job.unknown_outcome_answer(),
     }
 }
--- a/crates/gs-gateway/src/scheduling.rs
+++ b/crates/gs-gateway/src/scheduling.rs
@@ -290,18 +290,7 @@
         order: CallerOrder,
         tried: &[ServerName],
     ) -> (Result<(TicketId, HoldReceiver), Duration>, usize) {
-        let earlier_time = job.metadata.deadline.map_or(Duration::ZERO, |deadline| {
-            self.earlier_attempt_time(&job.rule.name, deadline)
-        });
-        let request = HeldRequest {
-            service: job.service.clone(),
-            excluded: tried.to_vec(),
-            order,
-            requested_at: job.arrived.checked_sub(earlier_time).unwrap_or(job.arrived),
-            arrived_at: job.arrived,
-            latency_target: job.rule.latency_target,
-            answer_due: job.answer_due(),
-        };
+        let request = self.held_request(job, order, tried);
         let capacity = self.service_capacity(&job.service);
         let draw = self.random_fraction();
         let mut state = self.state.borrow_mut();
@@ -321,6 +310,39 @@
         (decision, held)
     }
 
+    fn held_request(
+        &self,
+        job: &ForwardJob,
+        order: CallerOrder,
+        tried: &[ServerName],
+    ) -> HeldRequest {
+        let earlier_time = job.metadata.deadline.map_or(Duration::ZERO, |deadline| {
+            self.earlier_attempt_time(&job.rule.name, deadline)
+        });
+        HeldRequest {
+            service: job.service.clone(),
+            excluded: tried.to_vec(),
+            order,
+            requested_at: job.arrived.checked_sub(earlier_time).unwrap_or(job.arrived),
+            arrived_at: job.arrived,
+            latency_target: job.rule.latency_target,
+            answer_due: job.answer_due(),
+        }
+    }
+
+    /// Returns the time after which the client of a plain request should return that servers have refused.
+    pub(crate) fn shed_delay(&self, job: &ForwardJob) -> Duration {
+        let Some(order) = self.caller_order(job, job.body.len() as u64) else {
+            return DEFAULT_RETRY_AFTER;
+        };
+        let request = self.held_request(job, order, &[]);
+        let capacity = self.service_capacity(&job.service);
+        let draw = self.random_fraction();
+        let mut state = self.state.borrow_mut();
+        let plain = &mut state.scheduling.plain;
+        plain.refuse(Instant::now(), &request, capacity, draw)
+    }
+
     /// Returns the time after which a request that leaves the queue may be sent again, if it must not be sent
     /// to a server now.
     fn leave_refusal(&self, job: &ForwardJob) -> Option<Duration> {
--- a/crates/gs-gateway/tests/gateway/scheduling.rs
+++ b/crates/gs-gateway/tests/gateway/scheduling.rs
@@ -10,7 +10,8 @@
 use test_case::test_case;
 
 use super::support::{
-    Deployment, RawClient, Route, Script, StubServer, header, plain_server, request, wait_until,
+    Deployment, RawClient, Route, Script, StubServer, decode_server, events, header, plain_server,
+    prefill_server, request, wait_until,
 };
 
 /// Slots of the server.
@@ -37,8 +38,23 @@
     }
 }
 
+/// Returns a configuration with workspaces of two ranks, whose keys are their names.
+fn workspaces() -> WorkspaceTable {
+    let mut table = WorkspaceTable::new();
+    for (name, rank) in [("urgent", 0), ("usual", 1)] {
+        let workspace = WorkspaceSpec {
+            name: name.to_owned(),
+            rank: Some(rank),
+            unit: CostUnit::Requests,
+            quota: None,
+        };
+        table.insert(workspace, [KeyDigest::new(name.as_bytes())]);
+    }
+    table
+}
+
 /// Starts an entry with a server that answers nothing and has all its slots in use, by clients that are
-/// returned. The keys are the names of the workspaces; none are needed without workspaces.
+/// returned.
 async fn full_deployment(
     latency_target: Duration,
     has_workspaces: bool,
@@ -52,19 +68,7 @@
     let services = BTreeMap::from([("desk".into(), spec)]);
     let rules = vec![rule(latency_target)];
     let mut table = RouteTable::new(2, ClientLimits::default(), rules, services);
-    if has_workspaces {
-        let mut workspaces = WorkspaceTable::new();
-        for (name, rank) in [("urgent", 0), ("usual", 1)] {
-            let workspace = WorkspaceSpec {
-                name: name.to_owned(),
-                rank: Some(rank),
-                unit: CostUnit::Requests,
-                quota: None,
-            };
-            workspaces.insert(workspace, [KeyDigest::new(name.as_bytes())]);
-        }
-        table.workspaces = Some(workspaces);
-    }
+    table.workspaces = has_workspaces.then(workspaces);
     deployment.gateway.apply_table(table);
     let mut clients = Vec::new();
     for number in 0..SLOTS {
@@ -129,3 +133,26 @@
     tokio::time::sleep(ARRIVAL).await;
     wait_until(|| server.requests().len() == received).await;
 }
+
+/// Guards against streams of workspaces that the admission queue keeps.
+#[actix_rt::test]
+async fn a_stream_of_a_workspace_is_admitted() {
+    let prefill = StubServer::start(|_, _| Script::complete(200, "", "handle h1")).await;
+    let decode = StubServer::start(|_, _| events(0..3, true)).await;
+    let listed = vec![
+        prefill_server("p", prefill.address),
+        decode_server("d", decode.address),
+    ];
+    let deployment = Deployment::start(listed).await;
+    let table = deployment.gateway.table().expect("a table");
+    let mut table = RouteTable::clone(&table);
+    table.version = 2;
+    table.workspaces = Some(workspaces());
+    deployment.gateway.apply_table(table);
+    let mut client = RawClient::connect(deployment.address).await;
+    let headers = "connection: close\r\nt-key: usual\r\n";
+    client.send(&request(Route::Stream, "r1", headers)).await;
+    let answer = client.read_all().await;
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    assert!(answer.has_last_chunk(), "{answer:?}");
+}
