--- a/crates/gs-control/src/forwarding/returns.rs
+++ b/crates/gs-control/src/forwarding/returns.rs
@@ -88,11 +88,8 @@
         self.expire(now);
         let earliest = gives_up_at.checked_sub(GIVE_UP_TOLERANCE);
         let first = (workspace.to_owned(), earliest, 0);
-        let last = (
-            workspace.to_owned(),
-            Some(gives_up_at + GIVE_UP_TOLERANCE),
-            u64::MAX,
-        );
+        let latest = gives_up_at.checked_add(GIVE_UP_TOLERANCE);
+        let last = (workspace.to_owned(), latest.or(Some(gives_up_at)), u64::MAX);
         let Some((key, promise)) = self.promises.range(first..=last).next() else {
             return ReturnState::Unknown;
         };
--- a/crates/gs-control/tests/forwarding/overload.rs
+++ b/crates/gs-control/tests/forwarding/overload.rs
@@ -131,66 +131,77 @@
     service_time: Duration,
     length: Duration,
 ) -> Vec<Outcome> {
-    let mut rng = Pcg64Mcg::seed_from_u64(7);
-    let mut outcomes = vec![Outcome::default(); groups.len()];
-    let mut usage = RecentUsage::default();
-    let mut running: Vec<(Instant, Duration, u64)> = Vec::new();
-    let mut open: BTreeMap<u64, Attempt> = BTreeMap::new();
-    let mut returns: Vec<Attempt> = Vec::new();
-    let mut next_id = 0;
-    let mut now = start();
-    let end = now + length;
-    while now < end {
-        running.retain(|(ends_at, took, _)| {
+    let mut run = LoadRun {
+        groups,
+        service_time,
+        rng: Pcg64Mcg::seed_from_u64(7),
+        outcomes: vec![Outcome::default(); groups.len()],
+        usage: RecentUsage::default(),
+        running: Vec::new(),
+        open: BTreeMap::new(),
+        returns: Vec::new(),
+        next_id: 0,
+    };
+    let first = start();
+    let mut now = first;
+    while now < first + length {
+        run.step(now, queue, capacity);
+        now += TICK;
+    }
+    for (group, outcome) in groups.iter().zip(&run.outcomes) {
+        // Shown with --nocapture; the design note states these figures.
+        println!(
+            "{} rank {}: {} requests, {} on time, served {:.2}, first attempts refused {:.2}, returns {:.2}",
+            group.workspace,
+            group.rank,
+            outcome.requests,
+            outcome.on_time,
+            outcome.served(),
+            outcome.first_refused(),
+            outcome.refused_again()
+        );
+    }
+    run.outcomes
+}
+
+/// State of a run.
+struct LoadRun<'g> {
+    groups: &'g [ClientGroup],
+    service_time: Duration,
+    rng: Pcg64Mcg,
+    outcomes: Vec<Outcome>,
+    usage: RecentUsage,
+    /// When each running request ends, how long it runs, and its size.
+    running: Vec<(Instant, Duration, u64)>,
+    /// Attempts in the queue.
+    open: BTreeMap<u64, Attempt>,
+    /// Attempts of refused clients that come back at their time of arrival.
+    returns: Vec<Attempt>,
+    next_id: u64,
+}
+
+impl LoadRun<'_> {
+    fn step(&mut self, now: Instant, queue: &mut impl QueueModel, capacity: u64) {
+        self.running.retain(|(ends_at, took, _)| {
             let is_running = *ends_at > now;
             if !is_running {
                 queue.record_end(now, *took);
             }
             is_running
         });
-        let quota = |name: &str| groups.iter().find(|group| group.workspace == name);
-        let quota = |name: &str| quota(name).map_or(1.0, |group| group.quota);
-        let mut arriving: Vec<Attempt> = Vec::new();
-        for (number, group) in groups.iter().enumerate() {
-            if rng.gen_range(0.0..1.0) < group.rate * TICK.as_secs_f64() {
-                let size = match group.has_sizes && rng.gen_range(0.0..1.0) < 0.1 {
-                    true => SIZES.1,
-                    false => SIZES.0,
-                };
-                outcomes[number].requests += 1.0;
-                outcomes[number].large += f64::from(u8::from(size == SIZES.1));
-                arriving.push(Attempt {
-                    group: number,
-                    requested_at: now,
-                    arrived_at: now,
-                    size,
-                });
-            }
-        }
-        let due = |attempt: &mut Attempt| attempt.arrived_at <= now;
-        arriving.extend(returns.extract_if(.., due));
-        let mut refusals: Vec<(Attempt, Duration)> = Vec::new();
+        let mut arriving = self.first_attempts(now);
+        arriving.extend(
+            self.returns
+                .extract_if(.., |attempt| attempt.arrived_at <= now),
+        );
         for attempt in arriving {
-            let group = &groups[attempt.group];
-            outcomes[attempt.group].returned += f64::from(u8::from(!attempt.is_first()));
-            let order = CallerOrder {
-                rank: group.rank,
-                workspace: group.workspace.to_owned(),
-                route: group.route.to_owned(),
-                share: usage.recent_cost(now, group.workspace) / group.quota,
-                increment: 1.0 / group.quota,
-                size: attempt.size,
-                gives_up_at: Some(attempt.requested_at + PATIENCE),
-                has_waited: false,
-            };
-            next_id += 1;
-            match queue.offer(now, next_id, &attempt, order) {
-                Some(delay) => refusals.push((attempt, delay)),
-                None => drop(open.insert(next_id, attempt)),
-            }
+            self.offer(now, queue, attempt);
         }
+        let (groups, usage) = (self.groups, &self.usage);
+        let quota = |name: &str| groups.iter().find(|group| group.workspace == name);
+        let quota = |name: &str| quota(name).map_or(1.0, |group| group.quota);
         let share_of = |name: &str| usage.recent_cost(now, name) / quota(name);
-        let mut used: u64 = running.iter().map(|(_, _, size)| size).sum();
+        let mut used: u64 = self.running.iter().map(|(_, _, size)| size).sum();
         let mut fits = |size: u64| {
             let fits = used + size <= capacity;
             used += if fits { size } else { 0 };
@@ -198,56 +209,88 @@
         };
         let (started, refused) = queue.advance(now, &mut fits, &share_of);
         for id in started {
-            let attempt = open.remove(&id).expect("a waiting request");
-            let group = &groups[attempt.group];
-            let outcome = &mut outcomes[attempt.group];
-            match now - attempt.requested_at < group.target {
-                true => outcome.on_time += 1.0,
-                false => outcome.late += 1.0,
-            }
-            usage.record(now, group.workspace, 1.0);
-            let took = service_time.mul_f64(rng.gen_range(0.5..1.5));
-            running.push((now + took, took, attempt.size));
-            if attempt.size == SIZES.1 {
-                outcome.large_served += 1.0;
-            }
+            self.start(now, id);
         }
         for (id, delay) in refused {
-            refusals.push((open.remove(&id).expect("a waiting request"), delay));
+            let attempt = self.open.remove(&id).expect("a waiting request");
+            self.refuse(now, attempt, delay);
         }
-        for (mut attempt, delay) in refusals {
-            let group = &groups[attempt.group];
-            let outcome = &mut outcomes[attempt.group];
-            match attempt.is_first() {
-                true => outcome.refused += 1.0,
-                false => outcome.refused_again += 1.0,
-            }
-            let held = now - attempt.arrived_at;
-            outcome.refused_late += f64::from(u8::from(held > milliseconds(100)));
-            attempt.arrived_at = now
-                + match group.returning {
-                    Returning::AsTold => delay,
-                    Returning::AtOnce => milliseconds(50),
-                };
-            if attempt.arrived_at < attempt.requested_at + PATIENCE {
-                returns.push(attempt);
+    }
+
+    fn first_attempts(&mut self, now: Instant) -> Vec<Attempt> {
+        let mut attempts = Vec::new();
+        for (number, group) in self.groups.iter().enumerate() {
+            if self.rng.gen_range(0.0..1.0) >= group.rate * TICK.as_secs_f64() {
+                continue;
             }
+            let size = match group.has_sizes && self.rng.gen_range(0.0..1.0) < 0.1 {
+                true => SIZES.1,
+                false => SIZES.0,
+            };
+            self.outcomes[number].requests += 1.0;
+            self.outcomes[number].large += f64::from(u8::from(size == SIZES.1));
+            attempts.push(Attempt {
+                group: number,
+                requested_at: now,
+                arrived_at: now,
+                size,
+            });
         }
-        now += TICK;
+        attempts
     }
-    for (group, outcome) in groups.iter().zip(&outcomes) {
-        // Shown with --nocapture; the design note states these figures.
-        let Outcome {
-            requests, on_time, ..
-        } = outcome;
-        let (served, again) = (outcome.served(), outcome.refused_again());
-        let first = outcome.first_refused();
-        println!(
-            "{} rank {}: {requests} requests, {on_time} on time, served {served:.2}, first attempts refused {first:.2}, returns {again:.2}",
-            group.workspace, group.rank
-        );
+
+    fn offer(&mut self, now: Instant, queue: &mut impl QueueModel, attempt: Attempt) {
+        let group = &self.groups[attempt.group];
+        let returned = f64::from(u8::from(!attempt.is_first()));
+        self.outcomes[attempt.group].returned += returned;
+        let order = CallerOrder {
+            rank: group.rank,
+            workspace: group.workspace.to_owned(),
+            route: group.route.to_owned(),
+            share: self.usage.recent_cost(now, group.workspace) / group.quota,
+            increment: 1.0 / group.quota,
+            size: attempt.size,
+            gives_up_at: Some(attempt.requested_at + PATIENCE),
+            has_waited: false,
+        };
+        self.next_id += 1;
+        match queue.offer(now, self.next_id, &attempt, order) {
+            Some(delay) => self.refuse(now, attempt, delay),
+            None => drop(self.open.insert(self.next_id, attempt)),
+        }
+    }
+
+    fn start(&mut self, now: Instant, id: u64) {
+        let attempt = self.open.remove(&id).expect("a waiting request");
+        let group = &self.groups[attempt.group];
+        let outcome = &mut self.outcomes[attempt.group];
+        match now - attempt.requested_at < group.target {
+            true => outcome.on_time += 1.0,
+            false => outcome.late += 1.0,
+        }
+        outcome.large_served += f64::from(u8::from(attempt.size == SIZES.1));
+        self.usage.record(now, group.workspace, 1.0);
+        let took = self.service_time.mul_f64(self.rng.gen_range(0.5..1.5));
+        self.running.push((now + took, took, attempt.size));
+    }
+
+    fn refuse(&mut self, now: Instant, mut attempt: Attempt, delay: Duration) {
+        let outcome = &mut self.outcomes[attempt.group];
+        match attempt.is_first() {
+            true => outcome.refused += 1.0,
+            false => outcome.refused_again += 1.0,
+        }
+        let held = now - attempt.arrived_at;
+        outcome.refused_late += f64::from(u8::from(held > milliseconds(100)));
+        let delay = match self.groups[attempt.group].returning {
+            Returning::AsTold => delay,
+            Returning::AtOnce => milliseconds(50),
+        };
+        attempt.arrived_at = now + delay;
+        if attempt.arrived_at < attempt.requested_at + PATIENCE {
+            self.returns.push(attempt);
+        }
     }
-    outcomes
 }
 
 /// Adds up the outcomes of the groups that a condition selects.
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -77,7 +77,8 @@
 
 /// Processes the admission queue and sends each decision to the task of its request.
 fn advance_queue(gateway: &Rc<Gateway>, subset_salt: u64) {
-    let effects = decide_admissions(gateway, subset_salt);
+    let mut effects = decide_admissions(gateway, subset_salt);
+    effects.extend(decide_refusals(gateway));
     for effect in effects {
         let (ticket, outcome) = match effect {
             AdmissionEffect::Start { ticket, placement } => {
@@ -116,7 +117,6 @@
         queue,
         rng,
         scheduling,
-        mean_stream_seconds,
         ..
     } = &mut *guard;
     let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
@@ -126,11 +126,10 @@
     let (own, peers) = (queue.waiting(), loads.peers_waiting());
     let settings = *queue.settings();
     let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
-    let has_workspaces = table.workspaces.is_some();
-    if has_workspaces {
+    if table.workspaces.is_some() {
         queue.refresh_shares(now, |workspace| scheduling.shares.share(now, workspace));
     }
-    let mut effects = queue.advance(
+    queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
         |stream, class| {
@@ -161,16 +160,32 @@
             let key = loads.add_stream(&server, demand.shape);
             Some((server, key))
         },
-    );
-    if has_workspaces {
-        let backlog = FleetBacklog {
-            peers_waiting: peers,
-            completions_per_second: loads.running_streams() as f64 / *mean_stream_seconds,
-            engines_wait: Duration::ZERO,
-        };
-        effects.extend(queue.refuse_hopeless(now, backlog, || rng.gen_range(0.0..1.0)));
+    )
+}
+
+/// Decides which waiting streams are refused because they are not expected to start in time any more.
+fn decide_refusals(gateway: &Gateway) -> Vec<AdmissionEffect<(ServerName, StreamKey)>> {
+    let mut guard = gateway.state.borrow_mut();
+    let GatewayState {
+        table,
+        loads,
+        queue,
+        rng,
+        mean_stream_seconds,
+        ..
+    } = &mut *guard;
+    let has_workspaces = table
+        .as_ref()
+        .is_some_and(|table| table.workspaces.is_some());
+    if !has_workspaces || queue.is_empty() {
+        return Vec::new();
     }
-    effects
+    let backlog = FleetBacklog {
+        peers_waiting: loads.peers_waiting(),
+        completions_per_second: loads.running_streams() as f64 / *mean_stream_seconds,
+        engines_wait: Duration::ZERO,
+    };
+    queue.refuse_hopeless(Instant::now(), backlog, || rng.gen_range(0.0..1.0))
 }
 
 /// Waits for a stop signal, then returns when the process should exit.
--- a/crates/gs-gateway/src/scheduling.rs
+++ b/crates/gs-gateway/src/scheduling.rs
@@ -215,6 +215,7 @@
     take()
 }
 
+/// Where the decision on a held request arrives.
 type HoldReceiver = oneshot::Receiver<HoldOutcome>;
 
 impl Gateway {
@@ -234,7 +235,10 @@
             share: shares.share(now, workspace),
             increment: cost as f64 * factor,
             size,
-            gives_up_at: job.metadata.deadline.map(|deadline| job.arrived + deadline),
+            gives_up_at: job
+                .metadata
+                .deadline
+                .and_then(|deadline| job.arrived.checked_add(deadline)),
             has_waited: false,
         })
     }
