Spread the returns of clients that look like repeats

Cause: requests that one client sends at the same moment with the same deadline look like repeats of one another and were all told the same time.

Change: the rest of the time is told with a random part.

--- a/crates/gs-control/src/forwarding/admission.rs
+++ b/crates/gs-control/src/forwarding/admission.rs
@@ -242,7 +242,7 @@
         backlog: FleetBacklog,
         draw: f64,
     ) -> AdmissionDecision {
-        if let Some(retry_after) = self.record_arrival(now, &mut stream, backlog) {
+        if let Some(retry_after) = self.record_arrival(now, &mut stream, backlog, draw) {
             return AdmissionDecision::Refused { retry_after };
         }
         let ticket = self.next_ticket;
--- a/crates/gs-control/src/forwarding/plain_queue.rs
+++ b/crates/gs-control/src/forwarding/plain_queue.rs
@@ -229,9 +229,9 @@
         self.next_ticket += 1;
         let timing = request.timing();
         let shortest_return = self.settings.retry_after.0;
-        let early = self
-            .ranked
-            .recognize_return(now, &mut request.order, &timing, shortest_return);
+        let early =
+            self.ranked
+                .recognize_return(now, &mut request.order, &timing, shortest_return, draw);
         if let Some(retry_after) = early {
             return PlainDecision::Refused { retry_after };
         }
--- a/crates/gs-control/src/forwarding/ranked_admission.rs
+++ b/crates/gs-control/src/forwarding/ranked_admission.rs
@@ -26,6 +26,7 @@
         now: Instant,
         stream: &mut WaitingStream,
         backlog: FleetBacklog,
+        draw: f64,
     ) -> Option<Duration> {
         let timing = CallerTiming {
             requested_at: stream.requested_at,
@@ -38,7 +39,7 @@
         let shortest_return = self.settings.retry_after.0;
         let left = self
             .ranked
-            .recognize_return(now, order, &timing, shortest_return);
+            .recognize_return(now, order, &timing, shortest_return, draw);
         let peers = backlog.peers_waiting;
         left.filter(|_| !self.waiting.is_empty() || peers.on_time + peers.late > 0)
     }
--- a/crates/gs-control/src/forwarding/ranking.rs
+++ b/crates/gs-control/src/forwarding/ranking.rs
@@ -305,6 +305,7 @@
         order: &mut CallerOrder,
         timing: &CallerTiming,
         shortest_return: Duration,
+        draw: f64,
     ) -> Option<Duration> {
         let state = self
             .returns
@@ -318,7 +319,9 @@
             ReturnState::Unknown => age >= shortest_return,
         };
         match state {
-            ReturnState::Early { left } => Some(left),
+            // Requests that one client sends at the same moment look like repeats; they must not all come
+            // back at the same moment.
+            ReturnState::Early { left } => Some(left + shortest_return.mul_f64(draw / 2.0)),
             ReturnState::AsTold | ReturnState::Unknown => None,
         }
     }
