--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::registry::RegistryState;
 use crate::relays::RelayState;
 use crate::reservation::StreamReservation;
+use crate::scheduling::SchedulingState;
 use crate::wire::{AnswerClass, ServerWire};
 
 /// Minimum number of endpoints returned to a client, provided that many entries are known.
@@ -119,6 +120,7 @@
     pub quarantine: ContentQuarantine,
     pub origins: OriginTracker,
     pub quotas: QuotaState,
+    pub scheduling: SchedulingState,
     pub rng: Pcg64Mcg,
 }
 
@@ -196,6 +198,7 @@
             relays: RelayState::default(),
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
             quotas: QuotaState::new(settings.quotas),
+            scheduling: SchedulingState::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -105,11 +105,14 @@
     };
     match admitted {
         Ok(reservation) => match generation.job.late_refusal(gateway) {
-            None => run_generation(gateway, generation, reservation).await,
+            None => {
+                gateway.record_usage(&generation.job);
+                run_generation(gateway, generation, reservation).await
+            }
             Some(refusal) => refusal,
         },
         Err(retry_after) => {
-            log::info!(target: "generation", id:% = generation.job.metadata.request_id, deadline_ms = generation.job.metadata.deadline.map_or(0, |deadline| deadline.as_millis() as u64), retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64; "refused: no engine capacity");
+            log::info!(target: "generation", id:% = generation.job.metadata.request_id, deadline_ms = generation.job.metadata.deadline.map_or(0, |deadline| deadline.as_millis() as u64), retry_ms = retry_after.as_millis() as u64, waited_ms = generation.job.arrived.elapsed().as_millis() as u64, workspace = generation.job.workspace_name(), rank = generation.job.rank(); "refused: no engine capacity");
             generation.job.refusal_answer(gateway, retry_after)
         }
     }
@@ -157,6 +160,7 @@
         requested_at: job.arrived.checked_sub(earlier_time).unwrap_or(job.arrived),
         arrived_at: job.arrived,
         latency_target: job.rule.latency_target,
+        order: gateway.caller_order(job, u64::from(generation.demand.shape.held_tokens)),
     };
     let (draw, backlog) = (
         gateway.random_fraction(),
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionEffect, DecodeDemand, EngineSubset, PlacementView, ShutdownPhase, StreamKey,
-    choose_decode,
+    AdmissionEffect, DecodeDemand, EngineSubset, FleetBacklog, PlacementView, ShutdownPhase,
+    StreamKey, choose_decode,
 };
 use gs_protocol::ids::ServerName;
 use rand::{Rng, SeedableRng};
@@ -33,7 +33,7 @@
     let mut is_waiting = false;
     loop {
         // A stream that joins the empty queue is notified.
-        let interval = match gateway.has_waiting_streams() {
+        let interval = match gateway.has_waiting_streams() || gateway.holds_requests() {
             true => ADMISSION_INTERVAL,
             false => EXPIRY_INTERVAL,
         };
@@ -52,6 +52,9 @@
         if gateway.has_waiting_streams() {
             advance_queue(&gateway, subset_salt);
         }
+        if gateway.holds_requests() {
+            gateway.advance_plain();
+        }
         let was_waiting = std::mem::replace(&mut is_waiting, gateway.has_waiting_streams());
         if was_waiting != is_waiting {
             gateway.report_changed.notify_one();
@@ -74,7 +77,8 @@
 
 /// Processes the admission queue and sends each decision to the task of its request.
 fn advance_queue(gateway: &Rc<Gateway>, subset_salt: u64) {
-    let effects = decide_admissions(gateway, subset_salt);
+    let mut effects = decide_admissions(gateway, subset_salt);
+    effects.extend(decide_refusals(gateway));
     for effect in effects {
         let (ticket, outcome) = match effect {
             AdmissionEffect::Start { ticket, placement } => {
@@ -112,6 +116,8 @@
         origins,
         queue,
         rng,
+        scheduling,
+        quotas,
         ..
     } = &mut *guard;
     let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
@@ -121,10 +127,18 @@
     let (own, peers) = (queue.waiting(), loads.peers_waiting());
     let settings = *queue.settings();
     let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
+    if table.workspaces.is_some() {
+        let shares = &scheduling.shares;
+        queue.refresh_shares(now, |workspace| {
+            shares.share(now, &quotas.tracker, workspace)
+        });
+    }
     queue.advance(
         now,
         || rng.gen_range(0.0..1.0),
-        |demand, class| {
+        |stream, class| {
+            let demand = &stream.demand;
+            let rank = stream.order.as_ref().map(|order| order.rank);
             let engine = table.service(&demand.service)?.engine.as_ref()?;
             let view = PlacementView {
                 now,
@@ -138,7 +152,11 @@
             let needs = DecodeDemand {
                 shape: demand.shape,
                 memory_fraction: settings.memory_fraction(class),
-                subset: EngineSubset::new(subset_salt, own.count(class), peers.count(class)),
+                subset: EngineSubset::new(
+                    subset_salt,
+                    own.up_to(class, rank),
+                    peers.up_to(class, rank),
+                ),
                 software: &demand.software,
             };
             let server = choose_decode(&view, &demand.service, engine, needs, &[])?;
@@ -149,6 +167,31 @@
     )
 }
 
+/// Decides which waiting streams are refused because they are not expected to start in time any more.
+fn decide_refusals(gateway: &Gateway) -> Vec<AdmissionEffect<(ServerName, StreamKey)>> {
+    let mut guard = gateway.state.borrow_mut();
+    let GatewayState {
+        table,
+        loads,
+        queue,
+        rng,
+        mean_stream_seconds,
+        ..
+    } = &mut *guard;
+    let has_workspaces = table
+        .as_ref()
+        .is_some_and(|table| table.workspaces.is_some());
+    if !has_workspaces || queue.is_empty() {
+        return Vec::new();
+    }
+    let backlog = FleetBacklog {
+        peers_waiting: loads.peers_waiting(),
+        completions_per_second: loads.running_streams() as f64 / *mean_stream_seconds,
+        engines_wait: Duration::ZERO,
+    };
+    queue.refuse_hopeless(Instant::now(), backlog, || rng.gen_range(0.0..1.0))
+}
+
 /// Waits for a stop signal, then returns when the process should exit.
 pub async fn run_shutdown(gateway: Rc<Gateway>) -> Result<(), GatewayError> {
     let mut stop = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod quotas;
 mod registry;
 mod relays;
+mod scheduling;
 mod shutdown;
 mod soak;
 mod stages;
