Learn the speeds of servers and place work by them

Servers of one service differ in speed, but choose_server compared open requests with nominal slots, and the prefill and decode engines were chosen as if all were alike.

CapacityTracker compares the time for work with that of the service at the same load, merges the evidence of all entries through the regular reports (8 bytes for each server that differs), and gives a speed for each start of a server. choose_server, choose_prefill and choose_decode count with it, and the split of the stages counts capacity. Within the dead band the speed is exactly 1.

Measured without a network: of 44 servers with noisy neighbours (2.5 times slower, 15% of the time), none is taken for other than usual in 120 s by 3 or 75 entries; speeds of 0.7, 0.7 and 1.7 are learned within 45 s. With means clipped at 0.5 in place of 0.25 to 0.3, 75 entries took alike servers for slow ones.

--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -364,6 +364,19 @@
         load
     }
 
+    /// Returns the number of streams of all entries at an engine.
+    pub fn stream_count(&self, server: &ServerName) -> u32 {
+        let own_work = self.own_work.get(server);
+        let own_count = own_work.map_or(0, |own_work| own_work.streams.len());
+        let peer_work = self
+            .peer_work
+            .get(server)
+            .into_iter()
+            .flat_map(BTreeMap::values);
+        let peer_count: usize = peer_work.map(|peer| peer.work.streams.len()).sum();
+        (own_count + peer_count) as u32
+    }
+
     /// Returns the streams of all entries at an engine. Streams of peers are extrapolated from the
     /// age of their digests.
     pub fn streams(&self, now: Instant, server: &ServerName) -> Vec<StreamShape> {
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 //! addresses and the current time are passed in as arguments.
 
 mod admission;
+mod capacity;
 mod deadlines;
 mod directory;
 mod freshness;
@@ -27,6 +28,7 @@
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
     StartClass, StreamDemand, TicketId, WaitingCounts, WaitingStream,
 };
+pub use capacity::{CapacityChange, CapacityDigest, CapacitySettings, CapacityTracker, WorkSample};
 pub use deadlines::DeadlineTracker;
 pub use directory::{DirectorySettings, ListedServer, ServerDirectory, ServerStage};
 pub use freshness::{
--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -5,6 +5,7 @@
 use gs_protocol::ids::{DataCentreName, ServerName, ServiceName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::capacity::CapacityTracker;
 use super::directory::{ListedServer, ServerDirectory, ServerStage};
 use super::limits::LimitTracker;
 use super::loads::LoadTracker;
@@ -33,6 +34,12 @@
 /// Cost of a prefill engine whose requests all fail, in queued prompt tokens.
 const PREFILL_FAILURE_TOKENS: f64 = 40_000.0;
 
+/// Cost of a decode engine with a speed of 0.5, as a fraction of its memory. Engines with equal memory in
+/// use already receive streams in proportion to their speeds, since the streams of fast ones end
+/// sooner. The cost prefers fast engines while there is memory to choose from, for shorter gaps between
+/// events.
+const DECODE_SPEED_COST: f64 = 0.25;
+
 /// The state that a placement decision is based on.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementView<'a> {
@@ -50,6 +57,8 @@
     pub limits: &'a LimitTracker,
     /// The software versions that began streams.
     pub origins: &'a OriginTracker,
+    /// The learned speeds of the servers.
+    pub capacity: &'a CapacityTracker,
 }
 
 impl PlacementView<'_> {
@@ -122,6 +131,18 @@
         max * hash_fraction(&server.name, self.salt)
     }
 
+    /// Returns the learned speed and the effective slots of a server. A small part of the decisions
+    /// ignores what is learned, so that avoided servers are observed.
+    fn learned(&self, server: &ListedServer) -> (f64, u32) {
+        match self.capacity.is_probe(self.salt) {
+            true => (1.0, server.slots),
+            false => (
+                self.capacity.speed(server),
+                self.capacity.effective_slots(server),
+            ),
+        }
+    }
+
     fn failure_cost(&self, server: &ListedServer) -> f64 {
         FAILURE_COST * self.loads.failure_rate(self.now, &server.name)
     }
@@ -134,9 +155,15 @@
         .map(|(_, name)| name)
 }
 
-/// Returns the server of a plain service with the lowest cost: its utilization of slots, plus
-/// penalties for recent failures and for being in another data centre. `excluded` servers are not
-/// considered.
+/// Returns the additional time for a unit of work at a server, relative to a usual one: 0 at a speed of 1.
+fn extra_time(speed: f64) -> f64 {
+    1.0 / speed - 1.0
+}
+
+/// Returns the server of a plain service with the lowest cost: the expected time until it completes the
+/// request, plus penalties for recent failures and for being in another data centre. The time is counted
+/// from that of an idle usual server, so for usual servers it is the utilization of slots. `excluded`
+/// servers are not considered.
 pub fn choose_server(
     view: &PlacementView<'_>,
     service: &ServiceName,
@@ -145,8 +172,10 @@
     let candidates = view.candidates(service, None, excluded, &SoftwareNeed::Any);
     lowest_cost(candidates.into_iter().map(|server| {
         let load = view.loads.load(&server.name);
-        let busy = f64::from(load.requests) / f64::from(server.slots.max(1));
+        let (speed, slots) = view.learned(server);
+        let busy = f64::from(load.requests) / (f64::from(slots.max(1)) * speed);
         let cost = busy
+            + extra_time(speed)
             + view.failure_cost(server)
             + view.remote_cost(server, view.data_centre, REMOTE_COST);
         (cost, server.name.clone())
@@ -230,7 +259,7 @@
 }
 
 /// Returns the decode engine with the lowest cost that can hold another stream: the projected peak
-/// of its memory, plus penalties for recent failures and for being in another data centre.
+/// of its memory, plus penalties for a low speed, recent failures and being in another data centre.
 ///
 /// An idle engine accepts a stream of any size. `excluded` engines are not considered.
 pub fn choose_decode(
@@ -253,7 +282,9 @@
         }
         let mut shapes = view.loads.streams(view.now, &server.name);
         let is_alone = shapes.is_empty();
-        if shapes.len() >= spec.slots as usize {
+        let (speed, slots) = view.learned(server);
+        let is_beyond_learned = slots < server.slots && shapes.len() >= slots as usize;
+        if shapes.len() >= spec.slots as usize || is_beyond_learned {
             return None;
         }
         shapes.push(demand.shape);
@@ -262,6 +293,7 @@
             return None;
         }
         let cost = fraction
+            + DECODE_SPEED_COST * extra_time(speed)
             + view.failure_cost(server)
             + view.remote_cost(server, view.data_centre, DECODE_REMOTE_COST)
             + view.jitter(server, DECODE_JITTER);
@@ -269,8 +301,8 @@
     }))
 }
 
-/// Returns the prefill engine with the lowest cost: its queued prompt tokens, plus penalties for
-/// recent failures and for being in another data centre than the decode engine. `excluded` engines
+/// Returns the prefill engine with the lowest cost: its queued prompt tokens, as many as a usual engine
+/// processes in the time until it completes the prompt, plus penalties for recent failures and for being in another data centre than the decode engine. `excluded` engines
 /// are not considered.
 pub fn choose_prefill(
     view: &PlacementView<'_>,
@@ -288,7 +320,9 @@
     );
     lowest_cost(candidates.into_iter().map(|server| {
         let load = view.loads.load(&server.name);
-        let cost = load.prompt_tokens as f64
+        let (speed, _) = view.learned(server);
+        let cost = load.prompt_tokens as f64 / speed
+            + view.capacity.mean_prompt_tokens() * extra_time(speed)
             + view.loads.failure_rate(view.now, &server.name) * PREFILL_FAILURE_TOKENS
             + view.remote_cost(server, origin, PREFILL_REMOTE_TOKENS)
             + view.jitter(server, PREFILL_JITTER_TOKENS);
--- a/crates/gs-control/src/forwarding/stages.rs
+++ b/crates/gs-control/src/forwarding/stages.rs
@@ -11,6 +11,7 @@
 use gs_protocol::ids::{DataCentreName, ServerName};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::capacity::CapacityTracker;
 use super::directory::{ListedServer, ServerStage};
 use super::memory::StreamShape;
 
@@ -56,13 +57,13 @@
 }
 
 impl StageNeed {
-    /// Returns the target number of prefill engines in a fleet of `engines`. Both stages keep at
-    /// least one engine.
-    pub fn target_prefill_engines(self, engines: usize) -> usize {
+    /// Returns the target capacity of the prefill engines in a fleet with the capacity of `engines`
+    /// usual engines. Both stages keep at least the capacity of one engine.
+    pub fn target_prefill_engines(self, engines: f64) -> f64 {
         let prefill = self.prefill_seconds * PREFILL_RESERVE;
         let fraction = prefill / (prefill + self.decode_seconds);
-        let target = (engines as f64 * fraction).ceil() as usize;
-        target.clamp(1, engines.saturating_sub(1).max(1))
+        let target = (engines * fraction).ceil();
+        target.clamp(1.0, (engines - 1.0).max(1.0))
     }
 }
 
@@ -133,7 +134,8 @@
     pub stage: ServerStage,
 }
 
-/// Returns the next stage change if the split of a service's engines differs from its target.
+/// Returns the next stage change if the split of a service's engines differs from its target. Engines
+/// count with their learned speeds.
 ///
 /// `settled` are the engines that are not changing, and `can_change` returns whether one of them
 /// may be ordered to. `changing` holds the engines that are changing, with their new stages.
@@ -142,26 +144,45 @@
     settled: &[&ListedServer],
     can_change: impl Fn(&ListedServer) -> bool,
     changing: &BTreeMap<ServerName, ServerStage>,
+    capacity: &CapacityTracker,
 ) -> Option<StageChange> {
-    let engines_in = |stage| {
-        let settled = settled.iter().copied();
-        settled.filter(move |engine: &&ListedServer| engine.stage == Some(stage))
+    let capacity_in = |stage| -> f64 {
+        let settled = settled.iter().filter(|engine| engine.stage == Some(stage));
+        let changing = changing.iter().filter(|(_, other)| **other == stage);
+        let names = settled.map(|engine| &engine.name);
+        let names = names.chain(changing.map(|(name, _)| name));
+        names.map(|name| capacity.named_speed(name)).sum()
     };
-    let changing_to = |stage| changing.values().filter(|other| **other == stage).count();
-    let prefills = engines_in(ServerStage::Prefill).count() + changing_to(ServerStage::Prefill);
-    let decodes = engines_in(ServerStage::Decode).count() + changing_to(ServerStage::Decode);
+    let prefills = capacity_in(ServerStage::Prefill);
+    let decodes = capacity_in(ServerStage::Decode);
     let target = need.target_prefill_engines(prefills + decodes);
-    let (from, stage) = if prefills > target {
-        (ServerStage::Prefill, ServerStage::Decode)
-    } else if (prefills as f64) < target as f64 * MIN_PREFILL_FRACTION
-        && need.prefill_samples >= MIN_SHORTAGE_SAMPLES
-    {
-        (ServerStage::Decode, ServerStage::Prefill)
-    } else {
-        return None;
+    let is_short =
+        prefills < target * MIN_PREFILL_FRACTION && need.prefill_samples >= MIN_SHORTAGE_SAMPLES;
+    let (from, stage) = match is_short {
+        true => (ServerStage::Decode, ServerStage::Prefill),
+        false => (ServerStage::Prefill, ServerStage::Decode),
     };
+    let engine = engine_to_change(settled, from, can_change)?;
+    // The stage that an engine leaves keeps its target.
+    let is_changed = is_short || prefills - capacity.named_speed(&engine.name) >= target;
+    is_changed.then(|| StageChange {
+        server: engine.name.clone(),
+        stage,
+    })
+}
+
+/// Returns the engine of a stage that changes first; `None` if none may change.
+fn engine_to_change<'a>(
+    settled: &[&'a ListedServer],
+    from: ServerStage,
+    can_change: impl Fn(&ListedServer) -> bool,
+) -> Option<&'a ListedServer> {
+    let engines = settled.iter().copied();
+    let engines: Vec<&ListedServer> = engines
+        .filter(|engine| engine.stage == Some(from))
+        .collect();
     let mut data_centre_counts: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
-    for engine in engines_in(from) {
+    for engine in &engines {
         *data_centre_counts.entry(&engine.data_centre).or_default() += 1;
     }
     // Taken from the data centre with the most engines of the stage, so that both stages remain
@@ -171,11 +192,8 @@
         let name_hash = xxh3_64(engine.name.as_str().as_bytes());
         (count, name_hash, engine.name.clone())
     };
-    let chosen = engines_in(from)
+    let changeable = engines.iter().copied();
+    changeable
         .filter(|engine| can_change(engine))
-        .max_by_key(preference);
-    chosen.map(|engine| StageChange {
-        server: engine.name.clone(),
-        stage,
-    })
+        .max_by_key(preference)
 }
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, OriginDigest, RegistryVersion, ServerLoad, ServerWork,
-    StreamShape, WaitingCounts,
+    CapacityDigest, IssueReport, LimitDigest, LoadDigest, OriginDigest, RegistryVersion,
+    ServerLoad, ServerWork, StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -67,6 +67,8 @@
     pub limits: LimitDigest,
     /// Streams that run at the entry, by the software versions that began them.
     pub origins: OriginDigest,
+    /// Evidence on the speeds of servers; empty in reports between the regular ones.
+    pub capacity: CapacityDigest,
 }
 
 type ReportFields = (
@@ -87,8 +89,8 @@
     u64,
 );
 
-/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, and
-/// origins of streams.
+/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, origins
+/// of streams, and speeds of servers.
 type LoadFields = (
     u32,
     u32,
@@ -97,6 +99,7 @@
     SuspicionDigest,
     LimitDigest,
     OriginDigest,
+    CapacityDigest,
 );
 
 /// Server, open requests, prompt tokens, and for each stream the held and the remaining tokens.
@@ -111,9 +114,13 @@
         }
     }
 
-    /// Adds the presence of an earlier report of the same start, unless this report has one itself.
+    /// Adds the presence and the speeds of an earlier report of the same start, unless this report has
+    /// them itself.
     pub fn with_presence_of(mut self, earlier: Self) -> Self {
         let is_same_start = earlier.incarnation == self.incarnation;
+        if is_same_start && self.load.capacity.is_empty() {
+            self.load.capacity = earlier.load.capacity;
+        }
         let earlier_presence = earlier.presence.filter(|_| is_same_start);
         self.presence = self.presence.or(earlier_presence);
         self
@@ -208,7 +215,7 @@
 
 impl From<LoadFields> for EntryLoad {
     fn from(fields: LoadFields) -> Self {
-        let (on_time, late, works, issues, suspicions, limits, origins) = fields;
+        let (on_time, late, works, issues, suspicions, limits, origins, capacity) = fields;
         let digest = works
             .into_iter()
             .map(|(server, requests, prompt_tokens, streams)| {
@@ -234,6 +241,7 @@
             suspicions,
             limits,
             origins,
+            capacity,
         }
     }
 }
@@ -258,6 +266,7 @@
             load.suspicions,
             load.limits,
             load.origins,
+            load.capacity,
         )
     }
 }
--- a/crates/gs-control/tests/forwarding/limits.rs
+++ b/crates/gs-control/tests/forwarding/limits.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitDigest, LimitSettings,
-    LimitTracker, ListedServer, LoadSettings, LoadTracker, OriginSettings, OriginTracker,
-    PlacementView, ServerDirectory, ServerStage, SoftwareNeed, StreamShape, choose_decode,
+    CapacityTracker, DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitDigest,
+    LimitSettings, LimitTracker, ListedServer, LoadSettings, LoadTracker, OriginSettings,
+    OriginTracker, PlacementView, ServerDirectory, ServerStage, SoftwareNeed, StreamShape,
+    choose_decode,
 };
 use gs_protocol::ids::{DataCentreName, EntryName, ServerName};
 use rand::{Rng, SeedableRng};
@@ -258,6 +259,7 @@
                 loads: &self.loads,
                 limits: &self.entries[entry],
                 origins: &self.origins,
+                capacity: &CapacityTracker::default(),
             };
             let demand = DecodeDemand {
                 shape: StreamShape {
--- a/crates/gs-control/tests/forwarding/loads.rs
+++ b/crates/gs-control/tests/forwarding/loads.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitSettings, LimitTracker,
-    LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView, ServerDirectory,
-    ServerLoad, ServerStage, ServerWork, SoftwareNeed, StreamShape, WaitingCounts, choose_decode,
-    choose_prefill, choose_server,
+    CapacityTracker, DecodeDemand, DirectorySettings, EngineSpec, EngineSubset, LimitSettings,
+    LimitTracker, LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView,
+    ServerDirectory, ServerLoad, ServerStage, ServerWork, SoftwareNeed, StreamShape, WaitingCounts,
+    choose_decode, choose_prefill, choose_server,
 };
 use gs_protocol::ids::{DataCentreName, ServerName};
 use test_case::test_case;
@@ -41,6 +41,8 @@
 static NO_LIMITS: LazyLock<LimitTracker> =
     LazyLock::new(|| LimitTracker::new(LimitSettings::default()));
 
+static ALIKE: LazyLock<CapacityTracker> = LazyLock::new(CapacityTracker::default);
+
 static NO_ORIGINS: LazyLock<OriginTracker> =
     LazyLock::new(|| OriginTracker::new(start(), OriginSettings::default()));
 
@@ -59,6 +61,7 @@
         loads,
         limits: &NO_LIMITS,
         origins: &NO_ORIGINS,
+        capacity: &ALIKE,
     }
 }
 
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the forwarding decisions, without a network.
 
 mod admission;
+mod capacity;
 mod deadlines;
 mod directory;
 mod freshness;
--- a/crates/gs-control/tests/forwarding/stages.rs
+++ b/crates/gs-control/tests/forwarding/stages.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    ListedServer, ServerStage, StageChange, StageEstimate, StageNeed, StreamShape,
+    CapacityTracker, ListedServer, ServerStage, StageChange, StageEstimate, StageNeed, StreamShape,
     next_stage_change,
 };
 use proptest::prelude::*;
@@ -32,9 +32,13 @@
     let mut changes = 0;
     loop {
         let settled: Vec<&ListedServer> = engines.iter().collect();
-        let Some(StageChange { server, stage }) =
-            next_stage_change(need, &settled, |_| true, &BTreeMap::new())
-        else {
+        let Some(StageChange { server, stage }) = next_stage_change(
+            need,
+            &settled,
+            |_| true,
+            &BTreeMap::new(),
+            &CapacityTracker::default(),
+        ) else {
             break;
         };
         changes += 1;
@@ -85,7 +89,13 @@
         .collect();
     let settled: Vec<&ListedServer> = engines.iter().collect();
     assert_eq!(
-        next_stage_change(need(0.094, 0.45), &settled, |_| true, &changing),
+        next_stage_change(
+            need(0.094, 0.45),
+            &settled,
+            |_| true,
+            &changing,
+            &CapacityTracker::default()
+        ),
         None
     );
 }
@@ -95,18 +105,31 @@
     let engines = engines(16, 29);
     let settled: Vec<&ListedServer> = engines.iter().collect();
     let need = need(0.094, 0.45);
-    let first =
-        next_stage_change(need, &settled, |_| true, &BTreeMap::new()).expect("a stage change");
+    let first = next_stage_change(
+        need,
+        &settled,
+        |_| true,
+        &BTreeMap::new(),
+        &CapacityTracker::default(),
+    )
+    .expect("a stage change");
     let second = next_stage_change(
         need,
         &settled,
         |engine| engine.name != first.server,
         &BTreeMap::new(),
+        &CapacityTracker::default(),
     );
     let second = second.expect("another stage change");
     assert_ne!(first.server, second.server);
     assert_eq!(
-        next_stage_change(need, &settled, |_| false, &BTreeMap::new()),
+        next_stage_change(
+            need,
+            &settled,
+            |_| false,
+            &BTreeMap::new(),
+            &CapacityTracker::default()
+        ),
         None
     );
 }
@@ -164,7 +187,13 @@
         ..need(0.45, 0.4)
     };
     assert_eq!(
-        next_stage_change(need, &settled, |_| true, &BTreeMap::new()),
+        next_stage_change(
+            need,
+            &settled,
+            |_| true,
+            &BTreeMap::new(),
+            &CapacityTracker::default()
+        ),
         None
     );
 }
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView, RequestSpan,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions, decode_wait,
+    AdmissionQueue, AdmissionSettings, CapacityTracker, DeadlineTracker, DirectorySettings,
+    FleetBacklog, LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker,
+    OriginSettings, OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView,
+    RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase,
+    ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -112,6 +112,7 @@
     pub relays: RelayState,
     pub quarantine: ContentQuarantine,
     pub origins: OriginTracker,
+    pub capacity: CapacityTracker,
     pub rng: Pcg64Mcg,
 }
 
@@ -187,6 +188,7 @@
             membership: MembershipState::new(own, settings.membership),
             relays: RelayState::default(),
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
+            capacity: CapacityTracker::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -441,6 +443,7 @@
             loads: &state.loads,
             limits: &state.limits,
             origins: &state.origins,
+            capacity: &state.capacity,
         }
     }
 
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod answer_reader;
+mod capacity;
 mod connection;
 mod crashes;
 mod datagram;
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -112,6 +112,7 @@
         origins,
         queue,
         rng,
+        capacity,
         ..
     } = &mut *guard;
     let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
@@ -134,6 +135,7 @@
                 loads,
                 limits,
                 origins,
+                capacity,
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{LimitChange, RegistryVersion, RegistryView};
+use gs_control::forwarding::{CapacityDigest, LimitChange, RegistryVersion, RegistryView};
 use gs_control::membership::{MemberCandidate, MembershipEffect, MembershipEvent};
 use gs_control::relay::{EntryLoad, EntryPresence, EntryReport};
 use gs_protocol::ids::{EntryName, Incarnation};
@@ -143,6 +143,7 @@
         if is_due {
             last_full = Some(Instant::now());
         }
+        gateway.refresh_capacity();
         let report = own_report(&gateway, incarnation, number, is_due);
         let kind = match topology.is_relayed {
             true => DatagramKind::Local,
@@ -200,6 +201,10 @@
             suspicions: state.quarantine.digest(now),
             limits: state.limits.digest(now),
             origins: state.origins.digest(now),
+            capacity: match with_presence {
+                true => state.capacity.digest(),
+                false => CapacityDigest::default(),
+            },
         },
     }
 }
@@ -267,6 +272,7 @@
             suspicions,
             limits,
             origins,
+            capacity,
         } = report.load.clone();
         let changes = {
             let mut state = self.state.borrow_mut();
@@ -275,6 +281,10 @@
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
         state.origins.apply_digest(now, &origins);
+        // Relays remove the presence from regular reports that are not due in other data centres.
+        if report.presence.is_some() || !capacity.is_empty() {
+            state.capacity.apply_digest(now, &report.entry, &capacity);
+        }
         for change in state.limits.apply_digest(now, &report.entry, &limits) {
             let LimitChange { server, limit } = change;
             log::info!(target: "servers", server:%, limit:?, source:% = report.entry; "request limit changed");
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::answer::{AnswerBody, ClientAnswer, local_answer};
+use crate::capacity::ExchangeTimer;
 use crate::connection::{CallError, ServerConnection};
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
@@ -333,7 +334,9 @@
 ) -> Result<(Parts, Bytes), CallError> {
     let address = gateway.server_address(server);
     let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
+    let opening = Instant::now();
     let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
+    let timer = ExchangeTimer::start(gateway, server, opening, 0);
     let options = ForwardOptions {
         server,
         caller: &job.caller,
@@ -350,6 +353,9 @@
         .wire
         .classify_answer(&head, &job.metadata.request_id);
     gateway.record_head(server, sent, class, &head);
+    if class == AnswerClass::Success {
+        timer.record_plain(gateway, server);
+    }
     let body = gateway.answer_budget.read_answer(body).await?;
     Ok((head, body))
 }
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -6,6 +6,7 @@
 use gs_control::forwarding::{EngineSpec, ServerLoad, choose_prefill};
 use gs_protocol::ids::ServerName;
 
+use crate::capacity::ExchangeTimer;
 use crate::connection::{CallError, ServerConnection};
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
@@ -121,7 +122,8 @@
                 gateway.record_answer(&server, false);
                 // An engine that is asked again may have cached the prompt.
                 if !is_retry {
-                    gateway.update_prefill_estimate(service, load.prompt_tokens, started.elapsed());
+                    let took = gateway.usual_time(&server, started.elapsed());
+                    gateway.update_prefill_estimate(service, load.prompt_tokens, took);
                 }
                 return Ok(Some(result));
             }
@@ -165,14 +167,17 @@
         resume: None,
     };
     let request = job.build_server_request(gateway, &options);
+    let tokens = u64::from(generation.demand.shape.held_tokens);
     let exchange = async {
+        let opening = Instant::now();
         let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
+        let timer = ExchangeTimer::start(gateway, server, opening, tokens);
         let (head, body) = connection.send(request).await?.into_parts();
         let body = ServerConnection::read_body(body, MAX_PREFILL_ANSWER_BYTES).await?;
-        Ok((head, body))
+        Ok((head, body, timer))
     };
     let answered = tokio::time::timeout(limit, exchange).await;
-    let (head, body) = answered.map_err(|_| CallError::AnswerTimeout(limit))??;
+    let (head, body, timer) = answered.map_err(|_| CallError::AnswerTimeout(limit))??;
     let class = gateway.wire.classify_prefill(&head);
     gateway.record_notice(server, sent, class, &head);
     if class == AnswerClass::Misdirected {
@@ -183,6 +188,7 @@
         _ => None,
     };
     let result = result.ok_or(CallError::Refused(head.status.as_u16()))?;
+    timer.record_prefill(gateway, server, tokens);
     Ok(UnclaimedResult {
         gateway: Rc::clone(gateway),
         source: Some(KvSource {
--- a/crates/gs-gateway/src/stages.rs
+++ b/crates/gs-gateway/src/stages.rs
@@ -161,6 +161,7 @@
             mean_stream_seconds,
             stage_orders,
             registry,
+            capacity,
             ..
         } = &*guard;
         let now = Instant::now();
@@ -202,7 +203,7 @@
             let can_change = |engine: &ListedServer| {
                 !stage_orders.contains_key(&engine.name) && !loads.is_unavailable(now, engine)
             };
-            let order = next_stage_change(need, &settled, can_change, &changing)?;
+            let order = next_stage_change(need, &settled, can_change, &changing, capacity)?;
             log::info!(target: "stages", server:% = order.server, stage:? = order.stage, need:?, settled = settled.len(), moving = changing.len(); "engines are unbalanced: changing the stage of one");
             Some((service.clone(), order))
         })
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{AnswerBody, ClientAnswer, IncompleteAnswer};
+use crate::capacity::EventPace;
 use crate::connection::ServerConnection;
 use crate::crashes::ServerRun;
 use crate::event_stream::{EventSplitter, OversizedEvent};
@@ -122,6 +123,7 @@
         generation,
         sender,
         progress: StreamProgress::default(),
+        pace: EventPace::default(),
         started: Instant::now(),
     };
     actix_rt::spawn(forwarder.run(stream));
@@ -134,6 +136,7 @@
     generation: GenerationJob,
     sender: mpsc::Sender<Result<Bytes, IncompleteAnswer>>,
     progress: StreamProgress,
+    pace: EventPace,
     started: Instant,
 }
 
@@ -301,6 +304,7 @@
             mut run,
         } = stream;
         let ends_at = self.generation.job.ends_at();
+        self.pace = EventPace::default();
         let end = tokio::select! {
             biased;
             end = self.forward_frames(answer.into_body(), &reservation, &mut run) => end,
@@ -362,11 +366,15 @@
                 let software = self.gateway.server_software(reservation.server());
                 log::info!(target: "generation", id:% = job.metadata.request_id, first_ms = job.arrived.elapsed().as_millis() as u64, software:?, resumes:? = job.metadata.resumed_request; "first event");
             }
-            self.progress.record_event(Instant::now(), event.id);
+            let now = Instant::now();
+            self.progress.record_event(now, event.id);
+            self.pace
+                .record_event(&self.gateway, reservation.server(), now);
             reservation.grow(tokens_per_event);
             if self.sender.send(Ok(event.bytes)).await.is_err() {
                 return false;
             }
+            self.pace.record_sent(now);
         }
         true
     }
