--- a/crates/gs-control/tests/forwarding/capacity.rs
+++ b/crates/gs-control/tests/forwarding/capacity.rs
@@ -182,3 +182,69 @@
         }
     }
 }
+
+/// The design note derives about 20 s for servers that an entry sees every 6 s, and 10 s for more.
+#[test_case(3, 0.5, 15; "three entries")]
+#[test_case(75, 0.033, 30; "seventy-five entries")]
+fn a_change_of_speed_is_followed(entries: usize, sample_rate: f64, seconds: u64) {
+    let mut fleet = Fleet::new(entries, &[1.0; 20], sample_rate, 3);
+    fleet.run(start(), 30, |_| {});
+    fleet.speeds[4] = 0.6;
+    fleet.run(start(), seconds, |_| {});
+    assert_eq!(fleet.unusual(), BTreeSet::from([4]));
+    fleet.speeds[4] = 1.0;
+    fleet.run(start(), seconds * 3 / 2, |_| {});
+    assert_eq!(fleet.unusual(), BTreeSet::new());
+}
+
+/// Late reports of the earlier start must not make the new one look slow.
+#[test]
+fn a_restarted_server_starts_as_a_usual_one() {
+    let mut speeds = [1.0; 12];
+    speeds[0] = 0.5;
+    let mut fleet = Fleet::new(3, &speeds, 0.5, 4);
+    fleet.run(start(), 30, |_| {});
+    assert_eq!(fleet.unusual(), BTreeSet::from([0]));
+    fleet.speeds[0] = 1.0;
+    fleet.servers[0].started_at_ms = Some(1_000);
+    assert_eq!(fleet.unusual(), BTreeSet::new());
+    fleet.directory.upsert(fleet.servers[0].clone());
+    let mut unusual = BTreeSet::new();
+    fleet.run(start(), 30, |fleet| unusual.extend(fleet.unusual()));
+    assert_eq!(unusual, BTreeSet::new());
+}
+
+/// Half of the slots are used while more requests only slow the server, and its speed stays usual.
+#[test]
+fn a_server_that_slows_before_it_is_full_is_held_at_half_of_its_slots() {
+    let mut fleet = Fleet::new(3, &[1.0; 12], 0.5, 5);
+    fleet.knees[7] = 2.2;
+    fleet.run(start(), 60, |_| {});
+    for tracker in &fleet.trackers {
+        let slots = fleet.servers.iter();
+        let slots: Vec<u32> = slots
+            .map(|server| tracker.effective_slots(server))
+            .collect();
+        let mut expected = [16; 12];
+        expected[7] = 8;
+        assert_eq!(slots, expected);
+        assert_eq!(tracker.speed(&fleet.servers[7]), 1.0);
+    }
+}
+
+/// One entry alone sees too little, and a few slow answers may be chance.
+#[test]
+fn a_few_samples_decide_nothing() {
+    let mut fleet = Fleet::new(1, &[1.0; 12], 0.5, 6);
+    fleet.run(start(), 30, |_| {});
+    let now = fleet.now(start());
+    for _ in 0..6 {
+        let gap = milliseconds(500);
+        let sample = WorkSample::Decode { gap, running: 6 };
+        fleet.trackers[0].observe(now, &fleet.servers[3], sample);
+    }
+    fleet.sample_rate = 0.0;
+    let mut unusual = BTreeSet::new();
+    fleet.run(start(), 20, |fleet| unusual.extend(fleet.unusual()));
+    assert_eq!(unusual, BTreeSet::new());
+}
