--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway on loopback, in front of servers that fail.
 
 mod bodies;
+mod capacity;
 mod crashes;
 mod endless;
 mod generation;
