--- a/crates/gs-control/tests/relay/queue.rs
+++ b/crates/gs-control/tests/relay/queue.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use gs_control::forwarding::CapacityDigest;
 use gs_control::relay::{EntryReport, RelayQueue};
 use gs_protocol::ids::Incarnation;
 
@@ -130,6 +131,22 @@
     );
 }
 
+/// Reports between the regular ones hold no speeds.
+#[test]
+fn speeds_are_not_lost_to_a_load_report_that_follows_them() {
+    let mut harness = QueueHarness::new();
+    let encoded = [0x48, 1, 2, 3, 4, 5, 6, 7, 8];
+    let capacity: CapacityDigest = ciborium::from_reader(&encoded[..]).expect("a digest");
+    let mut regular = reports(2, 5);
+    for report in &mut regular {
+        report.load.capacity = capacity.clone();
+        harness.queue.push(harness.now, report.clone());
+    }
+    let passed = harness.pass_on(reports(3, 6));
+    assert_eq!(passed.len(), ENTRIES);
+    assert!(passed.iter().all(|report| report.load.capacity == capacity));
+}
+
 #[test]
 fn entries_that_are_gone_are_forgotten() {
     let mut harness = QueueHarness::new();
