--- a/crates/gs-control/src/forwarding/capacity/tracker.rs
+++ b/crates/gs-control/src/forwarding/capacity/tracker.rs
@@ -353,7 +353,9 @@
             return LearnedEffect::USUAL;
         }
         let estimate = self.servers.get(&server.name);
-        let estimate = estimate.filter(|estimate| estimate.start == start_of(server));
+        let estimate = estimate.filter(|estimate| {
+            estimate.effect != LearnedEffect::USUAL && estimate.start == start_of(server)
+        });
         estimate.map_or(LearnedEffect::USUAL, |estimate| estimate.effect)
     }
 
