--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 //! addresses and the current time are passed in as arguments.
 
 mod admission;
+mod capacity;
 mod currency;
 mod deadlines;
 mod directory;
@@ -35,6 +36,7 @@
     AdmissionDecision, AdmissionEffect, AdmissionQueue, AdmissionSettings, FleetBacklog,
     StartClass, StreamDemand, TicketId, WaitingCounts, WaitingStream,
 };
+pub use capacity::{CapacityChange, CapacityDigest, CapacitySettings, CapacityTracker, WorkSample};
 pub use currency::{
     AnswerUse, BootTime, CurrencyAnswer, CurrencyChange, CurrencyProof, CurrencySettings,
     CurrencyTracker, ProofSource, is_proof_reader,
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::forwarding::{
-    IssueReport, LimitDigest, LoadDigest, OriginDigest, QuotaDigest, RankCounts, RankWaiting,
-    RegistryVersion, ServerLoad, ServerWork, StreamShape, WaitingCounts,
+    CapacityDigest, IssueReport, LimitDigest, LoadDigest, OriginDigest, QuotaDigest, RankCounts,
+    RankWaiting, RegistryVersion, ServerLoad, ServerWork, StreamShape, WaitingCounts,
 };
 use crate::quarantine::SuspicionDigest;
 
@@ -69,6 +69,8 @@
     pub origins: OriginDigest,
     /// Cost of the requests of workspaces that were used lately; empty without quotas.
     pub quotas: QuotaDigest,
+    /// Evidence on the speeds of servers; empty in reports between the regular ones.
+    pub capacity: CapacityDigest,
 }
 
 type ReportFields = (
@@ -89,8 +91,8 @@
     u64,
 );
 
-/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits,
-/// origins of streams, and quotas.
+/// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, origins
+/// of streams, quotas, and speeds of servers.
 type LoadFields = (
     WaitingField,
     u32,
@@ -100,6 +102,7 @@
     LimitDigest,
     OriginDigest,
     QuotaDigest,
+    CapacityDigest,
 );
 
 /// Waiting streams that are on time. Where the configuration has workspaces: for each rank with waiting
@@ -158,9 +161,13 @@
         }
     }
 
-    /// Adds the presence of an earlier report of the same start, unless this report has one itself.
+    /// Adds the presence and the speeds of an earlier report of the same start, unless this report has
+    /// them itself.
     pub fn with_presence_of(mut self, earlier: Self) -> Self {
         let is_same_start = earlier.incarnation == self.incarnation;
+        if is_same_start && self.load.capacity.is_empty() {
+            self.load.capacity = earlier.load.capacity;
+        }
         let earlier_presence = earlier.presence.filter(|_| is_same_start);
         self.presence = self.presence.or(earlier_presence);
         self
@@ -255,7 +262,7 @@
 
 impl From<LoadFields> for EntryLoad {
     fn from(fields: LoadFields) -> Self {
-        let (on_time, late, works, issues, suspicions, limits, origins, quotas) = fields;
+        let (on_time, late, works, issues, suspicions, limits, origins, quotas, capacity) = fields;
         let digest = works
             .into_iter()
             .map(|(server, requests, prompt_tokens, streams)| {
@@ -282,6 +289,7 @@
             limits,
             origins,
             quotas,
+            capacity,
         }
     }
 }
@@ -306,6 +314,7 @@
             load.limits,
             load.origins,
             load.quotas,
+            load.capacity,
         )
     }
 }
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the forwarding decisions, without a network.
 
 mod admission;
+mod capacity;
+mod capacity_choices;
+mod capacity_placement;
 mod currency;
 mod deadlines;
 mod directory;
--- a/crates/gs-control/tests/forwarding/plain_queue.rs
+++ b/crates/gs-control/tests/forwarding/plain_queue.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    CallerOrder, DirectorySettings, FreeServer, HeldRequest, LimitSettings, LimitTracker,
-    LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView, PlainDecision,
-    PlainEffect, PlainPlacement, PlainQueue, PlainSettings, ServerDirectory, ServerLoad,
-    ServiceCapacity, TicketId, choose_free_server, service_capacity,
+    CallerOrder, CapacityTracker, DirectorySettings, FreeServer, HeldRequest, LimitSettings,
+    LimitTracker, LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView,
+    PlainDecision, PlainEffect, PlainPlacement, PlainQueue, PlainSettings, ServerDirectory,
+    ServerLoad, ServiceCapacity, TicketId, choose_free_server, service_capacity,
 };
 use test_case::test_case;
 
@@ -297,6 +297,7 @@
             loads,
             limits: &limits,
             origins: &origins,
+            capacity: &CapacityTracker::default(),
         };
         assert_eq!(service_capacity(&view, &"notes".into(), 3).slots, 8);
         choose_free_server(&view, &"notes".into(), excluded)
--- a/crates/gs-control/tests/forwarding/stages.rs
+++ b/crates/gs-control/tests/forwarding/stages.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use gs_control::forwarding::{
-    ListedServer, ServerStage, StageChange, StageEstimate, StageNeed, StreamShape,
+    CapacityTracker, ListedServer, ServerStage, StageChange, StageEstimate, StageNeed, StreamShape,
     next_stage_change,
 };
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::capacity_choices::{directory_of, trained};
 use super::support::{milliseconds, server};
 
 fn engines(prefills: u16, decodes: u16) -> Vec<ListedServer> {
@@ -32,9 +33,13 @@
     let mut changes = 0;
     loop {
         let settled: Vec<&ListedServer> = engines.iter().collect();
-        let Some(StageChange { server, stage }) =
-            next_stage_change(need, &settled, |_| true, &BTreeMap::new())
-        else {
+        let Some(StageChange { server, stage }) = next_stage_change(
+            need,
+            &settled,
+            |_| true,
+            &BTreeMap::new(),
+            &CapacityTracker::default(),
+        ) else {
             break;
         };
         changes += 1;
@@ -85,7 +90,13 @@
         .collect();
     let settled: Vec<&ListedServer> = engines.iter().collect();
     assert_eq!(
-        next_stage_change(need(0.094, 0.45), &settled, |_| true, &changing),
+        next_stage_change(
+            need(0.094, 0.45),
+            &settled,
+            |_| true,
+            &changing,
+            &CapacityTracker::default()
+        ),
         None
     );
 }
@@ -95,18 +106,31 @@
     let engines = engines(16, 29);
     let settled: Vec<&ListedServer> = engines.iter().collect();
     let need = need(0.094, 0.45);
-    let first =
-        next_stage_change(need, &settled, |_| true, &BTreeMap::new()).expect("a stage change");
+    let first = next_stage_change(
+        need,
+        &settled,
+        |_| true,
+        &BTreeMap::new(),
+        &CapacityTracker::default(),
+    )
+    .expect("a stage change");
     let second = next_stage_change(
         need,
         &settled,
         |engine| engine.name != first.server,
         &BTreeMap::new(),
+        &CapacityTracker::default(),
     );
     let second = second.expect("another stage change");
     assert_ne!(first.server, second.server);
     assert_eq!(
-        next_stage_change(need, &settled, |_| false, &BTreeMap::new()),
+        next_stage_change(
+            need,
+            &settled,
+            |_| false,
+            &BTreeMap::new(),
+            &CapacityTracker::default()
+        ),
         None
     );
 }
@@ -164,7 +188,13 @@
         ..need(0.45, 0.4)
     };
     assert_eq!(
-        next_stage_change(need, &settled, |_| true, &BTreeMap::new()),
+        next_stage_change(
+            need,
+            &settled,
+            |_| true,
+            &BTreeMap::new(),
+            &CapacityTracker::default()
+        ),
         None
     );
 }
@@ -187,3 +217,20 @@
         prop_assert_eq!(changes, 0);
     }
 }
+
+/// If engines were only counted, fast prefill engines would leave capacity unused.
+#[test]
+fn engines_count_with_their_learned_speeds() {
+    let engines = engines(5, 8);
+    let directory = directory_of(&engines);
+    let settled: Vec<&ListedServer> = engines.iter().collect();
+    let need = need(0.094, 0.26);
+    let alike = CapacityTracker::default();
+    let next = |capacity: &CapacityTracker| {
+        next_stage_change(need, &settled, |_| true, &BTreeMap::new(), capacity)
+    };
+    assert_eq!(next(&alike), None);
+    let fast = trained(&directory, &engines, &[1.7, 1.7]);
+    let change = next(&fast).expect("a stage change");
+    assert_eq!(change.stage, ServerStage::Decode);
+}
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, QuotaSettings, RecentMaximum, RegistryVersion, RegistryView,
-    RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase,
-    ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
+    AdmissionQueue, AdmissionSettings, CapacityTracker, DeadlineTracker, DirectorySettings,
+    FleetBacklog, LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker,
+    OriginSettings, OriginTracker, PlacementView, QuotaSettings, RecentMaximum, RegistryVersion,
+    RegistryView, RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage,
+    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -121,6 +121,7 @@
     pub origins: OriginTracker,
     pub quotas: QuotaState,
     pub scheduling: SchedulingState,
+    pub capacity: CapacityTracker,
     pub rng: Pcg64Mcg,
 }
 
@@ -199,6 +200,7 @@
             origins: OriginTracker::new(Instant::now(), OriginSettings::default()),
             quotas: QuotaState::new(settings.quotas),
             scheduling: SchedulingState::default(),
+            capacity: CapacityTracker::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -456,6 +458,7 @@
             loads: &state.loads,
             limits: &state.limits,
             origins: &state.origins,
+            capacity: &state.capacity,
         }
     }
 
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -118,6 +118,7 @@
         rng,
         scheduling,
         quotas,
+        capacity,
         ..
     } = &mut *guard;
     let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
@@ -148,6 +149,7 @@
                 loads,
                 limits,
                 origins,
+                capacity,
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
--- a/crates/gs-gateway/src/scheduling.rs
+++ b/crates/gs-gateway/src/scheduling.rs
@@ -405,6 +405,7 @@
             origins,
             scheduling,
             quotas,
+            capacity,
             rng,
             ..
         } = &mut *guard;
@@ -426,6 +427,7 @@
                     loads,
                     limits,
                     origins,
+                    capacity,
                 };
                 match choose_free_server(&view, &request.service, &request.excluded) {
                     FreeServer::Full => PlainPlacement::Full,
