Bound what slow readers make gs-node hold

Cause, seen by tests with an engine and clients of a few lines: the kernel held 3.2 MB of a stream for a client that read nothing; a stream whose client did not read was kept past its time limit, with its request and its body; complete answers did not count as soon as they were read, however long their clients left them unread; and a break of a stream that an engine had cut off unread counted as a failure of the engine. Change: a connection holds at most 64 KiB of unsent bytes in the kernel. Events wait within 64 KiB for each stream instead of 16 events, and beyond 4 KiB within the entry's memory for answers. Complete answers count until they are written; if that memory is used up, the connection of the slowest reader is closed for the sake of the others, and one that takes no byte for 30 s in any case. A stream ends at its time limit, and a break after its client did not read for 1 s is held neither against the engine nor against the content. Before the change, 3 of the 7 new tests failed (3,247,997 bytes written for the unread stream; not idle 10 s after a limit of 600 ms).

--- a/crates/gs-gateway/src/answer.rs
+++ b/crates/gs-gateway/src/answer.rs
@@ -23,7 +23,7 @@
     Complete(Option<Bytes>),
     /// Chunks that arrive over time. An error closes the connection, so that the client can tell that the
     /// answer is incomplete.
-    Stream(mpsc::Receiver<Result<Bytes, IncompleteAnswer>>),
+    Stream(mpsc::UnboundedReceiver<Result<Bytes, IncompleteAnswer>>),
 }
 
 impl AnswerBody {
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -19,9 +19,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::{ClientAnswer, local_answer};
+use crate::client_stream::{ClientStream, ReaderProgress};
 use crate::gateway::Gateway;
 use crate::generation::forward_generation;
 use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob, forward_plain};
@@ -37,6 +39,10 @@
 /// Minimum read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Bytes that the kernel holds for a client beyond what the client's own buffer takes. Without this bound it holds
+/// up to some megabytes for each client that does not read.
+const MAX_UNSENT_BYTES: u32 = 65_536;
+
 /// Accepts and serves client connections until the process ends.
 pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
@@ -62,6 +68,10 @@
                 if let Err(error) = stream.set_nodelay(true) {
                     log::debug!(target: "ingress", "cannot disable Nagle's algorithm: {error}");
                 }
+                let unsent = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+                if let Err(error) = unsent {
+                    log::debug!(target: "ingress", "cannot bound the unsent bytes: {error}");
+                }
                 return stream;
             }
             Err(error) => {
@@ -82,6 +92,9 @@
         let gateway = Rc::clone(&service_gateway);
         async move { Ok::<_, Infallible>(serve_request(&gateway, request).await) }
     });
+    let progress = Rc::new(ReaderProgress::default());
+    gateway.answer_budget.add_reader(&progress);
+    let stream = ClientStream::new(stream, Rc::clone(&progress));
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -97,8 +110,13 @@
                 }
                 return;
             }
-            () = tokio::time::sleep(STOP_POLL_INTERVAL), if !is_closing => {
-                if gateway.shutdown_phase() >= Some(ShutdownPhase::Finish) {
+            () = progress.cut_requested() => return,
+            () = tokio::time::sleep(STOP_POLL_INTERVAL) => {
+                if progress.is_stalled() {
+                    log::info!(target: "ingress", "connection closed: its client does not read");
+                    return;
+                }
+                if !is_closing && gateway.shutdown_phase() >= Some(ShutdownPhase::Finish) {
                     connection.as_mut().graceful_shutdown();
                     is_closing = true;
                 }
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod answer_reader;
+mod client_stream;
 mod connection;
 mod crashes;
 mod datagram;
@@ -29,6 +30,7 @@
 mod server_list;
 mod stages;
 mod stream_forwarder;
+mod stream_queue;
 mod views;
 mod wire;
 
--- a/crates/gs-gateway/src/stream_forwarder.rs
+++ b/crates/gs-gateway/src/stream_forwarder.rs
@@ -3,16 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use gs_control::forwarding::{RouteKind, SoftwareNeed};
 use gs_protocol::ids::ServerName;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
-use tokio::sync::mpsc;
 
-use crate::answer::{AnswerBody, ClientAnswer, IncompleteAnswer};
+use crate::answer::{AnswerBody, ClientAnswer};
 use crate::connection::ServerConnection;
 use crate::crashes::ServerRun;
 use crate::event_stream::{EventSplitter, OversizedEvent};
@@ -22,10 +20,12 @@
 };
 use crate::notices::SentRequest;
 use crate::reservation::{ActiveRequest, StreamReservation};
+use crate::stream_queue::{StreamSender, stream_queue};
 use crate::wire::{AnswerClass, ResumePoint, ServerTask};
 
-/// Events buffered for a slow client before back pressure reaches its engine.
-const QUEUED_CHUNKS: usize = 16;
+/// Time for which a stream must have waited for its client until a break of it is put down to the client: engines
+/// cut off an answer that stays unread for some seconds.
+const UNREAD_BREAK_WAIT: Duration = Duration::from_secs(1);
 
 /// A stream that an engine has started.
 pub(crate) struct RunningStream {
@@ -106,13 +106,40 @@
     }
 }
 
+/// Waits of one engine's stream for its client.
+#[derive(Debug, Default)]
+struct ClientWait {
+    /// Since when an event waits.
+    since: Option<Instant>,
+    longest: Duration,
+}
+
+impl ClientWait {
+    fn begin(&mut self, now: Instant) {
+        self.since = Some(now);
+    }
+
+    fn end(&mut self, now: Instant) {
+        let waited = self
+            .since
+            .take()
+            .map(|since| now.saturating_duration_since(since));
+        self.longest = self.longest.max(waited.unwrap_or_default());
+    }
+
+    /// Whether the engine may have cut off the stream because its client did not read.
+    fn explains_break(&self) -> bool {
+        self.longest >= UNREAD_BREAK_WAIT
+    }
+}
+
 /// Answers with the head of a stream and forwards its events in the background.
 pub(crate) fn start_forwarding(
     gateway: &Rc<Gateway>,
     generation: GenerationJob,
     stream: RunningStream,
 ) -> ClientAnswer {
-    let (sender, receiver) = mpsc::channel(QUEUED_CHUNKS);
+    let (sender, receiver) = stream_queue(&gateway.answer_budget);
     let mut answer = Response::new(AnswerBody::Stream(receiver));
     *answer.status_mut() = stream.answer.status();
     *answer.headers_mut() = gateway.wire.client_headers(stream.answer.headers());
@@ -122,6 +149,7 @@
         generation,
         sender,
         progress: StreamProgress::default(),
+        client_wait: ClientWait::default(),
         started: Instant::now(),
     };
     actix_rt::spawn(forwarder.run(stream));
@@ -132,8 +160,9 @@
     active: ActiveRequest,
     gateway: Rc<Gateway>,
     generation: GenerationJob,
-    sender: mpsc::Sender<Result<Bytes, IncompleteAnswer>>,
+    sender: StreamSender,
     progress: StreamProgress,
+    client_wait: ClientWait,
     started: Instant,
 }
 
@@ -163,11 +192,13 @@
                     break true;
                 }
                 StreamEnd::Broken(error) => {
-                    log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, error:%, contents = job.contents_text(); "stream interrupted");
+                    log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, error:%, unread_ms = self.client_wait.longest.as_millis() as u64, contents = job.contents_text(); "stream interrupted");
                 }
             }
-            self.gateway.record_answer(&server, true);
-            excluded.push(server);
+            if !self.client_wait.explains_break() {
+                self.gateway.record_answer(&server, true);
+                excluded.push(server);
+            }
             let is_version_known = software.is_some() || self.progress.events == 0;
             let resumed = match runs < job.rule.max_attempts && is_version_known {
                 true => {
@@ -189,8 +220,7 @@
         };
         self.gateway.record_stream_ended(&self.generation.job);
         if is_broken_off {
-            // Fails only if the client has disconnected.
-            let _ = self.sender.send(Err(IncompleteAnswer)).await;
+            self.sender.break_off();
         }
         drop(self.active);
     }
@@ -218,7 +248,8 @@
             RouteKind::Streaming { gap_target, .. } => gap_target,
             RouteKind::Safe | RouteKind::Unsafe => None,
         };
-        let is_silent = silent_for > gap_target.unwrap_or(job.rule.latency_target);
+        let is_silent = self.client_wait.since.is_none()
+            && silent_for > gap_target.unwrap_or(job.rule.latency_target);
         self.gateway.record_answer(server, is_silent);
         log::info!(target: "generation", id:% = job.metadata.request_id, decode:% = server, events = self.progress.events, silent_ms = silent_for.as_millis() as u64, took_ms = job.arrived.elapsed().as_millis() as u64; "stream ended: its time limit passed");
     }
@@ -301,6 +332,7 @@
             mut run,
         } = stream;
         let ends_at = self.generation.job.ends_at();
+        self.client_wait = ClientWait::default();
         let end = tokio::select! {
             biased;
             end = self.forward_frames(answer.into_body(), &reservation, &mut run) => end,
@@ -310,6 +342,7 @@
         drop(reservation);
         match &end {
             StreamEnd::Complete => run.complete(),
+            StreamEnd::Broken(_) if self.client_wait.explains_break() => run.discard(),
             StreamEnd::Broken(_) => run.lose().await,
             StreamEnd::ClientDisconnected | StreamEnd::TimedOut => drop(run),
         }
@@ -364,7 +397,10 @@
             }
             self.progress.record_event(Instant::now(), event.id);
             reservation.grow(tokens_per_event);
-            if self.sender.send(Ok(event.bytes)).await.is_err() {
+            self.client_wait.begin(Instant::now());
+            let is_connected = self.sender.send(event.bytes).await;
+            self.client_wait.end(Instant::now());
+            if !is_connected {
                 return false;
             }
         }
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod pauses;
 mod plain;
+mod readers;
 mod registry;
 mod relays;
 mod shutdown;
