Bound the bytes of requests that a server holds

Change: IntakeTracker bounds the bytes that one start of a server holds by little more than what it has held and answered (8 MiB at first), and halves the bound when a connection breaks. Bodies up to 64 KiB and single ones never wait. Longer ones wait within half of the latency target and are then refused as not run. The kernel holds at most 64 KiB of unsent bytes for a server.

--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -364,6 +364,15 @@
         load
     }
 
+    /// Returns the open requests of peers at a server.
+    pub fn peer_requests(&self, server: &ServerName) -> u32 {
+        let peers = self.peer_work.get(server).into_iter();
+        peers
+            .flat_map(BTreeMap::values)
+            .map(|peer| peer.work.load.requests)
+            .sum()
+    }
+
     /// Returns the streams of all entries at an engine. Streams of peers are extrapolated from the
     /// age of their digests.
     pub fn streams(&self, now: Instant, server: &ServerName) -> Vec<StreamShape> {
--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod deadlines;
 mod directory;
 mod freshness;
+mod intake;
 mod issues;
 mod lengths;
 mod limits;
@@ -33,6 +34,7 @@
     FreshnessSettings, ReadMode, ReadPlan, RegistryVersion, RegistryView, ViewVersions,
     is_exact_reader,
 };
+pub use intake::{BodyOutcome, IntakeSettings, IntakeTracker, SentBody};
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
 pub use limits::{LimitChange, LimitDigest, LimitReport, LimitSettings, LimitTracker};
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -4,6 +4,7 @@
 mod deadlines;
 mod directory;
 mod freshness;
+mod intake;
 mod issues;
 mod limits;
 mod loads;
--- a/crates/gs-gateway/src/connection.rs
+++ b/crates/gs-gateway/src/connection.rs
@@ -25,6 +25,9 @@
 /// Maximum size of the bytes that a connection buffers, among them the head of an answer.
 const MAX_BUFFERED_BYTES: usize = 65_536;
 
+/// Bytes that the kernel holds for a server beyond what the server's own buffer takes.
+const MAX_UNSENT_BYTES: u32 = 65_536;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -34,6 +37,9 @@
     /// The connection could not be established.
     #[error("cannot connect: {0}")]
     Connect(std::io::Error),
+    /// The server holds as many bytes of requests as it is known to bear.
+    #[error("the server can hold no more bytes now")]
+    NoIntake,
     /// The connection ended before any byte of the request was written.
     #[error("the request was not sent: {0}")]
     NotSent(hyper::Error),
@@ -55,7 +61,7 @@
     /// Whether the server certainly has not read any byte of the request.
     pub fn is_not_sent(&self) -> bool {
         match self {
-            Self::ConnectTimeout(_) | Self::Connect(_) | Self::NotSent(_) => true,
+            Self::ConnectTimeout(_) | Self::Connect(_) | Self::NoIntake | Self::NotSent(_) => true,
             Self::Broken(_) | Self::TooLong | Self::Refused(_) | Self::AnswerTimeout(_) => false,
         }
     }
@@ -128,9 +134,10 @@
     }
 }
 
-/// Enables keep-alive probes, which detect a silent peer, and disables Nagle's algorithm.
+/// Enables keep-alive probes, which detect a silent peer, disables Nagle's algorithm, and bounds the unsent bytes.
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,10 +8,10 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, DeadlineTracker, DirectorySettings, FleetBacklog,
-    LengthEstimate, LimitSettings, LimitTracker, LoadSettings, LoadTracker, OriginSettings,
-    OriginTracker, PlacementView, RecentMaximum, RegistryVersion, RegistryView, RequestSpan,
-    RetryBudget, RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan,
-    StageEstimate, TicketId, ViewVersions, decode_wait,
+    IntakeSettings, IntakeTracker, LengthEstimate, LimitSettings, LimitTracker, LoadSettings,
+    LoadTracker, OriginSettings, OriginTracker, PlacementView, RecentMaximum, RegistryVersion,
+    RegistryView, RequestSpan, RetryBudget, RouteTable, ServerDirectory, ServerStage,
+    ShutdownPhase, ShutdownPlan, StageEstimate, TicketId, ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
 use gs_control::quarantine::{ContentQuarantine, ContentSettings};
@@ -91,6 +91,7 @@
     pub is_server_list_known: bool,
     pub loads: LoadTracker,
     pub limits: LimitTracker,
+    pub intake: IntakeTracker,
     pub queue: AdmissionQueue,
     pub waiters: BTreeMap<TicketId, oneshot::Sender<AdmissionOutcome>>,
     pub retry_budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -172,6 +173,7 @@
             is_server_list_known: false,
             loads: LoadTracker::new(LoadSettings::default()),
             limits: LimitTracker::new(LimitSettings::default()),
+            intake: IntakeTracker::new(IntakeSettings::default()),
             queue: AdmissionQueue::new(AdmissionSettings::default()),
             waiters: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -328,7 +328,7 @@
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) if error.is_not_sent() => {
             run.discard();
-            gateway.record_unreachable(server);
+            gateway.record_not_sent(server, &error);
             return DecodeOutcome::Failed(AttemptFailure::NotSent, None);
         }
         Ok(Err(error)) => {
@@ -429,6 +429,8 @@
         resume: decode_request.resume,
     };
     let request = job.build_server_request(gateway, &options);
-    let answer = connection.send(request).await?;
-    Ok((answer, connection))
+    let held = gateway.admit_body(decode_request.server, job).await?;
+    let answer = connection.send(request).await;
+    held.settle(&answer);
+    Ok((answer?, connection))
 }
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway;
 mod generation;
 mod ingress;
+mod intake;
 mod keys;
 mod lifecycle;
 mod notices;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -313,7 +313,7 @@
             log::info!(target: "request", id:% = job.metadata.request_id, server:%, error:%, contents = job.contents_text(); "attempt failed");
             if error.is_not_sent() {
                 run.discard();
-                gateway.record_unreachable(server);
+                gateway.record_not_sent(server, &error);
                 return AttemptOutcome::Failed(AttemptFailure::NotSent, None);
             }
             gateway.record_answer(server, true);
@@ -343,9 +343,12 @@
         resume: None,
     };
     let request = job.build_server_request(gateway, &options);
+    let held = gateway.admit_body(server, job).await?;
     *is_sent = true;
     let sent = gateway.note_sent(server);
-    let (head, body) = connection.send(request).await?.into_parts();
+    let answer = connection.send(request).await;
+    held.settle(&answer);
+    let (head, body) = answer?.into_parts();
     let class = gateway
         .wire
         .classify_answer(&head, &job.metadata.request_id);
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -128,7 +128,7 @@
             Err(error) => {
                 log::info!(target: "generation", id:% = generation.job.metadata.request_id, prefill:% = server, error:%, contents = generation.job.contents_text(); "prefill failed");
                 match error.is_not_sent() {
-                    true => gateway.record_unreachable(&server),
+                    true => gateway.record_not_sent(&server, &error),
                     false if gateway.is_paused(&server) => {}
                     false => gateway.record_answer(&server, true),
                 }
@@ -167,7 +167,10 @@
     let request = job.build_server_request(gateway, &options);
     let exchange = async {
         let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
-        let (head, body) = connection.send(request).await?.into_parts();
+        let held = gateway.admit_body(server, job).await?;
+        let answer = connection.send(request).await;
+        held.settle(&answer);
+        let (head, body) = answer?.into_parts();
         let body = ServerConnection::read_body(body, MAX_PREFILL_ANSWER_BYTES).await?;
         Ok((head, body))
     };
--- a/crates/gs-gateway/src/server_list.rs
+++ b/crates/gs-gateway/src/server_list.rs
@@ -55,6 +55,9 @@
         state
             .limits
             .retain_servers(|server| directory.get(server).is_some());
+        state
+            .intake
+            .retain_servers(|server| directory.get(server).is_some());
         let stage_orders = &mut state.stage_orders;
         stage_orders.retain(|server, _| directory.get(server).is_some());
         drop(guard);
--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endless;
 mod generation;
+mod intake;
 mod keys;
 mod leaving;
 mod limits;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -126,14 +126,32 @@
         deployment
     }
 
+    /// Starts an entry with memory for `max_kept_bytes` of request bodies.
+    pub async fn start_keeping(max_kept_bytes: usize, servers: Vec<ListedServer>) -> Self {
+        let deployment = Self::start_changed("north", "entry-1", |settings| {
+            settings.max_kept_bytes = max_kept_bytes;
+        });
+        let deployment = deployment.await;
+        deployment.apply_workspaces(1, None, &[]);
+        deployment.gateway.replace_servers(servers);
+        deployment
+    }
+
     /// Starts an entry that has received neither a configuration nor a list of servers.
     pub async fn start_unconfigured(data_centre: &str, name: &str) -> Self {
+        Self::start_changed(data_centre, name, |_| {}).await
+    }
+
+    async fn start_changed(
+        data_centre: &str,
+        name: &str,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let gateway = Rc::new(Gateway::new(
-            settings(data_centre, name, address),
-            Box::new(TestWire),
-        ));
+        let mut settings = settings(data_centre, name, address);
+        change(&mut settings);
+        let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
