End completions at their time-out though their callers do not read

Cause: a caller's connection asks for tokens only while the caller reads, so a caller that read nothing suspended its own time-out. With a bound on what the kernel holds, an answer of 498,470 bytes went on, and was completed, more than a second after its time-out of 6 s. Change: a task generates the answer into a queue of four chunks and ends with the time-out, the answer or the caller's connection. The kernel holds at most 64 KiB of unsent bytes for a caller.

--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -91,13 +91,18 @@
         self.tokens
     }
 
+    /// Time at which the request ends, even if its answer is not complete then.
+    pub fn ends_at(&self) -> Instant {
+        self.context.arrived_at + self.state.settings.timeouts.completion
+    }
+
     /// Waits for the next tokens and appends their texts to `texts`.
     pub async fn next_tokens(
         &mut self,
         texts: &mut Vec<String>,
     ) -> Result<AnswerProgress, CallerRefusal> {
         let shutdown = self.state.shutdown.clone();
-        let ends_at = self.context.arrived_at + self.state.settings.timeouts.completion;
+        let ends_at = self.ends_at();
         tokio::select! {
             biased;
             progress = self.read_tokens(texts) => progress,
--- a/crates/gs-entry/src/completion/handler.rs
+++ b/crates/gs-entry/src/completion/handler.rs
@@ -1,12 +1,15 @@
 //! Handlers of `POST /v1/completions` and `POST /v1/chat/completions`.
 
-use std::convert::Infallible;
+use std::cell::Cell;
+use std::rc::Rc;
 
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use gs_protocol::refusal::RefusalReason;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::timeout_at;
 
 use super::answer::{AnswerGenerator, AnswerProgress};
 use super::encoder::AnswerEncoder;
@@ -14,6 +17,15 @@
 use crate::telemetry;
 use crate::traffic::{CallerRefusal, RequestContext, TrafficState, read_body};
 
+/// Chunks that wait for a caller that reads slowly, before back pressure reaches the engine. A chunk holds the tokens
+/// that arrived together.
+const QUEUED_CHUNKS: usize = 4;
+
+/// The answer ended before its caller had read it.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the time-out passed while the caller did not read")]
+struct UnreadAnswer;
+
 /// Handles a text completion.
 pub async fn complete_text(
     http: HttpRequest,
@@ -119,13 +131,66 @@
         progress,
         ended: false,
     };
-    builder.streaming(stream::unfold(answer, next_chunk))
+    let (sender, receiver) = channel(QUEUED_CHUNKS);
+    let queue = ChunkQueue {
+        receiver,
+        is_unread: Rc::default(),
+    };
+    let is_unread = Rc::clone(&queue.is_unread);
+    actix_web::rt::spawn(queue_chunks(answer, sender, is_unread));
+    builder.streaming(stream::unfold(queue, next_queued))
 }
 
-/// Encodes the tokens that have arrived, or waits for the next ones.
-async fn next_chunk(
+/// Chunks on their way to the caller's connection.
+struct ChunkQueue {
+    receiver: Receiver<Bytes>,
+    is_unread: Rc<Cell<bool>>,
+}
+
+/// Takes the next chunk for the caller. An error ends the connection, so that the caller can tell that the answer is
+/// incomplete.
+async fn next_queued(mut queue: ChunkQueue) -> Option<(Result<Bytes, UnreadAnswer>, ChunkQueue)> {
+    match queue.receiver.recv().await {
+        Some(chunk) => Some((Ok(chunk), queue)),
+        None if queue.is_unread.take() => Some((Err(UnreadAnswer), queue)),
+        None => None,
+    }
+}
+
+/// Generates an answer and queues its chunks until its end, its time-out or the end of the caller's connection. The
+/// caller's connection asks for chunks only if the caller reads, so it can't watch the time-out itself.
+async fn queue_chunks(
     mut answer: StreamedAnswer,
-) -> Option<(Result<Bytes, Infallible>, StreamedAnswer)> {
+    sender: Sender<Bytes>,
+    is_unread: Rc<Cell<bool>>,
+) {
+    let ends_at = answer.generator.ends_at();
+    loop {
+        let next = tokio::select! {
+            biased;
+            () = sender.closed() => return,
+            next = next_chunk(answer) => next,
+        };
+        let Some((chunk, rest)) = next else {
+            return;
+        };
+        answer = rest;
+        match timeout_at(ends_at.into(), sender.send(chunk)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => {
+                let request = answer.generator.context().request;
+                log::info!(target: "completion", request:%, tokens = answer.generator.tokens(); "Answer ended: its time-out passed while its caller did not read.");
+                metrics::counter!(telemetry::BROKEN_STREAMS_TOTAL).increment(1);
+                is_unread.set(true);
+                return;
+            }
+        }
+    }
+}
+
+/// Encodes the tokens that have arrived, or waits for the next ones.
+async fn next_chunk(mut answer: StreamedAnswer) -> Option<(Bytes, StreamedAnswer)> {
     if answer.ended {
         return None;
     }
@@ -145,7 +210,7 @@
             .write_end(answer.generator.tokens(), &mut out);
         answer.ended = true;
     }
-    Some((Ok(out.freeze()), answer))
+    Some((out.freeze(), answer))
 }
 
 impl StreamedAnswer {
--- a/crates/gs-entry/src/startup.rs
+++ b/crates/gs-entry/src/startup.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of the daemon.
 
+use std::any::Any;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -16,6 +17,8 @@
 use gs_platform::{HttpPlatform, HttpPlatformOptions};
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::{PeerIdentity, PeerState};
+use socket2::SockRef;
+use tokio::net::TcpStream;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{broadcast, watch};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -45,6 +48,10 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 2_048;
 
+/// Bytes that the kernel holds for a caller beyond what the caller's own buffer takes. Without this bound it holds
+/// up to some megabytes for each caller that does not read.
+const MAX_UNSENT_BYTES: u32 = 65_536;
+
 /// Sockets that the daemon listens on.
 struct OpenListeners {
     callers: TcpListener,
@@ -240,6 +247,7 @@
             .app_data(Data::new(state))
             .configure(configure_routes)
     })
+    .on_connect(|connection, _| bound_unsent_bytes(connection))
     .workers(threads)
     .max_connections(settings.limits.max_connections.div_ceil(threads))
     .backlog(ACCEPT_BACKLOG)
@@ -255,6 +263,16 @@
     Ok(server)
 }
 
+/// Bounds what the kernel holds for a caller that does not read.
+fn bound_unsent_bytes(connection: &dyn Any) {
+    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
+        return;
+    };
+    if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!(target: "startup", "cannot bound the unsent bytes: {error}");
+    }
+}
+
 /// Signals that stop the daemon.
 struct Signals {
     terminate: Signal,
--- a/crates/gs-entry/tests/support/mod.rs
+++ b/crates/gs-entry/tests/support/mod.rs
@@ -71,6 +71,16 @@
     decoders: usize,
     entries: usize,
     changes: &Value,
+) -> Result<DeploymentHarness, HarnessError> {
+    start_document(&document(), decoders, entries, changes).await
+}
+
+/// Starts the same deployment with another document.
+pub async fn start_document(
+    document: &Value,
+    decoders: usize,
+    entries: usize,
+    changes: &Value,
 ) -> Result<DeploymentHarness, HarnessError> {
     let programs = ProgramDirectory::containing(env!("CARGO_BIN_EXE_gs-entry"));
     let mut harness = DeploymentHarness::start(programs, &[])?;
@@ -94,7 +104,7 @@
     harness
         .add_server("desk-1", "north", &ServerSpec::Service { kind: "desk" })
         .await?;
-    harness.promote_document(&document()).await?;
+    harness.promote_document(document).await?;
     for number in 0..entries {
         harness
             .add_entry(&format!("entry-{number}"), "north", changes)
