--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub use lifecycle::{run_admission, run_shutdown};
 pub use origins::{OriginRecords, run_origin_records};
 pub use peers::{ReportSocket, receive_reports, send_reports};
+pub use reservation::LONG_BODY_FRACTION;
 pub use stages::{ClaimStore, run_stage_balancer};
 pub use wire::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, KvSource, PrefillResult,
--- a/crates/gs-gateway/src/reservation.rs
+++ b/crates/gs-gateway/src/reservation.rs
@@ -115,6 +115,9 @@
     }
 }
 
+/// Fraction of the memory for bodies that long ones may use; the rest is left for short ones.
+pub const LONG_BODY_FRACTION: f64 = 0.75;
+
 /// Counts the bytes of a buffered request body until it is dropped.
 pub(crate) struct KeptBytes {
     gateway: Rc<Gateway>,
@@ -131,9 +134,6 @@
 }
 
 impl KeptBytes {
-    /// Fraction of the memory for bodies that long ones may use; the rest is left for short ones.
-    const LONG_BODY_FRACTION: f64 = 0.75;
-
     /// Size from which a body is long.
     const LONG_BODY_BYTES: usize = 65_536;
 
@@ -151,7 +151,7 @@
         let limit = self.gateway.settings.max_kept_bytes;
         let limit = match length < Self::LONG_BODY_BYTES {
             true => limit,
-            false => (limit as f64 * Self::LONG_BODY_FRACTION) as usize,
+            false => (limit as f64 * LONG_BODY_FRACTION) as usize,
         };
         let more = length.saturating_sub(self.bytes);
         let total = self.gateway.kept_bytes.get() + more;
