Show that an engine which cut off an unread stream may go on with it

Cause: the test of resumed streams had two engines, and passed also if the engine counted as failed and was excluded. Change: the same test with one engine. Short answers skip the look for clients that have yet to read.

--- a/crates/gs-gateway/src/answer_reader.rs
+++ b/crates/gs-gateway/src/answer_reader.rs
@@ -145,9 +145,10 @@
         let mut share = self.share();
         let mut answer = BytesMut::new();
         let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        let counted = declared.saturating_sub(FREE_ANSWER_BYTES);
         // Answers that wait for memory while they hold some would wait for each other.
-        let reserved = match self.awaits_reader() {
-            true => declared.saturating_sub(FREE_ANSWER_BYTES),
+        let reserved = match counted > 0 && self.awaits_reader() {
+            true => counted,
             false => 0,
         };
         if declared > MAX_ANSWER_BYTES || !self.extend(&mut share, reserved).await {
--- a/crates/gs-gateway/tests/gateway/readers.rs
+++ b/crates/gs-gateway/tests/gateway/readers.rs
@@ -154,13 +154,16 @@
     assert_eq!(count_events(&other.0), EVENTS, "{}", &other.0[..200]);
 }
 
-/// Guards against a slow client that takes one engine after another, and loses a stream that can be resumed.
+/// Guards against a slow client that takes one engine after another, and loses a stream that can be resumed. The
+/// engine that cut it off has not failed and may go on with it.
+#[test_case(&["d0", "d1"]; "two engines")]
+#[test_case(&["d0"]; "one engine")]
 #[actix_rt::test]
-async fn a_stream_that_was_cut_off_unread_is_resumed_when_its_client_reads() {
+async fn a_stream_that_was_cut_off_unread_is_resumed_when_its_client_reads(names: &[&str]) {
     let engine = EagerEngine::default();
     let address = engine.start(Duration::from_millis(1_200)).await;
-    let listed = ["d0", "d1"].map(|name| decode_server(name, address));
-    let entry = Deployment::start(listed.into()).await;
+    let listed = names.iter().map(|name| decode_server(name, address));
+    let entry = Deployment::start(listed.collect()).await;
     let mut slow = connect(&entry).await;
     let close = "connection: close\r\n";
     slow.send(&request(Route::Resumable, "r1", close)).await;
