Check again whether a request may start after its body was held back

Cause: a body may wait for half of its latency target until a server can hold it, after the check of the request's key. Change: the wait repeats the check.

--- a/crates/gs-gateway/src/intake.rs
+++ b/crates/gs-gateway/src/intake.rs
@@ -52,7 +52,7 @@
 
 impl Gateway {
     /// Waits until a server can hold the body of a request, and counts it there. Fails with
-    /// [`CallError::NoIntake`] if this takes too long for the request.
+    /// [`CallError::NoIntake`] if this takes too long for the request, or it must not be sent any more.
     pub(crate) async fn admit_body(
         self: &Rc<Self>,
         server: &ServerName,
@@ -74,6 +74,10 @@
                 return Err(CallError::NoIntake);
             }
             tokio::time::sleep(OFFER_INTERVAL.mul_f64(1.0 + self.random_fraction())).await;
+            // What allowed the request to start may have ended while it waited.
+            if self.start_refusal(job).is_some() {
+                return Err(CallError::NoIntake);
+            }
         }
     }
 
--- a/crates/gs-gateway/tests/gateway/intake.rs
+++ b/crates/gs-gateway/tests/gateway/intake.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use gs_control::forwarding::{CostUnit, KeyDigest, WorkspaceSpec, WorkspaceTable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::support::{Deployment, RawClient, Route, header, plain_server, request};
+use super::support::{
+    Deployment, RawClient, Route, Script, StubServer, header, plain_server, request, wait_until,
+};
 
 const BODY_BYTES: usize = 1_000_000;
 
@@ -96,3 +99,42 @@
         statuses.collect::<Vec<_>>()
     );
 }
+
+/// Guards against bodies that are sent after their key was removed while they were held back.
+#[actix_rt::test]
+async fn a_body_that_is_held_back_is_not_sent_without_its_key() {
+    let server = StubServer::start(|_, _| Script::Hold(String::new())).await;
+    let listed = vec![plain_server("s0", server.address)];
+    let entry = Deployment::start_keeping(100_000_000, listed).await;
+    let huka = |key: &[u8]| {
+        let workspace = WorkspaceSpec {
+            name: "huka".to_owned(),
+            rank: None,
+            unit: CostUnit::Requests,
+            quota: None,
+        };
+        let mut table = WorkspaceTable::new();
+        table.insert(workspace, [KeyDigest::new(key)]);
+        Some(table)
+    };
+    entry.apply_workspaces(2, huka(b"k1"), &[]);
+    let body = "x".repeat(4_000_000);
+    let mut clients = Vec::new();
+    for number in 0..3 {
+        let text = request(Route::Unsafe, &format!("r{number}"), "t-key: k1\r\n");
+        let length = "content-length: 4000000\r\n\r\n";
+        let text = text.replace("content-length: 4\r\n\r\nbody", &format!("{length}{body}"));
+        let mut client = RawClient::connect(entry.address).await;
+        client.send(&text).await;
+        clients.push(client);
+        wait_until(|| server.requests().len() == (number + 1).min(2)).await;
+    }
+    // The third request waits for at most half of its latency target, 400 ms.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    entry.apply_workspaces(3, huka(b"k2"), &[]);
+    // Frees the room that the third request waits for.
+    clients.remove(0);
+    let answer = clients[1].read_until("\r\n\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(server.requests().len(), 2);
+}
