--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 mod deadlines;
 mod directory;
 mod freshness;
+mod intake;
 mod issues;
 mod lengths;
 mod limits;
@@ -47,6 +48,7 @@
     FreshnessSettings, ReadMode, ReadPlan, RegistryVersion, RegistryView, ViewVersions,
     is_exact_reader,
 };
+pub use intake::{BodyOutcome, IntakeSettings, IntakeTracker, SentBody};
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
 pub use limits::{LimitChange, LimitDigest, LimitReport, LimitSettings, LimitTracker};
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod deadlines;
 mod directory;
 mod freshness;
+mod intake;
 mod issues;
 mod limits;
 mod loads;
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod answer_reader;
 mod capacity;
+mod client_stream;
 mod connection;
 mod crashes;
 mod currency;
@@ -17,6 +18,7 @@
 mod gateway;
 mod generation;
 mod ingress;
+mod intake;
 mod keys;
 mod lifecycle;
 mod notices;
@@ -33,6 +35,7 @@
 mod server_list;
 mod stages;
 mod stream_forwarder;
+mod stream_queue;
 mod views;
 mod wire;
 
@@ -46,6 +49,7 @@
 pub use lifecycle::{run_admission, run_shutdown};
 pub use origins::{OriginRecords, run_origin_records};
 pub use peers::{ReportSocket, receive_reports, send_reports};
+pub use reservation::LONG_BODY_FRACTION;
 pub use stages::{ClaimStore, run_stage_balancer};
 pub use wire::{
     AnswerClass, EngineCall, ForwardOptions, GenerationParams, KvSource, PrefillResult,
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -124,7 +124,7 @@
 
     /// Starts an entry that has received neither a configuration nor a list of servers.
     pub async fn start_unconfigured(data_centre: &str, name: &str) -> Self {
-        Self::start_empty(data_centre, name, None).await
+        Self::start_changed(data_centre, name, |_| {}).await
     }
 
     /// Starts an entry at which removed keys must stop working within a time.
@@ -134,20 +134,36 @@
         servers: Vec<ListedServer>,
         revoke_after: Option<Duration>,
     ) -> Self {
-        let deployment = Self::start_empty(data_centre, name, revoke_after).await;
+        let deployment = Self::start_changed(data_centre, name, |settings| {
+            settings.revoke_after = revoke_after;
+        });
+        let deployment = deployment.await;
         deployment.apply_workspaces(1, None, &[]);
         deployment.gateway.replace_servers(servers);
         deployment.gateway.replace_software_records(BTreeMap::new());
         deployment
     }
 
-    async fn start_empty(data_centre: &str, name: &str, revoke_after: Option<Duration>) -> Self {
+    /// Starts an entry with memory for `max_kept_bytes` of request bodies.
+    pub async fn start_keeping(max_kept_bytes: usize, servers: Vec<ListedServer>) -> Self {
+        let deployment = Self::start_changed("north", "entry-1", |settings| {
+            settings.max_kept_bytes = max_kept_bytes;
+        });
+        let deployment = deployment.await;
+        deployment.apply_workspaces(1, None, &[]);
+        deployment.gateway.replace_servers(servers);
+        deployment
+    }
+
+    async fn start_changed(
+        data_centre: &str,
+        name: &str,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let settings = GatewaySettings {
-            revoke_after,
-            ..settings(data_centre, name, address)
-        };
+        let mut settings = settings(data_centre, name, address);
+        change(&mut settings);
         let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
