Hold plain requests back only while the queues of servers are long

Change: a server counts as free below 2.5 times its slots: the wait and the work then take half of a latency target of 300 ms at 60 ms of work.

--- a/crates/gs-control/src/forwarding/placement.rs
+++ b/crates/gs-control/src/forwarding/placement.rs
@@ -20,6 +20,11 @@
 /// Cost of a server in another data centre, as a fraction of its slots.
 const REMOTE_COST: f64 = 0.34;
 
+/// Requests at a server, in multiples of its slots, from which further ones are held back. Servers queue what is
+/// beyond their slots, and the queue of a server is one for all entries: with none of it used, 75 entries refused
+/// requests while servers had free slots that they did not know of.
+const QUEUE_DEPTH: f64 = 2.5;
+
 /// Maximum random cost of a server with a free slot, as a fraction of its slots. Entries hear of each other's
 /// plain requests late, and without it all that see the same loads choose the same server.
 const FREE_SERVER_JITTER: f64 = 0.34;
@@ -199,16 +204,16 @@
 /// Result of the search for a server of a plain service with a free slot.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FreeServer {
-    /// The server with the lowest cost among those with a free slot.
+    /// The server with the lowest cost among those with a free slot or a short queue.
     Free(ServerName),
-    /// All servers are known to be at their slots.
+    /// All servers are known to have long queues.
     Full,
     /// No server takes requests.
     NoServer,
 }
 
-/// Returns the server of a plain service with the lowest cost among those that are not known to have all
-/// their slots in use and have not just refused a request. `excluded` servers are not considered.
+/// Returns the server of a plain service with the lowest cost among those that are not known to have a long
+/// queue and have not just refused a request. `excluded` servers are not considered.
 pub fn choose_free_server(
     view: &PlacementView<'_>,
     service: &ServiceName,
@@ -220,7 +225,9 @@
     }
     let has_slot = |server: &&ListedServer| {
         let is_full = view.loads.is_full(view.now, &server.name);
-        !is_full && view.loads.load(&server.name).requests < view.capacity.effective_slots(server)
+        let slots = f64::from(view.capacity.effective_slots(server));
+        let requests = f64::from(view.loads.load(&server.name).requests);
+        !is_full && requests < slots * QUEUE_DEPTH
     };
     let free = candidates.into_iter().filter(has_slot);
     cheapest_server(view, free, FREE_SERVER_JITTER).map_or(FreeServer::Full, FreeServer::Free)
--- a/crates/gs-gateway/src/scheduling.rs
+++ b/crates/gs-gateway/src/scheduling.rs
@@ -31,7 +31,7 @@
 pub(crate) enum HoldOutcome {
     /// The request is sent to the server of the reservation.
     Send(ServerName, Reservation),
-    /// The request is sent although all servers are known to be at their slots.
+    /// The request is sent although all servers are known to have long queues.
     SendAnyway,
     /// No server takes requests.
     NoServer,
@@ -121,7 +121,7 @@
 }
 
 /// Finds a server for a plain request. Where the configuration has workspaces, a request that no server may
-/// have run is held back while all servers are at their slots.
+/// have run is held back while all servers have long queues.
 pub(crate) async fn take_server(
     gateway: &Rc<Gateway>,
     job: &ForwardJob,
@@ -168,7 +168,7 @@
     let (ticket, receiver) = match decision {
         Ok(queued) => queued,
         Err(retry_after) => {
-            log::info!(target: "scheduling", id:%, route = job.rule.name, workspace, rank, held, retry_ms = retry_after.as_millis() as u64; "refused: all servers are at their slots and the queue is too long");
+            log::info!(target: "scheduling", id:%, route = job.rule.name, workspace, rank, held, retry_ms = retry_after.as_millis() as u64; "refused: all servers have long queues and the wait is too long");
             return TakenServer::Refused(retry_after);
         }
     };
@@ -176,7 +176,7 @@
         gateway: Rc::clone(gateway),
         ticket,
     };
-    log::debug!(target: "scheduling", id:%, route = job.rule.name, workspace, rank, held; "held: all servers are at their slots");
+    log::debug!(target: "scheduling", id:%, route = job.rule.name, workspace, rank, held; "held: all servers have long queues");
     gateway.advance_plain();
     let outcome = tokio::select! {
         biased;
