Give back what silent peers were assumed to spend and did not

What they were assumed to spend was never given back when they were heard again: available cost was 300,000 tokens below zero while the demand was under the quota. Change: the difference is given back, up to a level of zero, as a part of the assumed debt may have been remitted.

--- a/crates/gs-control/src/forwarding/quotas/bucket.rs
+++ b/crates/gs-control/src/forwarding/quotas/bucket.rs
@@ -411,9 +411,11 @@
             None => 0.0,
         };
         let before = self.level;
-        self.level -= match assumed > 0.0 {
-            true => (new_admitted - assumed).max(0.0),
-            false => new_admitted,
+        let debit = new_admitted - assumed;
+        self.level = match debit < 0.0 && assumed > 0.0 {
+            // A part of the assumed debt may have been remitted, so that it is paid back at most up to zero.
+            true => self.level.max((self.level - debit).min(0.0)),
+            false => self.level - debit,
         };
         if peer.silent_since.is_some() {
             self.limit_sudden_debt(before, share);
