--- a/crates/gs-control/src/forwarding/loads.rs
+++ b/crates/gs-control/src/forwarding/loads.rs
@@ -356,16 +356,17 @@
         own_work.map_or(0, |own_work| own_work.load.requests)
     }
 
+    /// Returns the work of each peer at a server.
+    fn peers_at(&self, server: &ServerName) -> impl Iterator<Item = &PeerWork> {
+        let peers = self.peer_work.get(server).into_iter();
+        peers.flat_map(BTreeMap::values)
+    }
+
     /// Returns the work of all entries at a server, not counting running streams.
     pub fn load(&self, server: &ServerName) -> ServerLoad {
         let own_load = self.own_work.get(server).map(|own_work| own_work.load);
         let mut load = own_load.unwrap_or_default();
-        for peer in self
-            .peer_work
-            .get(server)
-            .into_iter()
-            .flat_map(BTreeMap::values)
-        {
+        for peer in self.peers_at(server) {
             load.add(peer.work.load);
         }
         load
@@ -375,22 +376,15 @@
     pub fn stream_count(&self, server: &ServerName) -> u32 {
         let own_work = self.own_work.get(server);
         let own_count = own_work.map_or(0, |own_work| own_work.streams.len());
-        let peer_work = self
-            .peer_work
-            .get(server)
-            .into_iter()
-            .flat_map(BTreeMap::values);
-        let peer_count: usize = peer_work.map(|peer| peer.work.streams.len()).sum();
+        let peers = self.peers_at(server);
+        let peer_count: usize = peers.map(|peer| peer.work.streams.len()).sum();
         (own_count + peer_count) as u32
     }
 
     /// Returns the open requests of peers at a server.
     pub fn peer_requests(&self, server: &ServerName) -> u32 {
-        let peers = self.peer_work.get(server).into_iter();
-        peers
-            .flat_map(BTreeMap::values)
-            .map(|peer| peer.work.load.requests)
-            .sum()
+        let peers = self.peers_at(server);
+        peers.map(|peer| peer.work.load.requests).sum()
     }
 
     /// Returns the streams of all entries at an engine. Streams of peers are extrapolated from the
@@ -400,12 +394,7 @@
         let mut shapes: Vec<StreamShape> = own_work
             .flat_map(|own_work| own_work.streams.values().copied())
             .collect();
-        for peer in self
-            .peer_work
-            .get(server)
-            .into_iter()
-            .flat_map(BTreeMap::values)
-        {
+        for peer in self.peers_at(server) {
             let age = now
                 .saturating_duration_since(peer.received_at)
                 .as_secs_f64();
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod release;
 mod reservation;
 mod scheduling;
+mod server_health;
 mod server_list;
 mod stages;
 mod stream_forwarder;
--- a/crates/gs-gateway/src/lifecycle.rs
+++ b/crates/gs-gateway/src/lifecycle.rs
@@ -108,35 +108,21 @@
 ) -> Vec<AdmissionEffect<(ServerName, StreamKey)>> {
     let now = Instant::now();
     let mut guard = gateway.state.borrow_mut();
-    let GatewayState {
-        table,
-        directory,
-        loads,
-        limits,
-        origins,
-        queue,
-        rng,
-        scheduling,
-        quotas,
-        capacity,
-        ..
-    } = &mut *guard;
-    let Some(table) = table.as_ref().filter(|_| !queue.is_empty()) else {
+    let state = &mut *guard;
+    let Some(table) = state.table.as_ref().filter(|_| !state.queue.is_empty()) else {
         return Vec::new();
     };
     let data_centre = &gateway.settings.own.data_centre;
-    let (own, peers) = (queue.waiting(), loads.peers_waiting());
-    let settings = *queue.settings();
-    let mut salts = Pcg64Mcg::seed_from_u64(rng.r#gen());
+    let (own, peers) = (state.queue.waiting(), state.loads.peers_waiting());
+    let settings = *state.queue.settings();
+    let mut salts = Pcg64Mcg::seed_from_u64(state.rng.r#gen());
     if table.workspaces.is_some() {
-        let shares = &scheduling.shares;
-        queue.refresh_shares(now, |workspace| {
-            shares.share(now, &quotas.tracker, workspace)
-        });
+        let (shares, queue) = (&state.scheduling.shares, &mut state.queue);
+        shares.refresh(now, &state.quotas.tracker, queue);
     }
-    queue.advance(
+    state.queue.advance(
         now,
-        || rng.gen_range(0.0..1.0),
+        || state.rng.gen_range(0.0..1.0),
         |stream, class| {
             let demand = &stream.demand;
             let rank = stream.order.as_ref().map(|order| order.rank);
@@ -145,11 +131,11 @@
                 now,
                 salt: salts.r#gen(),
                 data_centre,
-                directory,
-                loads,
-                limits,
-                origins,
-                capacity,
+                directory: &state.directory,
+                loads: &state.loads,
+                limits: &state.limits,
+                origins: &state.origins,
+                capacity: &state.capacity,
             };
             let needs = DecodeDemand {
                 shape: demand.shape,
@@ -162,8 +148,8 @@
                 software: &demand.software,
             };
             let server = choose_decode(&view, &demand.service, engine, needs, &[])?;
-            limits.record_sent(now, &server);
-            let key = loads.add_stream(&server, demand.shape);
+            state.limits.record_sent(now, &server);
+            let key = state.loads.add_stream(&server, demand.shape);
             Some((server, key))
         },
     )
--- a/crates/gs-gateway/src/scheduling.rs
+++ b/crates/gs-gateway/src/scheduling.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use gs_control::forwarding::{
-    CallerOrder, FreeServer, HeldRequest, PlacementView, PlainDecision, PlainEffect,
-    PlainPlacement, PlainQueue, PlainSettings, QuotaTracker, RecentUsage, RequestCaller,
-    ServerLoad, ServiceCapacity, ShareScale, TicketId, WorkspaceSpec, choose_free_server,
-    choose_server, service_capacity,
+    AdmissionQueue, CallerOrder, FreeServer, HeldRequest, PlacementView, PlainDecision,
+    PlainEffect, PlainPlacement, PlainQueue, PlainSettings, QuotaTracker, RecentUsage,
+    RequestCaller, ServerLoad, ServiceCapacity, ShareScale, TicketId, WorkspaceSpec,
+    choose_free_server, choose_server, service_capacity,
 };
 use gs_protocol::ids::{ServerName, ServiceName};
 use rand::{Rng, SeedableRng};
@@ -57,6 +57,11 @@
         recent_cost * self.factors.get(workspace).copied().unwrap_or_default()
     }
 
+    /// Orders the waiting streams by the shares of their workspaces.
+    pub fn refresh(&self, now: Instant, quotas: &QuotaTracker, queue: &mut AdmissionQueue) {
+        queue.refresh_shares(now, |workspace| self.share(now, quotas, workspace));
+    }
+
     /// Returns the share that a cost of 1 corresponds to, and keeps it for [`Self::share`].
     fn factor(&mut self, workspace: &str, spec: Option<&WorkspaceSpec>) -> f64 {
         let factor = self.scale.factor(spec);
