Let two tests of removed keys choose their first server by its data centre

Cause: the tests took the first of two alike servers for granted. Change: the second server is in another data centre and therefore always second. The assertions are the same.

--- a/crates/gs-gateway/tests/gateway/keys.rs
+++ b/crates/gs-gateway/tests/gateway/keys.rs
@@ -134,10 +134,10 @@
     let removal = KeyRemoval::default();
     let failing = removal.server(Script::Reset(String::new())).await;
     let other = StubServer::start(|_, _| Script::complete(200, "", "whole")).await;
-    let listed = vec![
-        plain_server("a", failing.address),
-        plain_server("b", other.address),
-    ];
+    // Of servers that are alike, any may be chosen; one of another data centre comes second.
+    let mut remote = plain_server("b", other.address);
+    remote.data_centre = "south".into();
+    let listed = vec![plain_server("a", failing.address), remote];
     let entry = Deployment::start(listed).await;
     removal.watch(&entry);
     let answer = send(&entry, Route::Safe, &has_key(KEY)).await;
@@ -201,11 +201,9 @@
     let removal = KeyRemoval::default();
     let first = removal.server(script).await;
     let other = StubServer::start(|_, _| events(2..4, true)).await;
-    let entry = Deployment::start(vec![
-        decode_server("d0", first.address),
-        decode_server("d1", other.address),
-    ])
-    .await;
+    let mut remote = decode_server("d1", other.address);
+    remote.data_centre = "south".into();
+    let entry = Deployment::start(vec![decode_server("d0", first.address), remote]).await;
     removal.watch(&entry);
     let answer = send(&entry, Route::Resumable, &has_key(KEY)).await;
     assert_eq!(answer.has_last_chunk(), is_complete, "{answer:?}");
