--- a/crates/gs-control/src/forwarding/plain_queue.rs
+++ b/crates/gs-control/src/forwarding/plain_queue.rs
@@ -1,8 +1,8 @@
-//! Holds plain requests back while all servers of their service are known to be at their slots.
+//! Holds plain requests back while all servers of their service are known to have long queues.
 //!
-//! A server at more than its slots is slow for all of its requests, and one whose queue is full sheds what
-//! it gets. A request therefore waits at the entry, for a part of its latency target at most, and is sent
-//! in the order of `ranking.rs` when a slot becomes free. What is not expected to be sent in time is
+//! A server with a long queue is slow for all of its requests, and one whose queue is full sheds what it
+//! gets. A request therefore waits at the entry, for a part of its latency target at most, and is sent in
+//! the order of `ranking.rs` when a queue becomes shorter. What is not expected to be sent in time is
 //! refused at once.
 
 use std::collections::{BTreeMap, BTreeSet};
