Log the datagrams between entries, the delay of timers and the duty as a relay

Cause: the logs could not tell full links, late processes and a store that turns entries away apart. Change: every two seconds an entry logs the datagrams and bytes that it has exchanged with peers, the highest quarter of a second among them and the longest delay of a timer, beside the rate of its link, which is read from the platform's settings; and it logs when it becomes a relay or ceases to be one.

--- a/crates/gs-gateway/src/datagram.rs
+++ b/crates/gs-gateway/src/datagram.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Whether a datagram carries reports that a relay passes on.
+pub(crate) fn is_passed_on(bytes: &[u8]) -> bool {
+    let kind = bytes.first().copied().and_then(DatagramKind::from_byte);
+    matches!(
+        kind,
+        Some(DatagramKind::BetweenRelays | DatagramKind::Relayed)
+    )
+}
+
 /// Encodes reports into datagrams of at most [`MAX_BATCH_BYTES`], or of a single report.
 pub(crate) fn encode_reports(kind: DatagramKind, reports: &[EntryReport]) -> Vec<Vec<u8>> {
     let mut datagrams = Vec::new();
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -60,6 +60,8 @@
     pub retry_extra: f64,
     /// Length of the sliding window of the retry budget.
     pub retry_window: Duration,
+    /// Bytes per second that the link of this entry carries in each direction; `None` if that is not known.
+    pub link_rate: Option<u64>,
     /// Maximum number of open client connections.
     pub max_connections: usize,
     /// Maximum total size of buffered request bodies, in bytes.
--- a/crates/gs-gateway/src/lib.rs
+++ b/crates/gs-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod stages;
 mod stream_forwarder;
 mod stream_queue;
+mod traffic;
 mod views;
 mod wire;
 
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -18,11 +18,12 @@
 
 use crate::datagram::{
     DatagramKind, MAX_DATAGRAM_BYTES, decode_currency, decode_reports, encode_currency,
-    encode_reports,
+    encode_reports, is_passed_on,
 };
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
 use crate::relays::send_relayed;
+use crate::traffic::{TrafficCount, TrafficMeter, log_traffic};
 
 /// Base interval between two regular reports; [`REPORT_INTERVAL_PER_PEER`] is added.
 const BASE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -39,6 +40,7 @@
 /// Socket for reports, with the version of the latest report of each peer.
 pub struct ReportSocket {
     udp: UdpSocket,
+    pub(crate) traffic: TrafficMeter,
     latest: RefCell<BTreeMap<EntryName, (Incarnation, u64)>>,
 }
 
@@ -50,6 +52,7 @@
             .map_err(|source| GatewayError::Listen { address, source })?;
         Ok(Self {
             udp,
+            traffic: TrafficMeter::default(),
             latest: RefCell::default(),
         })
     }
@@ -81,10 +84,17 @@
 
     /// Sends a datagram. What cannot be sent is lost.
     pub(crate) async fn send_bytes(&self, bytes: &[u8], address: SocketAddr) {
-        if let Err(error) = self.udp.send_to(bytes, address).await {
-            log::debug!(target: "peers", "cannot send a datagram to {address}: {error}");
+        match self.udp.send_to(bytes, address).await {
+            Ok(_) => self.count(&self.traffic.sent, bytes),
+            Err(error) => {
+                log::debug!(target: "peers", "cannot send a datagram to {address}: {error}");
+            }
         }
     }
+
+    fn count(&self, count: &RefCell<TrafficCount>, bytes: &[u8]) {
+        count.borrow_mut().add(bytes.len(), is_passed_on(bytes));
+    }
 }
 
 impl Gateway {
@@ -223,6 +233,7 @@
 /// Receives reports and applies them until the process ends.
 pub async fn receive_reports(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    actix_rt::spawn(log_traffic(Rc::clone(&socket), gateway.settings.link_rate));
     loop {
         let (length, peer) = match socket.udp.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -232,6 +243,7 @@
                 continue;
             }
         };
+        socket.count(&socket.traffic.received, &buffer[..length]);
         if let Some(message) = decode_currency(&buffer[..length]) {
             if let Some(answer) = gateway.handle_currency(peer, message) {
                 socket.send_bytes(&encode_currency(answer), peer).await;
--- a/crates/gs-gateway/src/relays.rs
+++ b/crates/gs-gateway/src/relays.rs
@@ -50,7 +50,9 @@
             return topology;
         }
         let own = &self.settings.own;
-        let direct_count = previous.map_or(0, |(_, topology)| topology.direct.len());
+        let direct_count = previous
+            .as_ref()
+            .map_or(0, |(_, topology)| topology.direct.len());
         let max_silence = report_interval(direct_count).mul_f64(MAX_RELAY_SILENCE);
         let others = state
             .membership
@@ -65,6 +67,11 @@
         relays.round += 1;
         let settings = TopologySettings::default();
         let topology = Rc::new(RelayTopology::new(&own, &others, relays.round, &settings));
+        let was_relay = previous.is_some_and(|(_, previous)| !previous.foreign_relays.is_empty());
+        let is_relay = !topology.foreign_relays.is_empty();
+        if was_relay != is_relay {
+            log::info!(target: "peers", is_relay, local = topology.local.len(), foreign_relays = topology.foreign_relays.len(); "duty as a relay changed");
+        }
         relays.topology = Some((now, Rc::clone(&topology)));
         relays
             .departures
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -302,6 +302,7 @@
         retry_ratio: 0.2,
         retry_extra: 50.0,
         retry_window: Duration::from_secs(10),
+        link_rate: None,
         max_connections: 100,
         max_kept_bytes: 1_000_000,
         max_answer_bytes: 1_000_000,
