Show that a relay sends more than its link carries

Cause: nothing bounds the bytes that an entry sends to its peers. Configurations reached relays up to 6.8 s late, as connections to the store waited behind reports in the queue of the link.

--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod leaving;
 mod limits;
+mod links;
 mod logs;
 mod pauses;
 mod plain;
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -155,6 +155,14 @@
         deployment
     }
 
+    /// Starts an entry whose link carries `link_rate` bytes per second.
+    pub async fn start_with_link(data_centre: &str, name: &str, link_rate: u64) -> Self {
+        Self::start_changed(data_centre, name, |settings| {
+            settings.link_rate = Some(link_rate);
+        })
+        .await
+    }
+
     async fn start_changed(
         data_centre: &str,
         name: &str,
@@ -206,17 +214,22 @@
             })
             .collect();
         for (entry, own) in entries.iter().zip(&candidates) {
-            let gateway = Rc::clone(&entry.gateway);
-            let socket = ReportSocket::open(gateway.settings.own.peer_address).await;
-            let socket = Rc::new(socket.expect("the client port is free for UDP"));
             let listed = candidates.iter().filter(|other| is_listed(own, other));
-            gateway.apply_entries(listed.cloned().collect());
-            actix_rt::spawn(receive_reports(Rc::clone(&gateway), Rc::clone(&socket)));
-            actix_rt::spawn(run_currency(Rc::clone(&gateway), Rc::clone(&socket)));
-            actix_rt::spawn(send_reports(gateway, socket, Incarnation(1)));
+            entry.join_candidates(listed.cloned().collect()).await;
         }
     }
 
+    /// Starts the exchange of heartbeats of this entry with the candidates.
+    pub async fn join_candidates(&self, candidates: Vec<MemberCandidate>) {
+        let gateway = Rc::clone(&self.gateway);
+        let socket = ReportSocket::open(gateway.settings.own.peer_address).await;
+        let socket = Rc::new(socket.expect("the client port is free for UDP"));
+        gateway.apply_entries(candidates);
+        actix_rt::spawn(receive_reports(Rc::clone(&gateway), Rc::clone(&socket)));
+        actix_rt::spawn(run_currency(Rc::clone(&gateway), Rc::clone(&socket)));
+        actix_rt::spawn(send_reports(gateway, socket, Incarnation(1)));
+    }
+
     /// Sends a request on a connection of its own and reads the answer until the connection closes.
     pub async fn send_request(&self, route: Route, id: &str) -> RawAnswer {
         let mut client = RawClient::connect(self.address).await;
