Bound reports by the links that carry them, and let the fastest links relay

Cause: nothing compared the bytes of reports between entries with the link. In bursts a relay sent two to four times what its link carries; connections to the store, heartbeats and questions to peers waited behind them or were lost. Relays were the entries with the lowest name hashes, whatever their links. Change: a budget in bytes for each route of reports and for the link as a whole, from the rates of the links of the sender and the receivers; what waits is sent in the order of waiting. Relays have the fastest links. The links' queues then stay short, whatever the load.

--- a/crates/gs-control/src/membership/state.rs
+++ b/crates/gs-control/src/membership/state.rs
@@ -128,6 +128,7 @@
                 data_centre: peer.data_centre.clone(),
                 peer_address: peer.peer_address,
                 is_alive: member.record.status == MemberStatus::Alive && !is_silent,
+                link_rate: None,
             }
         });
         let unheard = self
@@ -138,6 +139,7 @@
             data_centre: candidate.data_centre.clone(),
             peer_address: candidate.peer_address,
             is_alive: false,
+            link_rate: None,
         });
         heard.chain(unheard).collect()
     }
--- a/crates/gs-control/src/relay/arrivals.rs
+++ b/crates/gs-control/src/relay/arrivals.rs
@@ -1,26 +1,19 @@
 //! The reports of other data centres that a relay has yet to pass on to its own.
 
-use std::collections::BTreeMap;
-
-use gs_protocol::ids::EntryName;
-
 use super::messages::EntryReport;
+use super::pending::PendingReports;
 
 /// The newest report of each entry of another data centre that is not passed on yet. A relay hears
 /// many others, so it collects what they send.
 #[derive(Clone, Debug, Default)]
 pub struct ArrivalQueue {
-    pending: BTreeMap<EntryName, EntryReport>,
+    pending: PendingReports,
 }
 
 impl ArrivalQueue {
     /// Adds a report that is newer than those before it.
     pub fn push(&mut self, report: EntryReport) {
-        let report = match self.pending.remove(&report.entry) {
-            Some(earlier) => report.with_presence_of(earlier),
-            None => report,
-        };
-        self.pending.insert(report.entry.clone(), report);
+        self.pending.insert(report);
     }
 
     /// Removes what another relay of the data centre has passed on with a report.
@@ -34,8 +27,8 @@
         }
     }
 
-    /// Removes and returns all reports.
-    pub fn take_all(&mut self) -> Vec<EntryReport> {
-        std::mem::take(&mut self.pending).into_values().collect()
+    /// Removes and returns at most `max_reports`, those that have waited longest.
+    pub fn take(&mut self, max_reports: usize) -> Vec<EntryReport> {
+        self.pending.take(max_reports)
     }
 }
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -49,6 +49,8 @@
     pub servers_version: RegistryVersion,
     /// Number of outages of the registry that have ended for the entry.
     pub ended_outages: u64,
+    /// Bytes per second that the link of the entry carries in each direction; 0 if that is not known.
+    pub link_rate: u64,
 }
 
 /// Load of an entry.
@@ -89,6 +91,7 @@
     u64,
     RegistryVersion,
     u64,
+    u64,
 );
 
 /// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, origins
@@ -232,8 +235,16 @@
 
 impl From<PresenceFields> for EntryPresence {
     fn from(fields: PresenceFields) -> Self {
-        let (data_centre, address, peer_address, is_leaving, routes, servers, ended_outages) =
-            fields;
+        let (
+            data_centre,
+            address,
+            peer_address,
+            is_leaving,
+            routes,
+            servers,
+            ended_outages,
+            link_rate,
+        ) = fields;
         Self {
             data_centre,
             address,
@@ -242,6 +253,7 @@
             routes_version: routes,
             servers_version: servers,
             ended_outages,
+            link_rate,
         }
     }
 }
@@ -256,6 +268,7 @@
             presence.routes_version,
             presence.servers_version,
             presence.ended_outages,
+            presence.link_rate,
         )
     }
 }
--- a/crates/gs-control/src/relay/queue.rs
+++ b/crates/gs-control/src/relay/queue.rs
@@ -6,6 +6,7 @@
 use gs_protocol::ids::{EntryName, Incarnation};
 
 use super::messages::{EntryLoad, EntryReport};
+use super::pending::PendingReports;
 use crate::forwarding::RegistryVersion;
 
 /// The newest report of an entry that was passed on.
@@ -22,7 +23,7 @@
 pub struct RelayQueue {
     /// Minimum time between two reports of the presence of an entry that bring nothing new.
     presence_interval: Duration,
-    pending: BTreeMap<EntryName, EntryReport>,
+    pending: PendingReports,
     forwarded: BTreeMap<EntryName, ForwardedReport>,
     /// Newest progress that was passed on, of any entry.
     progress: [RegistryVersion; 3],
@@ -48,23 +49,17 @@
         if !has_new_presence {
             report.presence = None;
         }
-        if let Some(earlier) = self.pending.remove(&report.entry) {
-            let report = report.with_presence_of(earlier);
-            self.pending.insert(report.entry.clone(), report);
-            return true;
-        }
         let has_new_load = forwarded.is_none_or(|forwarded| forwarded.load != report.load);
-        if !has_new_presence && !has_new_load {
+        if pending.is_none() && !has_new_presence && !has_new_load {
             return false;
         }
-        self.pending.insert(report.entry.clone(), report);
+        self.pending.insert(report);
         true
     }
 
-    /// Removes and returns all reports.
-    pub fn take_all(&mut self, now: Instant) -> Vec<EntryReport> {
-        let pending = std::mem::take(&mut self.pending);
-        let reports: Vec<EntryReport> = pending.into_values().collect();
+    /// Removes and returns at most `max_reports`, those that have waited longest.
+    pub fn take(&mut self, now: Instant, max_reports: usize) -> Vec<EntryReport> {
+        let reports = self.pending.take(max_reports);
         for report in &reports {
             let known = self.forwarded.get(&report.entry);
             let known = known.filter(|known| known.version.0 == report.incarnation);
@@ -89,7 +84,7 @@
     /// Forgets the entries that do not satisfy a predicate.
     pub fn retain(&mut self, predicate: impl Fn(&EntryName) -> bool) {
         self.forwarded.retain(|entry, _| predicate(entry));
-        self.pending.retain(|entry, _| predicate(entry));
+        self.pending.retain(predicate);
     }
 
     /// Returns whether a report has a presence that is due, or that differs from what is known
--- a/crates/gs-control/src/relay/topology.rs
+++ b/crates/gs-control/src/relay/topology.rs
@@ -1,5 +1,6 @@
 //! Which entries a report is sent to.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,6 +8,8 @@
 use gs_protocol::ids::{DataCentreName, EntryName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::budget::{BudgetSettings, ReportRates, ReportRoute};
+
 /// Sizes that decide how reports spread.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TopologySettings {
@@ -44,10 +47,12 @@
     pub peer_address: SocketAddr,
     /// Whether it was heard lately.
     pub is_alive: bool,
+    /// Bytes per second that its link carries in each direction; `None` if that is not known.
+    pub link_rate: Option<u64>,
 }
 
 /// The addresses that an entry sends reports to.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelayTopology {
     /// Addresses of the other entries of its data centre.
     pub local: Vec<SocketAddr>,
@@ -63,13 +68,15 @@
     /// Minimum time between two reports of the presence of an entry that a relay passes on though
     /// they bring nothing new.
     pub presence_interval: Duration,
+    /// How fast reports may be sent.
+    pub rates: ReportRates,
 }
 
 impl RelayTopology {
     /// Decides where the entry `own` sends reports. `others` are all other entries that are known.
     ///
-    /// The relays of a data centre are the entries with the lowest name hashes, and each of them
-    /// sends to all relays elsewhere, so that the end of one in each data centre loses nothing. Of a
+    /// The relays of a data centre are the entries with the fastest links, of equal ones those with the lowest
+    /// name hashes, and each of them sends to all relays elsewhere, so that the end of one in each data centre loses nothing. Of a
     /// data centre where nobody is known to be alive, other entries are tried in each `round`.
     pub fn new(
         own: &RelayMember,
@@ -85,23 +92,25 @@
                 .push(other);
         }
         let local = data_centres.remove(&own.data_centre).unwrap_or_default();
-        let rank = |member: &RelayMember| (hash_name(&member.name, 0), member.name.clone());
+        let rank = |member: &RelayMember| (relay_rank(member), member.name.clone());
         let lower = local
             .iter()
             .filter(|other| other.is_alive && rank(other) < rank(own));
-        let foreign_relays = match lower.count() < settings.relays {
+        let foreign_relays: Vec<&RelayMember> = match lower.count() < settings.relays {
             true => data_centres
                 .values()
                 .flat_map(|candidates| choose_relays(candidates, round, settings))
                 .collect(),
             false => Vec::new(),
         };
-        let local: Vec<SocketAddr> = local.iter().map(|member| member.peer_address).collect();
         let is_relayed = others.len() >= settings.max_direct_entries;
         let direct = match is_relayed {
             true => local.clone(),
-            false => others.iter().map(|other| other.peer_address).collect(),
+            false => others.iter().collect(),
         };
+        let rates = report_rates(own, &direct, &foreign_relays, &local, settings.relays);
+        let [local, direct, foreign_relays] =
+            [&local, &direct, &foreign_relays].map(|members| addresses(members));
         Self {
             local,
             direct,
@@ -110,26 +119,69 @@
             presence_interval: settings
                 .min_presence_interval
                 .max(settings.presence_interval_per_entry * others.len() as u32),
+            rates,
+        }
+    }
+
+    /// Returns the receivers of reports on a route.
+    pub fn receivers(&self, route: ReportRoute) -> &[SocketAddr] {
+        match route {
+            ReportRoute::Direct => &self.direct,
+            ReportRoute::BetweenRelays => &self.foreign_relays,
+            ReportRoute::Relayed => &self.local,
         }
     }
 }
 
-/// Returns the addresses of the relays of another data centre.
-fn choose_relays(
-    candidates: &[&RelayMember],
+fn addresses(members: &[&RelayMember]) -> Vec<SocketAddr> {
+    members.iter().map(|member| member.peer_address).collect()
+}
+
+/// Returns how fast an entry may send to these receivers. As many entries send to a receiver of direct reports, and
+/// to a relay, as the entry itself sends to; to a receiver of relayed ones, all relays of its data centre do.
+fn report_rates(
+    own: &RelayMember,
+    direct: &[&RelayMember],
+    foreign_relays: &[&RelayMember],
+    local: &[&RelayMember],
+    relays: usize,
+) -> ReportRates {
+    let fraction = BudgetSettings::default().link_fraction;
+    let slowest = |members: &[&RelayMember]| {
+        let links = members.iter().filter_map(|member| member.link_rate).min();
+        links.map(|link| link as f64 * fraction)
+    };
+    let local_per_relay = local.len() as f64 / relays.max(1) as f64;
+    ReportRates {
+        link: own.link_rate.map(|link| link as f64 * fraction),
+        direct: slowest(direct),
+        between_relays: slowest(foreign_relays),
+        relayed: slowest(local).map(|rate| rate * local_per_relay),
+    }
+}
+
+/// Orders the entries of a data centre by their fitness as relays, the fittest first.
+fn relay_rank(member: &RelayMember) -> (Reverse<u64>, u64) {
+    let link_rate = member.link_rate.unwrap_or(0);
+    (Reverse(link_rate), hash_name(&member.name, 0))
+}
+
+/// Returns the relays of another data centre.
+fn choose_relays<'a>(
+    candidates: &[&'a RelayMember],
     round: u64,
     settings: &TopologySettings,
-) -> Vec<SocketAddr> {
+) -> Vec<&'a RelayMember> {
     let is_alive = |candidate: &&RelayMember| candidate.is_alive;
-    let mut relays: Vec<&RelayMember> = candidates.iter().copied().filter(is_alive).collect();
-    let mut salt = 0;
+    let mut relays: Vec<&'a RelayMember> = candidates.iter().copied().filter(is_alive).collect();
     if relays.is_empty() {
         relays = candidates.to_vec();
-        salt = round;
+        relays.sort_by_cached_key(|relay| (hash_name(&relay.name, round), &relay.name));
+    } else {
+        relays.sort_by_cached_key(|relay| (relay_rank(relay), &relay.name));
     }
-    relays.sort_by_cached_key(|relay| (hash_name(&relay.name, salt), &relay.name));
-    let relays = relays.iter().take(settings.relays);
-    relays.map(|relay| relay.peer_address).collect()
+    relays.truncate(settings.relays);
+    relays
 }
 
 fn hash_name(name: &EntryName, salt: u64) -> u64 {
--- a/crates/gs-control/tests/relay/arrivals.rs
+++ b/crates/gs-control/tests/relay/arrivals.rs
@@ -12,9 +12,9 @@
     queue.push(report(&members[1], 3, 1));
     queue.remove_passed(&report(&members[0], 3, 1));
     queue.remove_passed(&report(&members[1], 2, 1));
-    let passed = queue.take_all();
+    let passed = queue.take(usize::MAX);
     assert_eq!(passed, [report(&members[1], 3, 1)]);
-    assert_eq!(queue.take_all(), []);
+    assert_eq!(queue.take(usize::MAX), []);
 }
 
 /// The other relay has passed on a load report that followed the regular one.
@@ -26,5 +26,5 @@
     let mut load = report(&member, 4, 2);
     load.presence = None;
     queue.remove_passed(&load);
-    assert_eq!(queue.take_all(), [report(&member, 3, 1)]);
+    assert_eq!(queue.take(usize::MAX), [report(&member, 3, 1)]);
 }
--- a/crates/gs-control/tests/relay/fleet.rs
+++ b/crates/gs-control/tests/relay/fleet.rs
@@ -66,6 +66,7 @@
                 data_centre: format!("dc-{data_centre}").as_str().into(),
                 peer_address: SocketAddr::from(([127, 0, 0, 1], port)),
                 is_alive: true,
+                link_rate: None,
             });
         }
     }
@@ -191,8 +192,8 @@
             }
             for index in 0..self.entries.len() {
                 let entry = &mut self.entries[index];
-                let departures = entry.departures.take_all(self.now);
-                let arrivals = entry.arrivals.take_all();
+                let departures = entry.departures.take(self.now, usize::MAX);
+                let arrivals = entry.arrivals.take(usize::MAX);
                 let topology = entry.topology.clone();
                 if entry.has_ended {
                     continue;
@@ -325,6 +326,7 @@
             routes_version: 1,
             servers_version: RegistryVersion::default(),
             ended_outages: 0,
+            link_rate: 0,
         }),
         load: EntryLoad {
             waiting: WaitingCounts {
--- a/crates/gs-control/tests/relay/main.rs
+++ b/crates/gs-control/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! bounded number of times.
 
 mod arrivals;
+mod budget;
 mod fleet;
 mod queue;
 
--- a/crates/gs-control/tests/relay/queue.rs
+++ b/crates/gs-control/tests/relay/queue.rs
@@ -40,7 +40,7 @@
         for report in reports {
             self.queue.push(self.now, report);
         }
-        self.queue.take_all(self.now)
+        self.queue.take(self.now, usize::MAX)
     }
 }
 
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -153,8 +153,10 @@
     pub(crate) registry_answered: Notify,
     /// Notified when an outage of the registry has ended for a peer.
     pub(crate) registry_retry: Notify,
-    /// Notified when this entry has reports to pass on as a relay.
-    pub(crate) relay_changed: Notify,
+    /// Notified when this entry has reports to pass on to other data centres as a relay.
+    pub(crate) departures_changed: Notify,
+    /// Notified when this entry has reports to pass on to its own data centre as a relay.
+    pub(crate) arrivals_changed: Notify,
     /// Notified when a resumable stream has started.
     pub(crate) origins_changed: Notify,
     /// Notified when the origin of a stream is to be looked up in the registry.
@@ -218,7 +220,8 @@
             registry_answered: Notify::new(),
             registry_retry: Notify::new(),
             report_changed: Notify::new(),
-            relay_changed: Notify::new(),
+            departures_changed: Notify::new(),
+            arrivals_changed: Notify::new(),
             origins_changed: Notify::new(),
             origins_wanted: Notify::new(),
             are_origins_wanted: Cell::new(false),
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -11,7 +11,7 @@
 
 use gs_control::forwarding::{CapacityDigest, LimitChange, RegistryVersion, RegistryView};
 use gs_control::membership::{MemberCandidate, MembershipEffect, MembershipEvent};
-use gs_control::relay::{EntryLoad, EntryPresence, EntryReport};
+use gs_control::relay::{EntryLoad, EntryPresence, EntryReport, ReportRoute};
 use gs_protocol::ids::{EntryName, Incarnation};
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -22,8 +22,8 @@
 };
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
-use crate::relays::send_relayed;
-use crate::traffic::{TrafficCount, TrafficMeter, log_traffic};
+use crate::relays::{send_relayed, send_reports_on, wait_for_budget};
+use crate::traffic::{DATAGRAM_OVERHEAD_BYTES, TrafficCount, TrafficMeter, log_traffic};
 
 /// Base interval between two regular reports; [`REPORT_INTERVAL_PER_PEER`] is added.
 const BASE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -68,18 +68,21 @@
         is_newer
     }
 
-    /// Sends reports to addresses. What cannot be sent is lost.
+    /// Sends reports to addresses. What cannot be sent is lost. Returns the bytes on the network.
     pub(crate) async fn send(
         &self,
         kind: DatagramKind,
         reports: &[EntryReport],
         addresses: &[SocketAddr],
-    ) {
+    ) -> usize {
+        let mut sent = 0;
         for bytes in encode_reports(kind, reports) {
             for address in addresses {
                 self.send_bytes(&bytes, *address).await;
             }
+            sent += (bytes.len() + DATAGRAM_OVERHEAD_BYTES) * addresses.len();
         }
+        sent
     }
 
     /// Sends a datagram. What cannot be sent is lost.
@@ -145,10 +148,14 @@
     socket: Rc<ReportSocket>,
     incarnation: Incarnation,
 ) {
-    actix_rt::spawn(send_relayed(Rc::clone(&gateway), Rc::clone(&socket)));
+    for route in [ReportRoute::BetweenRelays, ReportRoute::Relayed] {
+        let (gateway, socket) = (Rc::clone(&gateway), Rc::clone(&socket));
+        actix_rt::spawn(send_relayed(gateway, socket, route));
+    }
     let mut number = 0;
     let mut last_full: Option<Instant> = None;
     loop {
+        wait_for_budget(&gateway, ReportRoute::Direct).await;
         number += 1;
         let topology = gateway.topology();
         let interval = report_interval(topology.direct.len());
@@ -165,13 +172,8 @@
         }
         gateway.refresh_capacity();
         let report = own_report(&gateway, incarnation, number, is_due);
-        let kind = match topology.is_relayed {
-            true => DatagramKind::Local,
-            false => DatagramKind::Direct,
-        };
-        socket
-            .send(kind, std::slice::from_ref(&report), &topology.direct)
-            .await;
+        let reports = std::slice::from_ref(&report);
+        send_reports_on(&gateway, &socket, ReportRoute::Direct, &topology, reports).await;
         if topology.is_relayed {
             gateway.relay_report(report);
         }
@@ -208,6 +210,7 @@
         routes_version,
         servers_version,
         ended_outages: state.registry.ended_outages(),
+        link_rate: gateway.settings.link_rate.unwrap_or(0),
     });
     EntryReport {
         entry: own.identity.entry.clone(),
@@ -311,6 +314,9 @@
         };
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
+        if let Some(presence) = &report.presence {
+            state.relays.record_link(&report.entry, presence.link_rate);
+        }
         state.origins.apply_digest(now, &origins);
         let tracker = &mut state.quotas.tracker;
         tracker.apply_digest(now, &report.entry, report.incarnation, &quotas);
--- a/crates/gs-gateway/src/relays.rs
+++ b/crates/gs-gateway/src/relays.rs
@@ -1,13 +1,15 @@
 //! Where reports are sent, and what this entry passes on if it is a relay.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gs_control::relay::{
-    ArrivalQueue, EntryReport, RelayMember, RelayQueue, RelayTopology, TopologySettings,
+    ArrivalQueue, EntryReport, RelayMember, RelayQueue, RelayTopology, ReportBudget, ReportRoute,
+    TopologySettings,
 };
 use gs_protocol::ids::EntryName;
+use tokio::sync::Notify;
 
 use crate::datagram::DatagramKind;
 use crate::gateway::Gateway;
@@ -22,8 +24,14 @@
 /// Silence, in regular intervals, after which another entry of the data centre takes over as relay.
 const MAX_RELAY_SILENCE: f64 = 2.2;
 
-/// Where reports are sent, and the reports to pass on.
-#[derive(Debug, Default)]
+/// Size of a report until one has been sent, in bytes.
+const INITIAL_REPORT_BYTES: f64 = 400.0;
+
+/// Weight of the latest reports in the average size of a report.
+const REPORT_SIZE_WEIGHT: f64 = 0.1;
+
+/// Where reports are sent, the reports to pass on, and how fast.
+#[derive(Debug)]
 pub(crate) struct RelayState {
     /// The last decision where to send reports, and when it was made.
     topology: Option<(Instant, Rc<RelayTopology>)>,
@@ -33,6 +41,64 @@
     departures: RelayQueue,
     /// Reports of other data centres for the own one.
     arrivals: ArrivalQueue,
+    budget: ReportBudget,
+    /// Average size of a report, in bytes.
+    mean_report_bytes: f64,
+    /// Bytes per second of the links of other entries.
+    link_rates: BTreeMap<EntryName, u64>,
+}
+
+impl Default for RelayState {
+    fn default() -> Self {
+        Self {
+            topology: None,
+            round: 0,
+            departures: RelayQueue::default(),
+            arrivals: ArrivalQueue::default(),
+            budget: ReportBudget::default(),
+            mean_report_bytes: INITIAL_REPORT_BYTES,
+            link_rates: BTreeMap::new(),
+        }
+    }
+}
+
+impl RelayState {
+    /// Records the bytes per second that the link of another entry carries; 0 if that is not known.
+    pub fn record_link(&mut self, entry: &EntryName, link_rate: u64) {
+        if self.link_rates.get(entry) != Some(&link_rate) {
+            self.link_rates.insert(entry.clone(), link_rate);
+        }
+    }
+
+    /// Removes and returns the reports that may be passed on now to a number of receivers. At least one is returned if
+    /// there is any.
+    fn take_batch(
+        &mut self,
+        now: Instant,
+        route: ReportRoute,
+        receivers: usize,
+    ) -> Vec<EntryReport> {
+        let report_bytes = self.mean_report_bytes * receivers as f64;
+        let max_reports = match receivers {
+            0 => usize::MAX,
+            // A float as large as infinity becomes the largest integer.
+            _ => ((self.budget.room(now, route) / report_bytes) as usize).max(1),
+        };
+        match route {
+            ReportRoute::Direct => Vec::new(),
+            ReportRoute::BetweenRelays => self.departures.take(now, max_reports),
+            ReportRoute::Relayed => self.arrivals.take(max_reports),
+        }
+    }
+
+    /// Records that a number of reports was sent to each of the receivers, with `bytes` in all.
+    fn record_sent(&mut self, now: Instant, route: ReportRoute, reports: usize, bytes: usize) {
+        self.budget.record_sent(now, route, bytes);
+        if reports > 0 {
+            let difference = bytes as f64 / reports as f64 - self.mean_report_bytes;
+            self.mean_report_bytes += REPORT_SIZE_WEIGHT * difference;
+        }
+    }
 }
 
 impl Gateway {
@@ -54,14 +120,19 @@
             .as_ref()
             .map_or(0, |(_, topology)| topology.direct.len());
         let max_silence = report_interval(direct_count).mul_f64(MAX_RELAY_SILENCE);
-        let others = state
+        let mut others = state
             .membership
             .relay_members(now, &own.data_centre, max_silence);
+        for other in &mut others {
+            let link_rate = state.relays.link_rates.get(&other.name).copied();
+            other.link_rate = link_rate.filter(|rate| *rate > 0);
+        }
         let own = RelayMember {
             name: own.identity.entry.clone(),
             data_centre: own.data_centre.clone(),
             peer_address: own.peer_address,
             is_alive: true,
+            link_rate: self.settings.link_rate,
         };
         let relays = &mut state.relays;
         relays.round += 1;
@@ -76,10 +147,12 @@
         relays
             .departures
             .set_presence_interval(topology.presence_interval);
+        relays.budget.set_rates(now, topology.rates);
         let known: BTreeSet<&EntryName> = others.iter().map(|other| &other.name).collect();
         relays
             .departures
             .retain(|entry| known.contains(entry) || *entry == own.name);
+        relays.link_rates.retain(|entry, _| known.contains(entry));
         state.registry.retain_peers(|entry| known.contains(entry));
         topology
     }
@@ -91,14 +164,14 @@
         }
         let mut state = self.state.borrow_mut();
         if state.relays.departures.push(Instant::now(), report) {
-            self.relay_changed.notify_one();
+            self.departures_changed.notify_one();
         }
     }
 
     /// Queues a report of another data centre for this entry's own one.
     pub(crate) fn relay_arrival(&self, report: EntryReport) {
         self.state.borrow_mut().relays.arrivals.push(report);
-        self.relay_changed.notify_one();
+        self.arrivals_changed.notify_one();
     }
 
     /// Removes a report from the queue that another relay has passed on to this data centre.
@@ -118,25 +191,66 @@
     }
 }
 
-/// Passes on what this entry has queued as a relay, until the process ends.
-pub(crate) async fn send_relayed(gateway: Rc<Gateway>, socket: Rc<ReportSocket>) {
+/// Sends reports to all receivers of a route and counts them toward its budget.
+pub(crate) async fn send_reports_on(
+    gateway: &Gateway,
+    socket: &ReportSocket,
+    route: ReportRoute,
+    topology: &RelayTopology,
+    reports: &[EntryReport],
+) {
+    let kind = match route {
+        ReportRoute::Direct if topology.is_relayed => DatagramKind::Local,
+        ReportRoute::Direct => DatagramKind::Direct,
+        ReportRoute::BetweenRelays => DatagramKind::BetweenRelays,
+        ReportRoute::Relayed => DatagramKind::Relayed,
+    };
+    let receivers = topology.receivers(route);
+    let bytes = socket.send(kind, reports, receivers).await;
+    let mut state = gateway.state.borrow_mut();
+    let sent = reports.len() * receivers.len();
+    state.relays.record_sent(Instant::now(), route, sent, bytes);
+}
+
+/// Waits until reports may be sent on a route.
+pub(crate) async fn wait_for_budget(gateway: &Gateway, route: ReportRoute) {
+    let wait = gateway
+        .state
+        .borrow()
+        .relays
+        .budget
+        .wait(Instant::now(), route);
+    if !wait.is_zero() {
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Passes on what this entry has queued as a relay on a route, until the process ends.
+pub(crate) async fn send_relayed(
+    gateway: Rc<Gateway>,
+    socket: Rc<ReportSocket>,
+    route: ReportRoute,
+) {
+    let changed: &Notify = match route {
+        ReportRoute::Direct => return,
+        ReportRoute::BetweenRelays => &gateway.departures_changed,
+        ReportRoute::Relayed => &gateway.arrivals_changed,
+    };
     loop {
-        gateway.relay_changed.notified().await;
+        changed.notified().await;
         tokio::time::sleep(RELAY_DELAY).await;
-        let topology = gateway.topology();
-        let (departures, arrivals) = {
-            let relays = &mut gateway.state.borrow_mut().relays;
-            (
-                relays.departures.take_all(Instant::now()),
-                relays.arrivals.take_all(),
-            )
-        };
-        let kind = DatagramKind::BetweenRelays;
-        socket
-            .send(kind, &departures, &topology.foreign_relays)
-            .await;
-        socket
-            .send(DatagramKind::Relayed, &arrivals, &topology.local)
-            .await;
+        loop {
+            wait_for_budget(&gateway, route).await;
+            let topology = gateway.topology();
+            let receivers = topology.receivers(route).len();
+            let batch = {
+                let mut state = gateway.state.borrow_mut();
+                state.relays.take_batch(Instant::now(), route, receivers)
+            };
+            if batch.is_empty() {
+                break;
+            }
+            send_reports_on(&gateway, &socket, route, &topology, &batch).await;
+        }
     }
 }
