Show that an entry without links to servers refuses every request

Cause: such an entry tries its own connections only, and neither it nor its peers direct clients elsewhere.

--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod generation;
 mod intake;
+mod isolation;
 mod keys;
 mod leaving;
 mod limits;
