Serve through peers while no server can be reached

Cause: an entry judged servers one by one and took the loss of its own links for the failure of all servers; neither it nor its peers directed requests or clients elsewhere. Change: an entry detects its isolation from failed connections and probes, reports it, and sends requests through a peer that reaches servers, one hop at most; that peer alone makes all decisions on them. /resolve leaves isolated entries out. If no entry reaches a server, nothing changes. This works because both ways of a client to an isolated entry, addresses that it keeps and new ones, now lead to servers.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod freshness;
 mod intake;
+mod isolation;
 mod issues;
 mod lengths;
 mod limits;
@@ -49,6 +50,9 @@
     is_exact_reader,
 };
 pub use intake::{BodyOutcome, IntakeSettings, IntakeTracker, SentBody};
+pub use isolation::{
+    IsolationChange, IsolationSettings, IsolationTracker, ServingEntry, serving_entries,
+};
 pub use issues::{IssueReport, IssueTable, ServerIssue};
 pub use lengths::LengthEstimate;
 pub use limits::{LimitChange, LimitDigest, LimitReport, LimitSettings, LimitTracker};
--- a/crates/gs-control/src/relay/messages.rs
+++ b/crates/gs-control/src/relay/messages.rs
@@ -51,6 +51,10 @@
     pub ended_outages: u64,
     /// Bytes per second that the link of the entry carries in each direction; 0 if that is not known.
     pub link_rate: u64,
+    /// Whether the entry reaches no server.
+    pub is_isolated: bool,
+    /// Address at which the entry takes requests from entries that reach no server; absent if it takes none.
+    pub forward_address: Option<SocketAddr>,
 }
 
 /// Load of an entry.
@@ -92,6 +96,8 @@
     RegistryVersion,
     u64,
     u64,
+    bool,
+    Option<SocketAddr>,
 );
 
 /// Waiting streams that are on time and late, work at each server, issues, suspicions, limits, origins
@@ -244,6 +250,8 @@
             servers,
             ended_outages,
             link_rate,
+            is_isolated,
+            forward_address,
         ) = fields;
         Self {
             data_centre,
@@ -254,6 +262,8 @@
             servers_version: servers,
             ended_outages,
             link_rate,
+            is_isolated,
+            forward_address,
         }
     }
 }
@@ -269,6 +279,8 @@
             presence.servers_version,
             presence.ended_outages,
             presence.link_rate,
+            presence.is_isolated,
+            presence.forward_address,
         )
     }
 }
--- a/crates/gs-control/src/relay/queue.rs
+++ b/crates/gs-control/src/relay/queue.rs
@@ -5,16 +5,32 @@
 
 use gs_protocol::ids::{EntryName, Incarnation};
 
-use super::messages::{EntryLoad, EntryReport};
+use super::messages::{EntryLoad, EntryPresence, EntryReport};
 use super::pending::PendingReports;
 use crate::forwarding::RegistryVersion;
 
+/// What other data centres must know at once of an entry: whether it is leaving, and whether it reaches no server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Availability {
+    is_leaving: bool,
+    is_isolated: bool,
+}
+
+impl From<&EntryPresence> for Availability {
+    fn from(presence: &EntryPresence) -> Self {
+        Self {
+            is_leaving: presence.is_leaving,
+            is_isolated: presence.is_isolated,
+        }
+    }
+}
+
 /// The newest report of an entry that was passed on.
 #[derive(Clone, Debug)]
 struct ForwardedReport {
     version: (Incarnation, u64),
     load: EntryLoad,
-    is_leaving: bool,
+    availability: Availability,
     presence_at: Option<Instant>,
 }
 
@@ -66,11 +82,11 @@
             let mut forwarded = ForwardedReport {
                 version: report.version(),
                 load: report.load.clone(),
-                is_leaving: known.is_some_and(|known| known.is_leaving),
+                availability: known.map(|known| known.availability).unwrap_or_default(),
                 presence_at: known.and_then(|known| known.presence_at),
             };
             if let Some(presence) = &report.presence {
-                forwarded.is_leaving = presence.is_leaving;
+                forwarded.availability = Availability::from(presence);
                 forwarded.presence_at = Some(now);
                 for (known, new) in self.progress.iter_mut().zip(presence.progress()) {
                     *known = new.max(*known);
@@ -102,7 +118,7 @@
         let mut progress = presence.progress().into_iter().zip(self.progress);
         is_due
             || forwarded.version.0 != report.incarnation
-            || forwarded.is_leaving != presence.is_leaving
+            || forwarded.availability != Availability::from(presence)
             || progress.any(|(new, known)| new > known)
     }
 }
--- a/crates/gs-control/tests/forwarding/main.rs
+++ b/crates/gs-control/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod freshness;
 mod intake;
+mod isolation;
 mod issues;
 mod limits;
 mod loads;
--- a/crates/gs-control/tests/relay/fleet.rs
+++ b/crates/gs-control/tests/relay/fleet.rs
@@ -327,6 +327,8 @@
             servers_version: RegistryVersion::default(),
             ended_outages: 0,
             link_rate: 0,
+            is_isolated: false,
+            forward_address: None,
         }),
         load: EntryLoad {
             waiting: WaitingCounts {
--- a/crates/gs-gateway/src/answer.rs
+++ b/crates/gs-gateway/src/answer.rs
@@ -1,12 +1,17 @@
 //! Answers to clients and their bodies.
 
+use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
+use tokio::time::Sleep;
+
+use crate::connection::ServerConnection;
 
 /// A server's answer ended before it was complete.
 #[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
@@ -24,6 +29,41 @@
     /// Chunks that arrive over time. An error closes the connection, so that the client can tell that the
     /// answer is incomplete.
     Stream(mpsc::UnboundedReceiver<Result<Bytes, IncompleteAnswer>>),
+    /// The body of a peer's answer, as it arrives.
+    Passed(Box<PassedBody>),
+}
+
+/// Body of an answer that another entry gives. It ends as incomplete if the connection fails or its time is over.
+#[derive(Debug)]
+pub struct PassedBody {
+    body: Incoming,
+    time_limit: Pin<Box<Sleep>>,
+    _connection: ServerConnection,
+}
+
+impl PassedBody {
+    /// Wraps a body that must be complete within `limit`.
+    pub(crate) fn new(body: Incoming, connection: ServerConnection, limit: Duration) -> Self {
+        Self {
+            body,
+            time_limit: Box::pin(tokio::time::sleep(limit)),
+            _connection: connection,
+        }
+    }
+
+    fn poll_part(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteAnswer>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
+            return Poll::Ready(frame.map(|frame| frame.map_err(|_| IncompleteAnswer)));
+        }
+        let is_over = self.time_limit.as_mut().poll(context).is_ready();
+        match is_over {
+            true => Poll::Ready(Some(Err(IncompleteAnswer))),
+            false => Poll::Pending,
+        }
+    }
 }
 
 impl AnswerBody {
@@ -49,6 +89,7 @@
             Self::Stream(receiver) => receiver
                 .poll_recv(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Passed(body) => body.poll_part(context),
         }
     }
 
@@ -56,6 +97,7 @@
         match self {
             Self::Complete(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             Self::Stream(_) => false,
+            Self::Passed(passed) => passed.body.is_end_stream(),
         }
     }
 
@@ -65,6 +107,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
             Self::Stream(_) => SizeHint::default(),
+            Self::Passed(passed) => passed.body.size_hint(),
         }
     }
 }
--- a/crates/gs-gateway/src/gateway.rs
+++ b/crates/gs-gateway/src/gateway.rs
@@ -8,10 +8,10 @@
 
 use gs_control::forwarding::{
     AdmissionQueue, AdmissionSettings, CapacityTracker, DeadlineTracker, DirectorySettings,
-    FleetBacklog, IntakeSettings, IntakeTracker, LengthEstimate, LimitSettings, LimitTracker,
-    LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView, QuotaSettings,
-    RecentMaximum, RegistryVersion, RegistryView, RequestSpan, RetryBudget, RouteTable,
-    ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
+    FleetBacklog, IntakeSettings, IntakeTracker, IsolationTracker, LengthEstimate, LimitSettings,
+    LimitTracker, LoadSettings, LoadTracker, OriginSettings, OriginTracker, PlacementView,
+    QuotaSettings, RecentMaximum, RegistryVersion, RegistryView, RequestSpan, RetryBudget,
+    RouteTable, ServerDirectory, ServerStage, ShutdownPhase, ShutdownPlan, StageEstimate, TicketId,
     ViewVersions, decode_wait,
 };
 use gs_control::membership::{MembershipSettings, MembershipState};
@@ -32,9 +32,6 @@
 use crate::scheduling::SchedulingState;
 use crate::wire::ServerWire;
 
-/// Minimum number of endpoints returned to a client, provided that many entries are known.
-const MIN_ENTRY_ENDPOINTS: usize = 3;
-
 /// Fraction of the fleet's retry budget that is spent. The rest is a margin for entries that do not know of each
 /// other yet and therefore take too large a share.
 const BUDGET_FRACTION: f64 = 0.7;
@@ -60,6 +57,8 @@
     pub retry_extra: f64,
     /// Length of the sliding window of the retry budget.
     pub retry_window: Duration,
+    /// Address at which this entry takes requests from entries that reach no server; `None` if it takes none.
+    pub forward_address: Option<SocketAddr>,
     /// Bytes per second that the link of this entry carries in each direction; `None` if that is not known.
     pub link_rate: Option<u64>,
     /// Maximum number of open client connections.
@@ -126,6 +125,7 @@
     pub quotas: QuotaState,
     pub scheduling: SchedulingState,
     pub capacity: CapacityTracker,
+    pub isolation: IsolationTracker,
     pub rng: Pcg64Mcg,
 }
 
@@ -167,6 +167,8 @@
     pub(crate) origins_read: Notify,
     /// Notified when engine capacity may have become free or a stream has joined the admission queue.
     pub(crate) capacity_changed: Notify,
+    /// Notified when a connection to a server has failed, so that no server may be reachable any more.
+    pub(crate) isolation_suspected: Notify,
     stop_requested: Notify,
     stop_requested_at: Cell<Option<Instant>>,
     shutdown_plan: ShutdownPlan,
@@ -208,6 +210,7 @@
             quotas: QuotaState::new(settings.quotas),
             scheduling: SchedulingState::default(),
             capacity: CapacityTracker::default(),
+            isolation: IsolationTracker::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         };
         Self {
@@ -227,6 +230,7 @@
             are_origins_wanted: Cell::new(false),
             origins_read: Notify::new(),
             capacity_changed: Notify::new(),
+            isolation_suspected: Notify::new(),
             stop_requested: Notify::new(),
             stop_requested_at: Cell::new(None),
             active_requests: Cell::new(0),
@@ -318,32 +322,6 @@
         }
     }
 
-    /// Returns the entries that clients of a data centre should use, those of that data centre first. Empty if
-    /// no usable entry is known.
-    pub fn endpoints_for(&self, data_centre: &DataCentreName) -> Vec<EntryEndpoint> {
-        let mut endpoints: Vec<EntryEndpoint> = Vec::new();
-        if self.is_ready() {
-            endpoints.push(EntryEndpoint {
-                address: self.settings.own.address,
-                data_centre: self.settings.own.data_centre.clone(),
-            });
-        }
-        let state = self.state.borrow();
-        for member in state.membership.usable_entries() {
-            endpoints.push(EntryEndpoint {
-                address: member.address,
-                data_centre: member.data_centre,
-            });
-        }
-        endpoints.sort_by_key(|endpoint| endpoint.data_centre != *data_centre);
-        let local_count = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.data_centre == *data_centre)
-            .count();
-        endpoints.truncate(local_count.max(MIN_ENTRY_ENDPOINTS));
-        endpoints
-    }
-
     /// Returns the number of usable entries in the fleet, including this one.
     pub(crate) fn entry_count(&self) -> u32 {
         let state = self.state.borrow();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -19,9 +19,7 @@
 use crate::crashes::ServerRun;
 use crate::gateway::{AdmissionOutcome, Gateway};
 use crate::origins::reserve_taken_up;
-use crate::plain::{
-    CONNECT_TIMEOUT, DEFAULT_RETRY_AFTER, ForwardJob, forwarded_answer, is_not_run_status,
-};
+use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob, forwarded_answer, is_not_run_status};
 use crate::prefill::{MAX_PREFILL_ANSWER_BYTES, UnclaimedResult, ensure_result};
 use crate::reservation::StreamReservation;
 use crate::stream_forwarder::{RunningStream, start_forwarding};
@@ -389,7 +387,7 @@
     server: &ServerName,
 ) -> Option<ServerConnection> {
     let address = gateway.server_address(server)?;
-    match ServerConnection::open(address, CONNECT_TIMEOUT).await {
+    match gateway.open_server(address).await {
         Ok(connection) => Some(connection),
         Err(error) => {
             log::info!(target: "generation", id:% = generation.job.metadata.request_id, decode:% = server, error:%; "cannot connect to the decode engine");
@@ -420,7 +418,7 @@
         true => {
             let address = gateway.server_address(decode_request.server);
             let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
-            ServerConnection::open(address, CONNECT_TIMEOUT).await?
+            gateway.open_server(address).await?
         }
         false => opened,
     };
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
@@ -24,6 +25,7 @@
 
 use crate::answer::{ClientAnswer, local_answer};
 use crate::client_stream::{ClientStream, ReaderProgress};
+use crate::detour::forward_to_peer;
 use crate::gateway::Gateway;
 use crate::generation::forward_generation;
 use crate::plain::{DEFAULT_RETRY_AFTER, ForwardJob, forward_plain};
@@ -36,6 +38,9 @@
 /// Pause after a failed accept, for example because file descriptors ran out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time limit of a request that goes through a peer and whose route is not known here, if it names no deadline.
+const UNKNOWN_ROUTE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Minimum read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -43,8 +48,25 @@
 /// up to some megabytes for each client that does not read.
 const MAX_UNSENT_BYTES: u32 = 65_536;
 
+/// Who has sent a request to this entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RequestSender {
+    Client,
+    /// Another entry, for its client. The request goes through no further entry.
+    Peer,
+}
+
 /// Accepts and serves client connections until the process ends.
 pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
+    accept_connections(gateway, listener, RequestSender::Client).await;
+}
+
+/// Accepts and serves connections of peers that reach no server, until the process ends.
+pub async fn serve_peers(gateway: Rc<Gateway>, listener: TcpListener) {
+    accept_connections(gateway, listener, RequestSender::Peer).await;
+}
+
+async fn accept_connections(gateway: Rc<Gateway>, listener: TcpListener, sender: RequestSender) {
     loop {
         let stream = accept(&listener).await;
         let open = gateway.open_connections.get();
@@ -55,7 +77,7 @@
         let open_connection = OpenConnection::begin(&gateway);
         let gateway = Rc::clone(&gateway);
         actix_rt::spawn(async move {
-            serve_connection(gateway, stream).await;
+            serve_connection(gateway, stream, sender).await;
             drop(open_connection);
         });
     }
@@ -82,7 +104,7 @@
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, sender: RequestSender) {
     let limits = gateway
         .table()
         .map(|table| table.limits)
@@ -90,7 +112,7 @@
     let service_gateway = Rc::clone(&gateway);
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&service_gateway);
-        async move { Ok::<_, Infallible>(serve_request(&gateway, request).await) }
+        async move { Ok::<_, Infallible>(serve_request(&gateway, request, sender).await) }
     });
     let progress = Rc::new(ReaderProgress::default());
     gateway.answer_budget.add_reader(&progress);
@@ -125,12 +147,20 @@
     }
 }
 
-/// Reads, forwards and answers one client request.
-async fn serve_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> ClientAnswer {
+/// Reads, forwards and answers one request.
+async fn serve_request(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    sender: RequestSender,
+) -> ClientAnswer {
     let _active = ActiveRequest::begin(gateway);
-    let mut answer = match read_job(gateway, request).await {
-        Ok(job) => forward(gateway, job).await,
-        Err(answer) => answer,
+    let peers = match sender {
+        RequestSender::Client => gateway.detour(),
+        RequestSender::Peer => Vec::new(),
+    };
+    let mut answer = match peers.is_empty() {
+        true => serve_here(gateway, request).await,
+        false => forward_to_peer(gateway, request, &peers).await,
     };
     if gateway.is_stopping() {
         answer
@@ -140,6 +170,13 @@
     answer
 }
 
+async fn serve_here(gateway: &Rc<Gateway>, request: Request<Incoming>) -> ClientAnswer {
+    match read_job(gateway, request).await {
+        Ok(job) => forward(gateway, job).await,
+        Err(answer) => answer,
+    }
+}
+
 /// Forwards a request by the kind of its route.
 async fn forward(gateway: &Rc<Gateway>, job: ForwardJob) -> ClientAnswer {
     if let Some(refusal) = job.shutdown_refusal(gateway) {
@@ -153,6 +190,16 @@
             RouteKind::Safe | RouteKind::Unsafe => forward_plain(gateway, &job).await,
         }
     };
+    within_time_limit(gateway, &request_id, ends_at, forwarded).await
+}
+
+/// Waits for the answer to a request that may run, at most until its time limit or until this entry exits.
+pub(crate) async fn within_time_limit(
+    gateway: &Gateway,
+    request_id: &str,
+    ends_at: Instant,
+    forwarded: impl Future<Output = ClientAnswer>,
+) -> ClientAnswer {
     tokio::select! {
         biased;
         answer = forwarded => answer,
@@ -225,6 +272,73 @@
     answer
 }
 
+/// Parses the metadata of a request. An error is the answer to an invalid one.
+fn parse_metadata(gateway: &Gateway, head: &Parts) -> Result<RequestMetadata, Box<ClientAnswer>> {
+    gateway.wire.parse_request(head).map_err(|error| {
+        log::info!(target: "request", error:%; "refused: invalid request");
+        Box::new(local_answer(
+            StatusCode::BAD_REQUEST,
+            "not a proper request\n",
+        ))
+    })
+}
+
+/// Reads a body within the time limit of its request.
+async fn read_body_in_time(
+    gateway: &Rc<Gateway>,
+    body: Incoming,
+    limit: usize,
+    request_id: &str,
+    ends_at: Instant,
+) -> Result<(Bytes, KeptBytes), ClientAnswer> {
+    let reading = read_body(gateway, body, limit, request_id);
+    let Ok(read) = tokio::time::timeout_at(ends_at.into(), reading).await else {
+        log::info!(target: "request", id = request_id; "refused: the body did not arrive within the time limit");
+        return Err(not_run_answer(gateway, StatusCode::REQUEST_TIMEOUT));
+    };
+    read
+}
+
+/// A complete request whose route another entry finds.
+pub(crate) struct ReceivedRequest {
+    pub head: Parts,
+    pub metadata: RequestMetadata,
+    pub body: Bytes,
+    pub arrived: Instant,
+    /// When the exchange ends, by the routes in force here.
+    pub ends_at: Instant,
+    _kept_bytes: KeptBytes,
+}
+
+/// Reads a complete request for another entry. An error is the answer to an invalid or refused request.
+pub(crate) async fn receive_request(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<ReceivedRequest, ClientAnswer> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let metadata = parse_metadata(gateway, &head).map_err(|answer| *answer)?;
+    let table = gateway.table();
+    let table = table.ok_or_else(|| not_run_answer(gateway, StatusCode::SERVICE_UNAVAILABLE))?;
+    let rule = table.find(&metadata.host, head.uri.path());
+    let time_limit = match rule {
+        Some(rule) => rule.time_limit(metadata.deadline),
+        None => metadata.deadline.unwrap_or(UNKNOWN_ROUTE_LIMIT),
+    };
+    let ends_at = arrived + time_limit;
+    let limit = table.limits.body_bytes;
+    let (body, kept_bytes) =
+        read_body_in_time(gateway, body, limit, &metadata.request_id, ends_at).await?;
+    Ok(ReceivedRequest {
+        head,
+        metadata,
+        body,
+        arrived,
+        ends_at,
+        _kept_bytes: kept_bytes,
+    })
+}
+
 /// Reads a complete request and finds its route. An error is the answer to an invalid or refused request.
 async fn read_job(
     gateway: &Rc<Gateway>,
@@ -232,10 +346,7 @@
 ) -> Result<ForwardJob, ClientAnswer> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let metadata = gateway.wire.parse_request(&head).map_err(|error| {
-        log::info!(target: "request", error:%; "refused: invalid request");
-        local_answer(StatusCode::BAD_REQUEST, "not a proper request\n")
-    })?;
+    let metadata = parse_metadata(gateway, &head).map_err(|answer| *answer)?;
     let RequestRoute {
         table,
         rule,
@@ -245,13 +356,10 @@
     let quota = gateway
         .take_quota(&caller, &metadata)
         .map_err(|answer| *answer)?;
-    let time_limit = rule.time_limit(metadata.deadline);
-    let reading = read_body(gateway, body, table.limits.body_bytes, &metadata.request_id);
-    let Ok(body) = tokio::time::timeout_at((arrived + time_limit).into(), reading).await else {
-        log::info!(target: "request", id:% = metadata.request_id, limit_ms = time_limit.as_millis() as u64; "refused: the body did not arrive within the time limit");
-        return Err(not_run_answer(gateway, StatusCode::REQUEST_TIMEOUT));
-    };
-    let (body, kept_bytes) = body?;
+    let ends_at = arrived + rule.time_limit(metadata.deadline);
+    let limit = table.limits.body_bytes;
+    let (body, kept_bytes) =
+        read_body_in_time(gateway, body, limit, &metadata.request_id, ends_at).await?;
     let path = head.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
     let contents = request_contents(&metadata, &head.method, path, &body);
--- a/crates/gs-gateway/src/peers.rs
+++ b/crates/gs-gateway/src/peers.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gs_control::forwarding::{CapacityDigest, LimitChange, RegistryVersion, RegistryView};
+use gs_control::forwarding::{
+    CapacityDigest, IssueReport, LimitChange, RegistryVersion, RegistryView,
+};
 use gs_control::membership::{MemberCandidate, MembershipEffect, MembershipEvent};
 use gs_control::relay::{EntryLoad, EntryPresence, EntryReport, ReportRoute};
 use gs_protocol::ids::{EntryName, Incarnation};
@@ -22,7 +24,7 @@
 };
 use crate::error::GatewayError;
 use crate::gateway::{Gateway, GatewayState};
-use crate::relays::{send_relayed, send_reports_on, wait_for_budget};
+use crate::relays::{PeerTraits, send_relayed, send_reports_on, wait_for_budget};
 use crate::traffic::{DATAGRAM_OVERHEAD_BYTES, TrafficCount, TrafficMeter, log_traffic};
 
 /// Base interval between two regular reports; [`REPORT_INTERVAL_PER_PEER`] is added.
@@ -154,6 +156,7 @@
     }
     let mut number = 0;
     let mut last_full: Option<Instant> = None;
+    let mut was_isolated = false;
     loop {
         wait_for_budget(&gateway, ReportRoute::Direct).await;
         number += 1;
@@ -165,8 +168,10 @@
         };
         gateway.set_heartbeat_interval(interval + relay_delay);
         gateway.update_quota_peers(interval + relay_delay);
+        let is_isolated = gateway.is_isolated();
         let is_due = last_full.is_none_or(|last_full| last_full.elapsed() >= interval)
-            || gateway.is_stopping();
+            || gateway.is_stopping()
+            || std::mem::replace(&mut was_isolated, is_isolated) != is_isolated;
         if is_due {
             last_full = Some(Instant::now());
         }
@@ -200,7 +205,11 @@
     let own = &gateway.settings.own;
     let is_leaving = !gateway.is_ready();
     let mut state = gateway.state.borrow_mut();
-    let mut issues = state.loads.own_issues(now);
+    // What an entry without any links finds says nothing of the servers.
+    let mut issues = match state.isolation.is_isolated() {
+        true => IssueReport::new(),
+        false => state.loads.own_issues(now),
+    };
     issues.extend(state.directory.own_issues(now));
     let presence = with_presence.then(|| EntryPresence {
         data_centre: own.data_centre.clone(),
@@ -211,6 +220,8 @@
         servers_version,
         ended_outages: state.registry.ended_outages(),
         link_rate: gateway.settings.link_rate.unwrap_or(0),
+        is_isolated: state.isolation.is_isolated(),
+        forward_address: gateway.settings.forward_address,
     });
     EntryReport {
         entry: own.identity.entry.clone(),
@@ -315,7 +326,8 @@
         self.log_suspicions(&changes, &report.entry.to_string());
         let mut state = self.state.borrow_mut();
         if let Some(presence) = &report.presence {
-            state.relays.record_link(&report.entry, presence.link_rate);
+            let traits = PeerTraits::from(presence);
+            state.relays.record_peer(&report.entry, traits);
         }
         state.origins.apply_digest(now, &origins);
         let tracker = &mut state.quotas.tracker;
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -19,7 +19,7 @@
 
 use crate::answer::{AnswerBody, ClientAnswer, local_answer};
 use crate::capacity::ExchangeTimer;
-use crate::connection::{CallError, ServerConnection};
+use crate::connection::CallError;
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
 use crate::quotas::QuotaGuard;
@@ -357,7 +357,7 @@
     let address = gateway.server_address(server);
     let address = address.ok_or(CallError::ConnectTimeout(Duration::ZERO))?;
     let opening = Instant::now();
-    let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
+    let mut connection = gateway.open_server(address).await?;
     // The process may have been suspended while it connected.
     if gateway.start_refusal(job).is_some() {
         return Err(CallError::NotStarted);
--- a/crates/gs-gateway/src/prefill.rs
+++ b/crates/gs-gateway/src/prefill.rs
@@ -11,7 +11,6 @@
 use crate::crashes::ServerRun;
 use crate::gateway::Gateway;
 use crate::generation::GenerationJob;
-use crate::plain::CONNECT_TIMEOUT;
 use crate::release::release_result;
 use crate::reservation::Reservation;
 use crate::wire::{AnswerClass, ForwardOptions, KvSource, ServerTask};
@@ -171,7 +170,7 @@
     let tokens = u64::from(generation.demand.shape.held_tokens);
     let exchange = async {
         let opening = Instant::now();
-        let mut connection = ServerConnection::open(address, CONNECT_TIMEOUT).await?;
+        let mut connection = gateway.open_server(address).await?;
         if gateway.start_refusal(job).is_some() {
             return Err(CallError::NotStarted);
         }
--- a/crates/gs-gateway/src/relays.rs
+++ b/crates/gs-gateway/src/relays.rs
@@ -1,12 +1,13 @@
 //! Where reports are sent, and what this entry passes on if it is a relay.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use gs_control::relay::{
-    ArrivalQueue, EntryReport, RelayMember, RelayQueue, RelayTopology, ReportBudget, ReportRoute,
-    TopologySettings,
+    ArrivalQueue, EntryPresence, EntryReport, RelayMember, RelayQueue, RelayTopology, ReportBudget,
+    ReportRoute, TopologySettings,
 };
 use gs_protocol::ids::EntryName;
 use tokio::sync::Notify;
@@ -44,8 +45,29 @@
     budget: ReportBudget,
     /// Average size of a report, in bytes.
     mean_report_bytes: f64,
-    /// Bytes per second of the links of other entries.
-    link_rates: BTreeMap<EntryName, u64>,
+    /// What the other entries have said of themselves last.
+    peers: BTreeMap<EntryName, PeerTraits>,
+}
+
+/// What an entry says of itself that membership does not keep.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct PeerTraits {
+    /// Bytes per second that its link carries; 0 if that is not known.
+    pub link_rate: u64,
+    /// Whether it reaches no server.
+    pub is_isolated: bool,
+    /// Where it takes requests from entries that reach no server.
+    pub forward_address: Option<SocketAddr>,
+}
+
+impl From<&EntryPresence> for PeerTraits {
+    fn from(presence: &EntryPresence) -> Self {
+        Self {
+            link_rate: presence.link_rate,
+            is_isolated: presence.is_isolated,
+            forward_address: presence.forward_address,
+        }
+    }
 }
 
 impl Default for RelayState {
@@ -57,17 +79,20 @@
             arrivals: ArrivalQueue::default(),
             budget: ReportBudget::default(),
             mean_report_bytes: INITIAL_REPORT_BYTES,
-            link_rates: BTreeMap::new(),
+            peers: BTreeMap::new(),
         }
     }
 }
 
 impl RelayState {
-    /// Records the bytes per second that the link of another entry carries; 0 if that is not known.
-    pub fn record_link(&mut self, entry: &EntryName, link_rate: u64) {
-        if self.link_rates.get(entry) != Some(&link_rate) {
-            self.link_rates.insert(entry.clone(), link_rate);
-        }
+    /// Records what another entry says of itself.
+    pub fn record_peer(&mut self, entry: &EntryName, traits: PeerTraits) {
+        self.peers.insert(entry.clone(), traits);
+    }
+
+    /// Returns what another entry has said of itself last.
+    pub fn peer(&self, entry: &EntryName) -> PeerTraits {
+        self.peers.get(entry).copied().unwrap_or_default()
     }
 
     /// Removes and returns the reports that may be passed on now to a number of receivers. At least one is returned if
@@ -124,8 +149,8 @@
             .membership
             .relay_members(now, &own.data_centre, max_silence);
         for other in &mut others {
-            let link_rate = state.relays.link_rates.get(&other.name).copied();
-            other.link_rate = link_rate.filter(|rate| *rate > 0);
+            let link_rate = state.relays.peer(&other.name).link_rate;
+            other.link_rate = Some(link_rate).filter(|rate| *rate > 0);
         }
         let own = RelayMember {
             name: own.identity.entry.clone(),
@@ -152,7 +177,7 @@
         relays
             .departures
             .retain(|entry| known.contains(entry) || *entry == own.name);
-        relays.link_rates.retain(|entry, _| known.contains(entry));
+        relays.peers.retain(|entry, _| known.contains(entry));
         state.registry.retain_peers(|entry| known.contains(entry));
         topology
     }
--- a/crates/gs-gateway/src/server_health.rs
+++ b/crates/gs-gateway/src/server_health.rs
@@ -32,7 +32,9 @@
         let mut state = self.state.borrow_mut();
         let backoff = state.loads.record_unreachable(Instant::now(), server);
         log::info!(target: "servers", server:%, hold_ms = backoff.as_millis() as u64; "server unreachable");
+        drop(state);
         self.report_changed.notify_one();
+        self.record_link_failure(server);
     }
 
     /// Records that an engine has no free capacity.
--- a/crates/gs-gateway/src/wire.rs
+++ b/crates/gs-gateway/src/wire.rs
@@ -167,6 +167,10 @@
     /// not passed on where the configuration has workspaces.
     fn server_headers(&self, client: &HeaderMap, options: &ForwardOptions<'_>) -> HeaderMap;
 
+    /// Builds the headers of a client's request that goes through a peer: those that are end to end, also the API key,
+    /// and the time that is left, if the client named a deadline.
+    fn peer_headers(&self, client: &HeaderMap, deadline: Option<Duration>) -> HeaderMap;
+
     /// Classifies the answer to the request with the ID `request_id`, by its head.
     fn classify_answer(&self, head: &http::response::Parts, request_id: &str) -> AnswerClass;
 
--- a/crates/gs-gateway/tests/gateway/isolation.rs
+++ b/crates/gs-gateway/tests/gateway/isolation.rs
@@ -1,12 +1,15 @@
 //! An entry that reaches no server while its peers do.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use gs_control::forwarding::ListedServer;
+use gs_protocol::ids::DataCentreName;
 use test_case::test_case;
 
 use super::support::{
-    Deployment, Route, Script, StubServer, decode_server, events, plain_server, prefill_server,
+    Deployment, RawClient, Route, Script, StubServer, decode_server, events, header, plain_server,
+    prefill_server, request, wait_until,
 };
 
 /// Time within which an entry must serve again.
@@ -19,6 +22,34 @@
     listener.local_addr().expect("an address")
 }
 
+/// Two entries that know each other: the first reaches no server, the second the given ones.
+async fn partitioned_pair(sound: Vec<ListedServer>) -> [Deployment; 2] {
+    let nowhere = refusing_address().await;
+    let cut_off = sound.iter().cloned().map(|server| ListedServer {
+        address: nowhere,
+        ..server
+    });
+    let entries = [
+        Deployment::start_named("cut-off", cut_off.collect()).await,
+        Deployment::start_named("sound", sound).await,
+    ];
+    Deployment::join(&entries).await;
+    wait_until(|| !entries[0].gateway.substitutes().is_empty()).await;
+    entries
+}
+
+/// Sends requests until the entry has found out that it reaches no server.
+async fn isolate(entry: &Deployment) {
+    for number in 0..100 {
+        if entry.gateway.is_isolated() {
+            return;
+        }
+        let id = format!("lost-{number}");
+        entry.send_request(Route::Safe, &id).await;
+    }
+    panic!("the entry still believes that it reaches servers");
+}
+
 #[test_case(Route::Safe; "a safe request")]
 #[test_case(Route::Unsafe; "an unsafe request")]
 #[test_case(Route::Resumable; "a stream")]
@@ -27,22 +58,13 @@
     let desk = StubServer::start(|_, _| Script::complete(200, "", "done")).await;
     let prefill = StubServer::start(|_, _| Script::complete(200, "", "handle h1")).await;
     let decode = StubServer::start(|_, _| events(0..3, true)).await;
-    let nowhere = refusing_address().await;
-    let listed = |desk: SocketAddr, prefill: SocketAddr, decode: SocketAddr| {
-        vec![
-            plain_server("desk-1", desk),
-            prefill_server("prefill-1", prefill),
-            decode_server("decode-1", decode),
-        ]
-    };
-    let cut_off = listed(nowhere, nowhere, nowhere);
-    let sound = listed(desk.address, prefill.address, decode.address);
-    let entries = [
-        Deployment::start_named("cut-off", cut_off).await,
-        Deployment::start_named("sound", sound).await,
-    ];
-    Deployment::join(&entries).await;
-    let started = std::time::Instant::now();
+    let entries = partitioned_pair(vec![
+        plain_server("desk-1", desk.address),
+        prefill_server("prefill-1", prefill.address),
+        decode_server("decode-1", decode.address),
+    ])
+    .await;
+    let started = Instant::now();
     let mut tries = 0;
     let answer = loop {
         tries += 1;
@@ -61,3 +83,99 @@
         }
     }
 }
+
+#[actix_rt::test]
+async fn clients_are_directed_to_entries_that_reach_servers() {
+    let desk = StubServer::start(|_, _| Script::complete(200, "", "done")).await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", desk.address)]).await;
+    let north = DataCentreName::from("north");
+    let addresses = |entry: &Deployment| -> Vec<SocketAddr> {
+        let endpoints = entry.gateway.endpoints_for(&north).into_iter();
+        endpoints.map(|endpoint| endpoint.address).collect()
+    };
+    assert_eq!(addresses(&entries[0]).len(), 2);
+    isolate(&entries[0]).await;
+    wait_until(|| {
+        let sound = vec![entries[1].address];
+        addresses(&entries[0]) == sound && addresses(&entries[1]) == sound
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn entries_that_all_reach_no_server_refuse_requests_at_once() {
+    let nowhere = refusing_address().await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", nowhere)]).await;
+    for entry in &entries {
+        isolate(entry).await;
+    }
+    for number in 0..5 {
+        let id = format!("id-{number}");
+        let answer = entries[0].send_request(Route::Unsafe, &id);
+        let answer = tokio::time::timeout(MAX_RECOVERY, answer).await;
+        assert_eq!(answer.expect("an answer").status(), 503);
+    }
+    let north = DataCentreName::from("north");
+    assert_eq!(entries[0].gateway.endpoints_for(&north).len(), 2);
+}
+
+#[actix_rt::test]
+async fn an_unsafe_request_that_breaks_off_at_a_peer_runs_once() {
+    let desk = StubServer::start(|_, _| Script::Reset(String::new())).await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", desk.address)]).await;
+    isolate(&entries[0]).await;
+    let runs = desk.requests().len();
+    let answer = entries[0].send_request(Route::Unsafe, "once").await;
+    assert_eq!(answer.status(), 502, "{answer:?}");
+    assert_eq!(desk.requests().len(), runs + 1);
+}
+
+#[actix_rt::test]
+async fn a_stream_that_breaks_off_at_a_peer_is_not_complete() {
+    let prefill = StubServer::start(|_, _| Script::complete(200, "", "handle h1")).await;
+    let decode = StubServer::start(|_, _| events(0..2, false)).await;
+    let desk = StubServer::start(|_, _| Script::complete(200, "", "done")).await;
+    let entries = partitioned_pair(vec![
+        plain_server("desk-1", desk.address),
+        prefill_server("prefill-1", prefill.address),
+        decode_server("decode-1", decode.address),
+    ])
+    .await;
+    isolate(&entries[0]).await;
+    let answer = entries[0].send_request(Route::Stream, "broken").await;
+    assert!(answer.0.contains("event 1"), "{answer:?}");
+    assert!(!answer.has_last_chunk(), "{answer:?}");
+}
+
+#[actix_rt::test]
+async fn a_server_stops_when_the_client_of_an_isolated_entry_leaves() {
+    let desk = StubServer::start(|_, _| Script::Hold(String::new())).await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", desk.address)]).await;
+    isolate(&entries[0]).await;
+    let mut client = RawClient::connect(entries[0].address).await;
+    client.send(&request(Route::Unsafe, "leaves", "")).await;
+    wait_until(|| !desk.requests().is_empty()).await;
+    assert!(!entries[1].gateway.is_idle());
+    drop(client);
+    wait_until(|| entries[1].gateway.is_idle() && entries[0].gateway.is_idle()).await;
+}
+
+#[actix_rt::test]
+async fn the_time_that_a_request_has_left_shrinks_on_its_way_through_a_peer() {
+    let desk = StubServer::start(|_, _| Script::complete(200, "", "done")).await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", desk.address)]).await;
+    isolate(&entries[0]).await;
+    let mut client = RawClient::connect(entries[0].address).await;
+    let sent = request(
+        Route::Unsafe,
+        "timed",
+        "t-deadline: 900\r\nconnection: close\r\n",
+    );
+    client.send(&sent).await;
+    let answer = client.read_all().await;
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    let requests = desk.requests();
+    let left = header(requests.last().expect("a request"), "t-left");
+    let left: u64 = left.and_then(|left| left.parse().ok()).expect("a time");
+    assert!(left < 900, "{left}");
+}
--- a/crates/gs-gateway/tests/gateway/support/deployment.rs
+++ b/crates/gs-gateway/tests/gateway/support/deployment.rs
@@ -12,7 +12,7 @@
 use gs_control::membership::{MemberCandidate, MembershipSettings};
 use gs_gateway::{
     Gateway, GatewaySettings, ReportSocket, receive_reports, run_admission, run_currency,
-    send_reports, serve_clients,
+    run_reachability, send_reports, serve_clients, serve_peers,
 };
 use gs_protocol::ids::{EntryIdentity, Incarnation};
 use gs_protocol::peer::PeerIdentity;
@@ -170,10 +170,14 @@
     ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
+        let forward_listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let mut settings = settings(data_centre, name, address);
+        settings.forward_address = forward_listener.local_addr().ok();
         change(&mut settings);
         let gateway = Rc::new(Gateway::new(settings, Box::new(TestWire)));
         actix_rt::spawn(serve_clients(Rc::clone(&gateway), listener));
+        actix_rt::spawn(serve_peers(Rc::clone(&gateway), forward_listener));
+        actix_rt::spawn(run_reachability(Rc::clone(&gateway)));
         actix_rt::spawn(run_admission(Rc::clone(&gateway)));
         Self { gateway, address }
     }
@@ -316,6 +320,7 @@
         retry_extra: 50.0,
         retry_window: Duration::from_secs(10),
         link_rate: None,
+        forward_address: None,
         max_connections: 100,
         max_kept_bytes: 1_000_000,
         max_answer_bytes: 1_000_000,
--- a/crates/gs-gateway/tests/gateway/support/wire.rs
+++ b/crates/gs-gateway/tests/gateway/support/wire.rs
@@ -86,6 +86,18 @@
         headers
     }
 
+    fn peer_headers(&self, client: &HeaderMap, deadline: Option<Duration>) -> HeaderMap {
+        let mut headers = client.clone();
+        for name in ["content-length", "transfer-encoding", "connection"] {
+            headers.remove(name);
+        }
+        if let Some(deadline) = deadline {
+            let value = HeaderValue::from(deadline.as_millis() as u64);
+            headers.insert(HeaderName::from_static("t-deadline"), value);
+        }
+        headers
+    }
+
     fn classify_answer(&self, head: &response::Parts, request_id: &str) -> AnswerClass {
         let id = text(&head.headers, "t-id");
         match head.status.as_u16() {
