--- a/crates/gs-gateway/tests/gateway/main.rs
+++ b/crates/gs-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crashes;
 mod currency;
+mod early_answers;
 mod endless;
 mod generation;
 mod intake;
