Accept no truncated number as a complete answer of a service

Cause: gs-entry takes an answer in chunks as complete if its body is valid JSON, since the client library ends a truncated one without an error. A part of a number is a number. Change: a JSON body without a length must show its own end. Tests of both matters for gs-entry: parts that were reset during an upload of 8 MB, truncated numbers, statuses 000 and 099. Measured: a_truncated_number_is_not_complete failed before for chunks (200 with the body 12); all others of these passed before.

--- a/crates/gs-entry/src/services/client.rs
+++ b/crates/gs-entry/src/services/client.rs
@@ -128,7 +128,7 @@
 }
 
 /// Whether an answer has all its bytes. The client library ends a truncated body without an error,
-/// so a body without `Content-Length` is only accepted if it is valid JSON or its status has no
+/// so a body without `Content-Length` is only accepted if it is JSON that shows its own end or its status has no
 /// body.
 fn is_complete(answer: &ServiceAnswer, length: Option<usize>) -> bool {
     if let Some(length) = length {
@@ -139,7 +139,17 @@
         .as_deref()
         .is_some_and(|content_type| content_type.starts_with(JSON_MEDIA_TYPE));
     let is_bodiless = BODILESS_STATUSES.contains(&answer.status);
-    is_bodiless || is_json && serde_json::from_slice::<&RawValue>(&answer.body).is_ok()
+    is_bodiless || is_json && is_self_delimiting(&answer.body)
+}
+
+/// Whether a body is valid JSON of which no shorter part is valid. A part of a number may be a number.
+fn is_self_delimiting(body: &[u8]) -> bool {
+    let value = serde_json::from_slice::<&RawValue>(body);
+    value.is_ok_and(|value| {
+        !value
+            .get()
+            .starts_with(|first: char| first == '-' || first.is_ascii_digit())
+    })
 }
 
 /// Converts a send error. Only a failure to connect proves that the service did not run the call.
--- a/crates/gs-entry/tests/services.rs
+++ b/crates/gs-entry/tests/services.rs
@@ -17,6 +17,12 @@
 /// Time limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Size of a call that is still being written when its answer begins, in bytes.
+const UPLOAD_BYTES: usize = 8_000_000;
+
+/// Time from the begin of an answer to the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(30);
+
 /// Starts a service that answers one call with the given bytes and closes the connection.
 fn start_service(answer: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -29,7 +35,26 @@
     address
 }
 
+/// Starts a service that begins its answer before it has read the call, and resets the connection.
+fn start_resetting_service(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let _ = stream.read(&mut [0; 64]).expect("read");
+        stream.write_all(answer.as_bytes()).expect("write");
+        std::thread::sleep(RESET_DELAY);
+        let lingering = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        lingering.expect("a linger option");
+    });
+    address
+}
+
 fn call(address: SocketAddr) -> Result<ServiceAnswer, ServiceFailure> {
+    call_with(address, Bytes::from_static(b"{}"))
+}
+
+fn call_with(address: SocketAddr, body: Bytes) -> Result<ServiceAnswer, ServiceFailure> {
     let call = ServiceCall {
         request: RequestId::generate(),
         caller: CallerName::from("clerk"),
@@ -37,7 +62,7 @@
         method: Method::POST,
         path: "/charges".to_owned(),
         content_type: None,
-        body: Bytes::from_static(b"{}"),
+        body,
         key: None,
         idempotent: false,
         deadline: Instant::now() + CALL_TIMEOUT,
@@ -69,6 +94,39 @@
     ));
 }
 
+#[test_case("HTTP/1.1 200 OK\r\n\r\na part of"; "text")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"run\":"; "an object")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n12"; "a number")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n "; "white space")]
+fn a_part_of_an_answer_that_was_reset_during_the_upload_is_not_complete(answer: &'static str) {
+    let body = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    let result = call_with(start_resetting_service(answer), body);
+    assert!(
+        matches!(result, Err(ServiceFailure::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n12"; "until the connection ends")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n2\r\n12\r\n"; "between chunks")]
+fn a_truncated_number_is_not_complete(answer: &'static str) {
+    let result = call(start_service(answer));
+    assert!(
+        matches!(result, Err(ServiceFailure::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
+#[test_case("HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\n{}"; "three zeros")]
+#[test_case("HTTP/1.1 099 X\r\ncontent-length: 2\r\n\r\n{}"; "below the first class")]
+fn an_answer_without_a_valid_status_has_an_unknown_outcome(answer: &'static str) {
+    let result = call(start_service(answer));
+    assert!(
+        matches!(result, Err(ServiceFailure::Unknown { .. })),
+        "{result:?}"
+    );
+}
+
 #[test]
 fn an_unreachable_service_did_not_run_the_call() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
