--- a/crates/gs-gateway/tests/gateway/isolation.rs
+++ b/crates/gs-gateway/tests/gateway/isolation.rs
@@ -8,8 +8,8 @@
 use test_case::test_case;
 
 use super::support::{
-    Deployment, RawClient, Route, Script, StubServer, decode_server, events, header, plain_server,
-    prefill_server, request, wait_until,
+    Deployment, RawClient, Route, Script, StubServer, decode_server, events, header, keyed_table,
+    plain_server, prefill_server, request, wait_until,
 };
 
 /// Time within which an entry must serve again.
@@ -179,3 +179,28 @@
     let left: u64 = left.and_then(|left| left.parse().ok()).expect("a time");
     assert!(left < 900, "{left}");
 }
+
+/// The entry that is cut off has an older configuration, with a key that was removed since.
+#[test_case("key-of-today", 200; "a key that the peer knows")]
+#[test_case("key-of-old", 401; "a key that was removed")]
+#[actix_rt::test]
+async fn the_peer_alone_checks_keys(key: &'static str, status: u16) {
+    let desk = StubServer::start(|_, _| Script::complete(200, "", "done")).await;
+    let entries = partitioned_pair(vec![plain_server("desk-1", desk.address)]).await;
+    isolate(&entries[0]).await;
+    let [cut_off, sound] = &entries;
+    cut_off.gateway.apply_table(keyed_table(2, &["key-of-old"]));
+    sound.gateway.apply_table(keyed_table(3, &["key-of-today"]));
+    let runs = desk.requests().len();
+    let mut client = RawClient::connect(cut_off.address).await;
+    let headers = format!("connection: close\r\nt-key: {key}\r\n");
+    client.send(&request(Route::Safe, "keyed", &headers)).await;
+    let answer = client.read_all().await;
+    assert_eq!(answer.status(), status, "{answer:?}");
+    let requests = desk.requests();
+    assert_eq!(requests.len() - runs, usize::from(status == 200));
+    for sent in &requests[runs..] {
+        assert_eq!(header(sent, "t-workspace").as_deref(), Some("huka"));
+        assert!(!sent.contains(key), "{sent}");
+    }
+}
