--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -166,24 +166,6 @@
         kilobytes.unwrap_or(0) * 1_024
     }
 
-    /// Changes the store's address in the settings file and sends SIGHUP.
-    pub fn reload_with_store(&self, before: SocketAddr, after: SocketAddr) -> std::io::Result<()> {
-        let text = std::fs::read_to_string(&self.settings)?;
-        std::fs::write(
-            &self.settings,
-            text.replace(&before.to_string(), &after.to_string()),
-        )?;
-        self.signal("HUP")
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) -> std::io::Result<()> {
-        Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status()
-            .map(drop)
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
         exchange(self.ready, request, Duration::from_millis(300))
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,7 +8,6 @@
 mod late_crash;
 mod link;
 mod many_clients;
-mod moved_store;
 mod peer_version;
 mod server;
 mod store;
@@ -20,7 +19,6 @@
         Some((verb, rest)) if verb == "engine" => engine::run(rest),
         Some((verb, rest)) if verb == "late-crash" => late_crash::run(rest),
         Some((verb, rest)) if verb == "peer-version" => peer_version::run(rest),
-        Some((verb, rest)) if verb == "moved-store" => moved_store::run(rest),
         Some((verb, rest)) if verb == "many-clients" => many_clients::run(rest),
         Some((verb, rest)) if verb == "crashing-caller" => crashing_caller::run(rest),
         _ => 2,
