--- a/review/standin-2/peer_version.rs
+++ b/review/standin-2/peer_version.rs
@@ -23,17 +23,17 @@
 /// `rollback_slack_ms`.
 const SLACK: Duration = Duration::from_millis(250);
 
-const BOUNDS: &str = "stability_window_ms = 3000\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_extra_retries = 54\n\
+const BOUNDS: &str = "stability_window_ms = 3000\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_extra_retries = 52\n\
 budget_window_s = 10\nttl_max_s = 5\ndrain_ms = 2000\nconfig_apply_ms = 2000\nrollback_slack_ms = 250";
 const LIMITS: &str =
-    "cpu_share = 0.25\ncores = 1\nmemory_mb = 260\nfile_descriptors = 4100\nlink_mbps = 1000.0";
+    "cpu_share = 0.25\ncores = 1\nmemory_mb = 110\nfile_descriptors = 4100\nlink_mbps = 1000.0";
 
 /// The configuration; the route goes to one service, then to another.
 fn configuration(version: u64, service: &str) -> String {
     format!(
         r#"{{"version":{version},"routes":[
-{{"name":"r-check","host":"desk.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"{service}","max_attempts":2,"public":false}}],
-"services":[{{"name":"old-app","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}},{{"name":"new-app","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],
+{{"name":"r-check","host":"desk.example","path_prefix":"/puxa403/","kind":"safe","timeout_ms":600,"target_latency_ms":120,"priority":2,"service":"{service}","max_attempts":2,"public":false}}],
+"services":[{{"name":"old-app","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}},{{"name":"new-app","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
@@ -77,7 +77,7 @@
             }
         })?);
         let specification = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"cheras\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1700000000000}}"
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"duluth\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1700000000000}}"
         );
         store.put("servers", &id, &specification);
         servers.push((id, address));
@@ -96,8 +96,8 @@
         let door = store.door(pairs)?;
         nodes.push(Node::start(
             record,
-            &format!("front-cheras-{number}"),
-            "cheras",
+            &format!("front-duluth-{number}"),
+            "duluth",
             door.address,
             BOUNDS,
             LIMITS,
@@ -128,9 +128,9 @@
         clients.push(std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
                 let id = format!("q{}", count.fetch_add(1, Ordering::Relaxed));
-                let request = format!("GET /puxa403/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Remaining-Ms: 1500\r\n\r\n");
+                let request = format!("GET /puxa403/2f HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Remaining-Ms: 600\r\n\r\n");
                 seen.lock().expect("what was seen").sent.insert(id.clone(), (Instant::now(), entry));
-                let answered = exchange(front, request.as_bytes(), Duration::from_millis(1_600));
+                let answered = exchange(front, request.as_bytes(), Duration::from_millis(700));
                 let text = answered.map_or_else(|error| format!("{:?}", error.kind()), |answer| answer.status().to_string());
                 record.line(&format!("request {id} to entry {entry} answered {text}"));
                 *statuses.lock().expect("the answers").entry(format!("entry {entry}, {text}")).or_default() += 1;
