Log which request clears suspected content

The logs show that the suspicion of its content rises and falls ("suspicion changed ... level=0"), but not whose answer lowers it, so they cannot tell an answer to another tenant's request from an answer to the harmful request itself, or from a level that is not reached because the content was answered before.

Change: "content cleared by an answer" names the content, the request, its workspace and the server.

--- a/crates/gs-control/src/forwarding/workspaces.rs
+++ b/crates/gs-control/src/forwarding/workspaces.rs
@@ -20,6 +20,11 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// Returns the bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Returns the part of the digest that selects a bucket of the index.
     fn bucket(&self) -> [u8; 8] {
         let mut bucket = [0; 8];
--- a/crates/gs-gateway/src/crashes.rs
+++ b/crates/gs-gateway/src/crashes.rs
@@ -29,6 +29,8 @@
     gateway: Rc<Gateway>,
     server: ServerName,
     key: Option<RunKey>,
+    request_id: String,
+    workspace: String,
 }
 
 impl ServerRun {
@@ -42,6 +44,8 @@
             gateway: Rc::clone(gateway),
             server: server.clone(),
             key: Some(key),
+            request_id: job.metadata.request_id.clone(),
+            workspace: job.workspace_name().to_owned(),
         }
     }
 
@@ -56,7 +60,7 @@
             self.key = None;
         }
         drop(state);
-        self.gateway.publish_suspicions(&cleared);
+        self.publish_cleared(&cleared);
     }
 
     /// Records that the server has answered.
@@ -65,10 +69,18 @@
             let mut state = self.gateway.state.borrow_mut();
             let cleared = state.quarantine.complete_run(Instant::now(), key);
             drop(state);
-            self.gateway.publish_suspicions(&cleared);
+            self.publish_cleared(&cleared);
         }
     }
 
+    /// Logs which request has cleared content, and reports it to the peers.
+    fn publish_cleared(&self, cleared: &[SuspicionChange]) {
+        for SuspicionChange { content, .. } in cleared {
+            log::info!(target: "quarantine", content:%, id = self.request_id, workspace = self.workspace, server:% = self.server; "content cleared by an answer");
+        }
+        self.gateway.publish_suspicions(cleared);
+    }
+
     /// Records that the server has rejected the request, or only prepared it.
     pub fn discard(mut self) {
         if let Some(key) = self.key.take() {
