Tell requests of different callers and hosts apart in the quarantine

Cause: a request was identified by method, path and body, without its caller and its host. Other workspaces read the same path, and each of their answers cleared the suspicion of the harmful read.

Ruled out: that crashes go unnoticed (levels rise within 0.2 s). The tolerance for content that was answered before (level 4) takes part, but the level falls to 0 before it matters.

Change: `RequestIdentity` and `RequestContents` in gs_control::quarantine hash host, caller, method, path and body. A workspace is one caller with all its keys; where there is no workspace, the key counts if there is one. Hosts are compared as routes compare them. The hash still begins with method, path and body.

--- a/crates/gs-control/src/forwarding/mod.rs
+++ b/crates/gs-control/src/forwarding/mod.rs
@@ -77,6 +77,7 @@
 pub use ranks::{CallerOrder, RANK_COUNT, RankCounts, RankWaiting};
 pub use recent_maximum::RecentMaximum;
 pub use retries::{AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RetryBudget, next_step};
+pub(crate) use routes::host_name;
 pub use routes::{
     ClientLimits, EngineSpec, RouteKind, RouteRule, RouteTable, RouteTarget, ServiceSpec,
 };
--- a/crates/gs-control/src/forwarding/routes.rs
+++ b/crates/gs-control/src/forwarding/routes.rs
@@ -140,6 +140,12 @@
     }
 }
 
+/// Returns the name of a host by which routes are found: in lower case, without a port.
+pub(crate) fn host_name(host: &str) -> String {
+    let name = host.split(':').next().unwrap_or(host);
+    name.to_ascii_lowercase()
+}
+
 /// The route table: routes and services of one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
@@ -181,8 +187,7 @@
     /// Returns the route with the longest matching path prefix at a host. A port in `host` is
     /// ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        let rules = self.routes.get(&name)?;
+        let rules = self.routes.get(&host_name(host))?;
         rules
             .iter()
             .find(|rule| path.starts_with(&rule.path_prefix))
--- a/crates/gs-control/src/quarantine/content.rs
+++ b/crates/gs-control/src/quarantine/content.rs
@@ -1,10 +1,11 @@
 //! Quarantine of content that crashes the servers that begin to answer it.
 //!
 //! The content of a request is what other requests may share with it: parts of its prompt, and the
-//! request as a whole if it is repeated. When a server crashes, the content of the requests that it
+//! request itself if its caller repeats it. When a server crashes, the content of the requests that it
 //! had not begun to answer is suspected. The level of a suspicion counts crashes in a row: a request
 //! raises the level that was known when it was sent by one, so that several servers that crash at the
-//! same moment count once. Content is ordered from the most shared to the most specific. An answer to any request with the content clears it. From
+//! same moment count once. Content is ordered from the most shared to the most specific. An answer to
+//! any request with the content clears it. From
 //! [`ContentSettings::refusal_level`] on, requests with the content are refused for a period that
 //! grows with the level; then one entry tries a single one. Entries merge what they know by taking
 //! the maximum, so that repeated, reordered and lost reports are harmless.
@@ -17,6 +18,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::contents::RequestContents;
+
 /// Thresholds, periods and bounds of the quarantine of content.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ContentSettings {
@@ -187,25 +190,25 @@
     pub fn decide(
         &self,
         now: Instant,
-        contents: &[ContentHash],
+        contents: &RequestContents,
         peers: impl Fn() -> Vec<EntryName>,
     ) -> ContentDecision {
-        for content in contents {
-            let Some(record) = self.records.get(content) else {
+        for content in contents.by_specificity() {
+            let Some(record) = self.records.get(&content) else {
                 continue;
             };
             let level = record.suspicion.level;
-            if level < self.settings.sound_refusal_level && self.answered.contains(content) {
+            if level < self.settings.sound_refusal_level && self.answered.contains(&content) {
                 continue;
             }
             let Some(period) = self.refusal_period(level) else {
                 continue;
             };
             let age = now.saturating_duration_since(record.changed_at);
-            let is_tried = age >= period && self.tries_again(*content, record, &peers());
+            let is_tried = age >= period && self.tries_again(content, record, &peers());
             if !is_tried {
                 return ContentDecision::Refused {
-                    content: *content,
+                    content,
                     retry_after: period.saturating_sub(age).max(self.settings.probation),
                 };
             }
@@ -239,12 +242,12 @@
     }
 
     /// Records that a request is sent to a server.
-    pub fn start_run(&mut self, contents: &[ContentHash], server: ServerBoot) -> RunKey {
+    pub fn start_run(&mut self, contents: &RequestContents, server: ServerBoot) -> RunKey {
         let key = self.next_run;
         self.next_run += 1;
-        let known = |content: &ContentHash| (*content, self.suspicion(*content));
+        let known = |content| (content, self.suspicion(content));
         let run = ContentRun {
-            contents: contents.iter().map(known).collect(),
+            contents: contents.by_specificity().map(known).collect(),
             server,
             answering_since: None,
             lost_at: None,
--- a/crates/gs-control/src/quarantine/contents.rs
+++ b/crates/gs-control/src/quarantine/contents.rs
@@ -2,7 +2,7 @@
 
 use gs_protocol::suspicion::ContentHash;
 
-use crate::forwarding::{KeyDigest, RequestCaller};
+use crate::forwarding::{KeyDigest, RequestCaller, host_name};
 
 /// Who sent a request, as far as the configuration tells callers apart.
 #[derive(Clone, Copy, Debug)]
@@ -55,10 +55,7 @@
 pub struct RequestContents {
     /// Parts of its prompt that other requests may share, in their order.
     pub shared_parts: Vec<ContentHash>,
-    /// Its method, path and body, which requests of other callers and hosts may share. Earlier builds identify a
-    /// request by it.
-    pub payload: ContentHash,
-    /// The request itself: the same caller sends the same payload to the same host.
+    /// The request itself: the same caller sends the same method, path and body to the same host.
     pub request: ContentHash,
 }
 
@@ -72,14 +69,12 @@
             host,
             caller,
         } = identity;
-        let payload = [method.as_bytes(), path.as_bytes(), body];
+        let payload = ContentHash::new([method.as_bytes(), path.as_bytes(), body]);
         let host = host_name(host);
         let [kind, value] = caller.fields();
-        let origin = [host.as_bytes(), kind, value];
         Self {
             shared_parts,
-            payload: ContentHash::new(payload),
-            request: ContentHash::new(payload.into_iter().chain(origin)),
+            request: payload.extend([host.as_bytes(), kind, value]),
         }
     }
 
@@ -89,9 +84,3 @@
         shared.chain([self.request])
     }
 }
-
-/// Returns the name of a host by which routes are found: in lower case, without a port.
-pub(crate) fn host_name(host: &str) -> String {
-    let name = host.split(':').next().unwrap_or(host);
-    name.to_ascii_lowercase()
-}
--- a/crates/gs-control/src/quarantine/mod.rs
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod attribution;
 mod blames;
 mod content;
+mod contents;
 mod deaths;
 mod liveness;
 mod messages;
@@ -22,6 +23,7 @@
     ContentDecision, ContentQuarantine, ContentSettings, RunKey, Suspicion, SuspicionChange,
     SuspicionDigest,
 };
+pub use contents::{CallerIdentity, RequestContents, RequestIdentity};
 pub use messages::{QuarantineDecision, QuarantineEffect, QuarantineEvent, RunEnd};
 pub use settings::QuarantineSettings;
 pub use state::QuarantineState;
--- a/crates/gs-control/tests/quarantine/content.rs
+++ b/crates/gs-control/tests/quarantine/content.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use gs_control::forwarding::{CostUnit, KeyDigest, RequestCaller, WorkspaceSpec};
 use gs_control::quarantine::{
-    ContentDecision, ContentQuarantine, ContentSettings, RunKey, Suspicion,
+    CallerIdentity, ContentDecision, ContentQuarantine, ContentSettings, RequestContents,
+    RequestIdentity, RunKey, Suspicion,
 };
 use gs_protocol::ids::EntryName;
 use gs_protocol::suspicion::{ContentHash, ServerBoot};
@@ -12,11 +14,20 @@
 const SHARED: ContentHash = ContentHash(1);
 const HARMFUL: ContentHash = ContentHash(2);
 
-/// A request as a whole that no other request equals.
+/// A request that no other request equals.
 fn whole(number: u64) -> ContentHash {
     ContentHash(1_000 + number)
 }
 
+/// Returns the content of a request: the shared parts of its prompt, and last the request itself.
+fn request_contents(contents: &[ContentHash]) -> RequestContents {
+    let (request, shared_parts) = contents.split_last().expect("a request");
+    RequestContents {
+        shared_parts: shared_parts.to_vec(),
+        request: *request,
+    }
+}
+
 fn boot(number: u64) -> ServerBoot {
     ServerBoot {
         server: format!("s{number}").as_str().into(),
@@ -42,7 +53,8 @@
     }
 
     fn start(&mut self, contents: &[ContentHash], server: u64) -> RunKey {
-        self.quarantine.start_run(contents, boot(server))
+        let contents = request_contents(contents);
+        self.quarantine.start_run(&contents, boot(server))
     }
 
     fn crash(&mut self, key: RunKey, server: u64) {
@@ -58,7 +70,8 @@
 
     fn is_refused(&self, contents: &[ContentHash], peers: &[&Self]) -> bool {
         let names = || peers.iter().map(|peer| peer.name.clone()).collect();
-        self.quarantine.decide(self.now, contents, names) != ContentDecision::Allowed
+        let contents = request_contents(contents);
+        self.quarantine.decide(self.now, &contents, names) != ContentDecision::Allowed
     }
 
     fn report_to(&self, peer: &mut Self) {
@@ -290,3 +303,79 @@
     entry.send_and_crash(&[HARMFUL, whole(4)], 4);
     assert!(entry.is_refused(&[HARMFUL, whole(9)], &[]));
 }
+
+/// The caller of a request, as the configuration knows it.
+#[derive(Clone, Copy)]
+enum TestCaller {
+    Unscoped,
+    Public(&'static str),
+    /// A workspace and one of its keys.
+    Workspace(&'static str, &'static str),
+}
+
+/// Hashes a read of `path` at `host`.
+fn read_by(caller: TestCaller, host: &str, path: &str) -> ContentHash {
+    let key = |key: &str| Some(KeyDigest::new(key.as_bytes()));
+    let (caller, key) = match caller {
+        TestCaller::Unscoped => (RequestCaller::Unscoped, None),
+        TestCaller::Public(text) => (RequestCaller::Public, key(text)),
+        TestCaller::Workspace(name, text) => {
+            let workspace = WorkspaceSpec {
+                name: name.to_owned(),
+                rank: None,
+                unit: CostUnit::Requests,
+                quota: None,
+            };
+            (RequestCaller::Workspace(workspace.into()), key(text))
+        }
+    };
+    let identity = RequestIdentity {
+        method: "GET",
+        path,
+        body: b"",
+        host,
+        caller: CallerIdentity::new(&caller, key.as_ref()),
+    };
+    RequestContents::new(&identity, Vec::new()).request
+}
+
+const ACME: TestCaller = TestCaller::Workspace("acme", "first key");
+
+// Guards against a request that crashes servers and is sent on because a different request was answered.
+#[test_case(TestCaller::Workspace("birch", "key"), "desk.example", "/tickets/7"; "of another workspace")]
+#[test_case(TestCaller::Public("first key"), "desk.example", "/tickets/7"; "of a public route")]
+#[test_case(TestCaller::Unscoped, "desk.example", "/tickets/7"; "without a caller")]
+#[test_case(ACME, "shop.example", "/tickets/7"; "to another host")]
+#[test_case(ACME, "desk.example", "/tickets/8"; "to another path")]
+fn a_harmful_request_is_refused_despite_answers_to_one(caller: TestCaller, host: &str, path: &str) {
+    let mut entry = Entry::new("a", Instant::now());
+    let harmful = [read_by(ACME, "desk.example", "/tickets/7")];
+    let sound = [read_by(caller, host, path)];
+    for number in 0..2 {
+        let key = entry.start(&sound, 9);
+        entry.quarantine.complete_run(entry.now, key);
+        entry.send_and_crash(&harmful, number);
+        let key = entry.start(&sound, 9);
+        entry.quarantine.complete_run(entry.now, key);
+    }
+    assert!(entry.is_refused(&harmful, &[]));
+    assert!(!entry.is_refused(&sound, &[]));
+}
+
+// Guards against a request that crashes servers and is not recognized when it comes again.
+#[test_case(ACME, "desk.example"; "the same request")]
+#[test_case(TestCaller::Workspace("acme", "second key"), "desk.example"; "with another key of its workspace")]
+#[test_case(ACME, "Desk.Example:8080"; "with another spelling of the host")]
+fn a_request_is_recognized_by(caller: TestCaller, host: &str) {
+    let path = "/tickets/7";
+    let known = read_by(ACME, "desk.example", path);
+    assert_eq!(read_by(caller, host, path), known);
+}
+
+#[test_case(TestCaller::Public("first key"), TestCaller::Public("second key"); "two keys on a public route")]
+#[test_case(TestCaller::Public("first key"), TestCaller::Unscoped; "a key and none")]
+#[test_case(TestCaller::Workspace("acme", "key"), TestCaller::Workspace("acm", "key"); "names with the same beginning")]
+fn requests_of_different_callers_differ(caller: TestCaller, other: TestCaller) {
+    let read = |caller| read_by(caller, "desk.example", "/tickets/7");
+    assert_ne!(read(caller), read(other));
+}
--- a/crates/gs-control/tests/quarantine/content_fleet.rs
+++ b/crates/gs-control/tests/quarantine/content_fleet.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gs_control::quarantine::{
-    ContentDecision, ContentQuarantine, ContentSettings, RunKey, SuspicionDigest,
+    ContentDecision, ContentQuarantine, ContentSettings, RequestContents, RunKey, SuspicionDigest,
 };
 use gs_protocol::ids::EntryName;
 use gs_protocol::suspicion::{ContentHash, ServerBoot};
@@ -187,7 +187,10 @@
             true => HARMFUL,
             false => ContentHash(10 + self.rng.gen_range(0..COMMON_PARTS)),
         };
-        let contents = [SHARED, part, ContentHash(1_000 + self.requests_sent)];
+        let contents = RequestContents {
+            shared_parts: vec![SHARED, part],
+            request: ContentHash(1_000 + self.requests_sent),
+        };
         let peers = || -> Vec<EntryName> {
             let names = self.names.iter().enumerate();
             let names = names.filter(|(peer, _)| *peer != entry);
--- a/crates/gs-gateway/src/ingress.rs
+++ b/crates/gs-gateway/src/ingress.rs
@@ -10,15 +10,15 @@
 
 use bytes::{Bytes, BytesMut};
 use gs_control::forwarding::{RequestCaller, RouteKind, RouteRule, RouteTable, ShutdownPhase};
+use gs_control::quarantine::{CallerIdentity, RequestContents, RequestIdentity};
 use gs_protocol::ids::ServiceName;
-use gs_protocol::suspicion::ContentHash;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
@@ -362,7 +362,14 @@
         read_body_in_time(gateway, body, limit, &metadata.request_id, ends_at).await?;
     let path = head.uri.path_and_query();
     let path = path.map_or("/", |path| path.as_str());
-    let contents = request_contents(&metadata, &head.method, path, &body);
+    let identity = RequestIdentity {
+        method: head.method.as_str(),
+        path,
+        body: &body,
+        host: &metadata.host,
+        caller: CallerIdentity::new(&caller, metadata.api_key.as_ref()),
+    };
+    let contents = RequestContents::new(&identity, metadata.shared_parts.clone());
     let Ok(path) = path.parse() else {
         return Err(local_answer(StatusCode::BAD_REQUEST, "not a proper path\n"));
     };
@@ -388,18 +395,6 @@
     })
 }
 
-/// Returns the content that a request may share with others, from the most shared to the most specific.
-fn request_contents(
-    metadata: &RequestMetadata,
-    method: &Method,
-    path: &str,
-    body: &[u8],
-) -> Vec<ContentHash> {
-    let whole = ContentHash::new([method.as_str().as_bytes(), path.as_bytes(), body]);
-    let shared = metadata.shared_parts.iter().copied();
-    shared.chain([whole]).collect()
-}
-
 /// Reads a body and counts its bytes before they come in: all of them if its length is known, or else
 /// each part. An error is the answer to a request whose body is too long, cannot be kept or breaks off.
 async fn read_body(
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -10,8 +10,8 @@
     AttemptFailure, AttemptHistory, FinalAnswer, NextStep, RequestCaller, RequestSpan, RouteKind,
     RouteRule, ServerLoad, limit_wait, next_step,
 };
+use gs_control::quarantine::RequestContents;
 use gs_protocol::ids::{ServerName, ServiceName};
-use gs_protocol::suspicion::ContentHash;
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -63,9 +63,8 @@
     pub quota: QuotaGuard,
     pub service: ServiceName,
     pub arrived: Instant,
-    /// Content that other requests may have in common with this one: the shared parts of its prompt, and last
-    /// the whole request.
-    pub contents: Vec<ContentHash>,
+    /// What is suspected if the request crashes a server.
+    pub contents: RequestContents,
     /// Accounts for the buffered body until the job is dropped.
     pub _kept_bytes: KeptBytes,
 }
@@ -73,7 +72,8 @@
 impl ForwardJob {
     /// Returns the content hashes for logs, separated by commas.
     pub fn contents_text(&self) -> String {
-        let contents: Vec<String> = self.contents.iter().map(ToString::to_string).collect();
+        let contents = self.contents.by_specificity();
+        let contents: Vec<String> = contents.map(|content| content.to_string()).collect();
         contents.join(",")
     }
 
--- a/crates/gs-gateway/tests/gateway/crashes.rs
+++ b/crates/gs-gateway/tests/gateway/crashes.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use gs_control::forwarding::{CostUnit, KeyDigest, WorkspaceSpec, WorkspaceTable};
+
 use super::support::{
     Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, header,
     plain_server, prefill_server, request,
@@ -116,3 +118,50 @@
     // Three crashes, and three more requests that reach servers.
     assert!(crashes <= 6, "{crashes} crashes");
 }
+
+/// Two workspaces, each with its name as its key.
+fn two_workspaces() -> WorkspaceTable {
+    let mut table = WorkspaceTable::new();
+    for name in ["acme", "birch"] {
+        let workspace = WorkspaceSpec {
+            name: name.to_owned(),
+            rank: None,
+            unit: CostUnit::Requests,
+            quota: None,
+        };
+        table.insert(workspace, [KeyDigest::new(name.as_bytes())]);
+    }
+    table
+}
+
+// Guards against a harmful request that is sent on and on because another workspace's equal request is answered.
+#[actix_rt::test]
+async fn a_request_that_crashes_servers_is_refused_although_another_workspace_sends_the_same() {
+    let mut servers = Vec::new();
+    let mut listed = Vec::new();
+    for number in 0..3 {
+        let server = StubServer::start(|_, text| match header(text, "t-workspace").as_deref() {
+            Some("acme") => crash(String::new()),
+            _ => Script::complete(200, "", "whole"),
+        })
+        .await;
+        listed.push(plain_server(&format!("s{number}"), server.address));
+        servers.push(server);
+    }
+    let entries = start_entries(&listed).await;
+    for entry in &entries {
+        entry.apply_workspaces(2, Some(two_workspaces()), &[]);
+        let answer = send(entry, Route::Safe, "first", "same", "t-key: birch\r\n").await;
+        assert_eq!(answer.body(), "whole");
+    }
+    for number in 0..HARMFUL_REQUESTS {
+        let entry = &entries[number % entries.len()];
+        let (harmful, sound) = (format!("h{number}"), format!("s{number}"));
+        let answer = send(entry, Route::Safe, &sound, "same", "t-key: birch\r\n").await;
+        assert_eq!(answer.body(), "whole", "sound request {number}");
+        send(entry, Route::Safe, &harmful, "same", "t-key: acme\r\n").await;
+    }
+    let crashes: usize = servers.iter().map(StubServer::crashes).sum();
+    // Three crashes, and three more requests that reach servers.
+    assert!(crashes <= 6, "{crashes} crashes");
+}
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -34,8 +34,13 @@
 impl ContentHash {
     /// Hashes fields in their order.
     pub fn new<'f>(fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
+        Self(0).extend(fields)
+    }
+
+    /// Hashes further fields after those that were hashed before.
+    pub fn extend<'f>(self, fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
         let fields = fields.into_iter();
-        Self(fields.fold(0, |seed, field| xxh3_64_with_seed(field, seed)))
+        Self(fields.fold(self.0, |seed, field| xxh3_64_with_seed(field, seed)))
     }
 }
 
