Exchange suspicions with entries that identify requests by payload

What callers see without it: while entries are replaced one after the other, a harmful request crashes servers anew at each build, since neither knows the other's hash: 8 crashes of a request that was answered before, in a model of two or three entries whose reports arrive at once (6 are allowed: three, and three retries).

A request that is suspected itself is refused by its payload, too; others are not, because an earlier build blames the payload for all callers that share it. The layout of the reports stays. They carry 32 suspicions in place of 16 and remember 8,192 answers in place of 4,096, as a request has two now.

Not solved: an entry of the earlier build goes on sending a harmful request whose payload other callers share.

--- a/crates/gs-control/src/quarantine/content.rs
+++ b/crates/gs-control/src/quarantine/content.rs
@@ -46,7 +46,8 @@
     pub min_answered: usize,
     /// Maximum number of suspicions; the least recently changed are evicted first.
     pub max_suspicions: usize,
-    /// Maximum number of suspicions in a report; those that are refused go first.
+    /// Maximum number of suspicions in a report; those that are refused go first. A request has two: its own and
+    /// that of its payload.
     pub max_reported: usize,
 }
 
@@ -62,9 +63,9 @@
             proof_timeout: Duration::from_secs(10),
             report_period: Duration::from_secs(3),
             retention: Duration::from_secs(60),
-            min_answered: 4_096,
+            min_answered: 8_192,
             max_suspicions: 4_096,
-            max_reported: 16,
+            max_reported: 32,
         }
     }
 }
@@ -125,6 +126,8 @@
 struct ContentRun {
     /// The content, with what was known of it when the request was sent.
     contents: Vec<(ContentHash, Suspicion)>,
+    /// The payload, which is suspected for entries of earlier builds, with what was known of it.
+    payload: (ContentHash, Suspicion),
     server: ServerBoot,
     answering_since: Option<Instant>,
     /// When the server stopped answering without having completed or rejected the request.
@@ -193,17 +196,12 @@
         contents: &RequestContents,
         peers: impl Fn() -> Vec<EntryName>,
     ) -> ContentDecision {
-        for content in contents.by_specificity() {
-            let Some(record) = self.records.get(&content) else {
-                continue;
-            };
-            let level = record.suspicion.level;
-            if level < self.settings.sound_refusal_level && self.answered.contains(&content) {
-                continue;
-            }
-            let Some(period) = self.refusal_period(level) else {
-                continue;
-            };
+        let shared = contents.shared_parts.iter();
+        let shared = shared.filter_map(|part| Some((*part, self.refusing_record(*part)?)));
+        let own = self.refusing_request(contents);
+        for (content, record) in shared.chain(own.map(|record| (contents.request, record))) {
+            let period = self.refusal_period(record.suspicion.level);
+            let period = period.unwrap_or_default();
             let age = now.saturating_duration_since(record.changed_at);
             let is_tried = age >= period && self.tries_again(content, record, &peers());
             if !is_tried {
@@ -216,6 +214,27 @@
         ContentDecision::Allowed
     }
 
+    /// Returns the record of content whose level is high enough to refuse it at this entry.
+    fn refusing_record(&self, content: ContentHash) -> Option<&SuspicionRecord> {
+        let record = self.records.get(&content)?;
+        let min_level = match self.answered.contains(&content) {
+            true => self.settings.sound_refusal_level,
+            false => self.settings.refusal_level,
+        };
+        (record.suspicion.level >= min_level).then_some(record)
+    }
+
+    /// Returns the record by which a request itself is refused. Entries of earlier builds report the payload only,
+    /// which requests of other callers may share: it counts for a request that is suspected itself.
+    fn refusing_request(&self, contents: &RequestContents) -> Option<&SuspicionRecord> {
+        let own = self.refusing_record(contents.request);
+        let is_suspected = self.suspicion(contents.request).level > 0;
+        let payload = self.refusing_record(contents.payload);
+        let payload = payload.filter(|_| is_suspected);
+        let records = own.into_iter().chain(payload);
+        records.max_by_key(|record| record.suspicion.level)
+    }
+
     /// Returns whether this entry may send a request with content whose refusal has ended: it is
     /// the one that tries this content, and has no such request at a server.
     fn tries_again(
@@ -248,6 +267,7 @@
         let known = |content| (content, self.suspicion(content));
         let run = ContentRun {
             contents: contents.by_specificity().map(known).collect(),
+            payload: known(contents.payload),
             server,
             answering_since: None,
             lost_at: None,
@@ -275,7 +295,7 @@
             return Vec::new();
         };
         let mut changes = Vec::new();
-        for (content, _) in run.contents {
+        for (content, _) in run.contents.into_iter().chain([run.payload]) {
             self.answered.insert(content, self.settings.min_answered);
             let mut suspicion = self.suspicion(content);
             if suspicion.level > 0 {
@@ -334,7 +354,7 @@
         let mut changes = Vec::new();
         for run in lost.into_values() {
             if !is_any_suspect || has_suspect(&run) {
-                changes.extend(self.suspect_contents(now, run.contents));
+                changes.extend(self.suspect_contents(now, &run));
             }
         }
         changes
@@ -343,26 +363,33 @@
     /// Raises the level of the content of a lost request. Only the most specific of the most
     /// suspected content can reach the level from which it is refused: sound requests that share
     /// the less specific content are still sent, and either clear it or raise its own level.
-    fn suspect_contents(
-        &mut self,
-        now: Instant,
-        contents: Vec<(ContentHash, Suspicion)>,
-    ) -> Vec<SuspicionChange> {
-        let levels = contents.iter().enumerate();
+    fn suspect_contents(&mut self, now: Instant, run: &ContentRun) -> Vec<SuspicionChange> {
+        let levels = run.contents.iter().enumerate();
         let most_suspected = levels.max_by_key(|(position, (_, known))| (known.level, *position));
         let most_suspected = most_suspected.map(|(position, _)| position);
         let max_shared_level = self.settings.refusal_level.saturating_sub(1);
-        let mut changes = Vec::new();
-        for (position, (content, known)) in contents.into_iter().enumerate() {
+        let raise = |known: Suspicion, is_most_suspected: bool| {
             let raised = known.level.saturating_add(1);
-            let level = match Some(position) == most_suspected {
+            let level = match is_most_suspected {
                 true => raised,
                 false => raised.min(max_shared_level).max(known.level),
             };
-            let suspicion = Suspicion { level, ..known };
-            changes.extend(self.merge(now, content, suspicion));
-        }
-        changes
+            Suspicion { level, ..known }
+        };
+        let contents = run.contents.iter().enumerate();
+        let mut suspected: Vec<(ContentHash, Suspicion)> = contents
+            .map(|(position, (content, known))| {
+                (*content, raise(*known, Some(position) == most_suspected))
+            })
+            .collect();
+        // The request is the last content; its payload rises with it.
+        let is_request_blamed = most_suspected == run.contents.len().checked_sub(1);
+        let (payload, known) = run.payload;
+        suspected.push((payload, raise(known, is_request_blamed)));
+        let suspected = suspected.into_iter();
+        suspected
+            .filter_map(|(content, suspicion)| self.merge(now, content, suspicion))
+            .collect()
     }
 
     fn suspicion(&self, content: ContentHash) -> Suspicion {
--- a/crates/gs-control/src/quarantine/contents.rs
+++ b/crates/gs-control/src/quarantine/contents.rs
@@ -55,6 +55,9 @@
 pub struct RequestContents {
     /// Parts of its prompt that other requests may share, in their order.
     pub shared_parts: Vec<ContentHash>,
+    /// Its method, path and body, which requests of other callers may have, too. Entries of earlier builds identify
+    /// a request by it.
+    pub payload: ContentHash,
     /// The request itself: the same caller sends the same method, path and body to the same host.
     pub request: ContentHash,
 }
@@ -74,11 +77,12 @@
         let [kind, value] = caller.fields();
         Self {
             shared_parts,
+            payload,
             request: payload.extend([host.as_bytes(), kind, value]),
         }
     }
 
-    /// Returns the content that the request is judged by, from the most shared to the most specific.
+    /// Returns the content that is blamed if the request crashes a server, from the most shared to the most specific.
     pub fn by_specificity(&self) -> impl Iterator<Item = ContentHash> {
         let shared = self.shared_parts.iter().copied();
         shared.chain([self.request])
--- a/crates/gs-control/tests/quarantine/content.rs
+++ b/crates/gs-control/tests/quarantine/content.rs
@@ -19,11 +19,17 @@
     ContentHash(1_000 + number)
 }
 
+/// Returns the payload of a request that no other request shares.
+fn payload_of(request: ContentHash) -> ContentHash {
+    ContentHash(request.0 << 32)
+}
+
 /// Returns the content of a request: the shared parts of its prompt, and last the request itself.
 fn request_contents(contents: &[ContentHash]) -> RequestContents {
     let (request, shared_parts) = contents.split_last().expect("a request");
     RequestContents {
         shared_parts: shared_parts.to_vec(),
+        payload: payload_of(*request),
         request: *request,
     }
 }
--- a/crates/gs-control/tests/quarantine/content_fleet.rs
+++ b/crates/gs-control/tests/quarantine/content_fleet.rs
@@ -189,6 +189,7 @@
         };
         let contents = RequestContents {
             shared_parts: vec![SHARED, part],
+            payload: ContentHash((1_000 + self.requests_sent) << 32),
             request: ContentHash(1_000 + self.requests_sent),
         };
         let peers = || -> Vec<EntryName> {
--- a/crates/gs-control/tests/quarantine/main.rs
+++ b/crates/gs-control/tests/quarantine/main.rs
@@ -3,6 +3,7 @@
 
 mod content;
 mod content_fleet;
+mod mixed_builds;
 mod simulation;
 
 use std::time::{Duration, Instant};
--- a/crates/gs-control/tests/relay/main.rs
+++ b/crates/gs-control/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod budget;
 mod fleet;
+mod formats;
 mod queue;
 
 use std::collections::BTreeSet;
