Do not clear suspected content by an error of a server

What callers would see: a request that crashes one server and that a faulty one answers with 500 or 504 crashes servers as often as it comes, and takes the other callers' requests there with it.

Any answer with the server's own status cleared the content, also an error that a faulty server may give before it runs the request.

Change: answers with a 5xx status leave what is known of the content as it is, on the plain path and for streams. Other answers clear it, also 4xx, which the service itself gives.

--- a/crates/gs-gateway/src/crashes.rs
+++ b/crates/gs-gateway/src/crashes.rs
@@ -7,6 +7,7 @@
 use gs_control::quarantine::{ContentDecision, RunKey, SuspicionChange};
 use gs_protocol::ids::{EntryName, ServerName};
 use gs_protocol::suspicion::ServerBoot;
+use hyper::StatusCode;
 
 use crate::connection::{CallError, ServerConnection};
 use crate::gateway::Gateway;
@@ -63,7 +64,16 @@
         self.publish_cleared(&cleared);
     }
 
-    /// Records that the server has answered.
+    /// Records that the server has answered with a status. An error of the server itself does not show that it can
+    /// run the request.
+    pub fn complete_with(self, status: StatusCode) {
+        match status.is_server_error() {
+            true => self.discard(),
+            false => self.complete(),
+        }
+    }
+
+    /// Records that the server has answered with success.
     pub fn complete(mut self) {
         if let Some(key) = self.key.take() {
             let mut state = self.gateway.state.borrow_mut();
--- a/crates/gs-gateway/src/generation.rs
+++ b/crates/gs-gateway/src/generation.rs
@@ -359,7 +359,7 @@
             DecodeOutcome::Failed(AttemptFailure::Unknown, None)
         }
         AnswerClass::ServerFailure => {
-            run.complete();
+            run.complete_with(head.status);
             let answer = read_failure(gateway, job, &head, body).await;
             DecodeOutcome::Failed(AttemptFailure::ServerError, answer)
         }
--- a/crates/gs-gateway/src/plain.rs
+++ b/crates/gs-gateway/src/plain.rs
@@ -322,11 +322,12 @@
     };
     match result {
         Ok((head, body)) => {
+            let status = head.status;
             let outcome = classify_attempt(gateway, job, server, Response::from_parts(head, body));
             match outcome.is_servers_answer() {
                 true => {
                     gateway.record_plain_answer(job, started.elapsed());
-                    run.complete();
+                    run.complete_with(status);
                 }
                 false => run.discard(),
             }
--- a/crates/gs-gateway/tests/gateway/crashes.rs
+++ b/crates/gs-gateway/tests/gateway/crashes.rs
@@ -1,8 +1,11 @@
 //! Requests that crash the servers that begin to answer them.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use gs_control::forwarding::{CostUnit, KeyDigest, WorkspaceSpec, WorkspaceTable};
+use test_case::test_case;
 
 use super::support::{
     Deployment, RawAnswer, RawClient, Route, Script, StubServer, decode_server, header,
@@ -119,6 +122,40 @@
     assert!(crashes <= 6, "{crashes} crashes");
 }
 
+// Guards against a harmful request that is sent on and on because a faulty server answers it with an error.
+#[test_case(500; "an internal error")]
+#[test_case(504; "a time-out")]
+#[actix_rt::test]
+async fn an_error_of_a_server_does_not_clear_a_request_that_crashes_others(status: u16) {
+    let is_harmful = Rc::new(Cell::new(false));
+    let mut servers = Vec::new();
+    let mut listed = Vec::new();
+    for number in 0..2 {
+        let is_harmful = Rc::clone(&is_harmful);
+        let server = StubServer::start(move |_, _| match is_harmful.get() {
+            true if number == 0 => Script::complete(status, "", "failed"),
+            true => crash(String::new()),
+            false => Script::complete(200, "", "whole"),
+        })
+        .await;
+        listed.push(plain_server(&format!("s{number}"), server.address));
+        servers.push(server);
+    }
+    let entries = start_entries(&listed).await;
+    for entry in &entries {
+        let answer = send(entry, Route::Safe, "first", "same", "").await;
+        assert_eq!(answer.body(), "whole");
+    }
+    is_harmful.set(true);
+    for number in 0..HARMFUL_REQUESTS {
+        let entry = &entries[number % entries.len()];
+        send(entry, Route::Safe, &format!("h{number}"), "same", "").await;
+    }
+    let crashes: usize = servers.iter().map(StubServer::crashes).sum();
+    // Three crashes, and three more requests that reach servers.
+    assert!(crashes <= 6, "{crashes} crashes");
+}
+
 /// Two workspaces, each with its name as its key.
 fn two_workspaces() -> WorkspaceTable {
     let mut table = WorkspaceTable::new();
