Identify requests of gs-entry by caller, path and body in the quarantine

What callers saw in the test: while one caller's completion of 100 tokens crashes engines, another caller's completion of the same prompt with 5 tokens is refused as quarantined (422) after its third call, although it crashes nothing.

The fingerprint was a hash of model and prompt, so that different requests of different callers shared their blames and their clearances.

Change: the fingerprint comes from `RequestIdentity`, the same decision as in the gateway: caller, path and body. `PromptFingerprint` is `RequestFingerprint`; frames keep their layout. The stand-in engine has a fault that crashes it from a number of tokens on.

Ruled out: keeping model and prompt for blames and clearing by the exact request, since two deaths would still refuse the sound requests of others. The price: a prompt that crashes engines in any request costs two deaths for each caller and body.

--- a/crates/gs-control/benches/dispatch.rs
+++ b/crates/gs-control/benches/dispatch.rs
@@ -14,7 +14,7 @@
 use gs_protocol::engine::{EngineRole, LoadReport};
 use gs_protocol::ids::{FenceNumber, RequestId};
 use gs_protocol::prefix::PrefixHash;
-use gs_protocol::suspicion::PromptFingerprint;
+use gs_protocol::suspicion::RequestFingerprint;
 use uuid::Uuid;
 
 const FLEETS: [u32; 3] = [10, 75, 600];
@@ -80,7 +80,7 @@
                 .map(prefix_hash)
                 .collect(),
             max_tokens: 100,
-            fingerprint: PromptFingerprint(self.number),
+            fingerprint: RequestFingerprint(self.number),
         }
     }
 
--- a/crates/gs-control/src/dispatch/messages.rs
+++ b/crates/gs-control/src/dispatch/messages.rs
@@ -11,7 +11,7 @@
 };
 use gs_protocol::prefix::PrefixHash;
 use gs_protocol::refusal::RefusalReason;
-use gs_protocol::suspicion::{PromptFingerprint, SuspicionReport};
+use gs_protocol::suspicion::{RequestFingerprint, SuspicionReport};
 
 /// A request and the resources it needs.
 #[derive(Clone, Debug)]
@@ -28,8 +28,8 @@
     pub prefix_hashes: Vec<PrefixHash>,
     /// Maximum number of tokens to generate.
     pub max_tokens: u32,
-    /// Fingerprint under which quarantine tracks crashes caused by this prompt.
-    pub fingerprint: PromptFingerprint,
+    /// Fingerprint under which quarantine tracks crashes caused by this request.
+    pub fingerprint: RequestFingerprint,
 }
 
 /// A load report of a model server with the server's kind and location.
--- a/crates/gs-control/src/dispatch/request_table.rs
+++ b/crates/gs-control/src/dispatch/request_table.rs
@@ -6,7 +6,7 @@
 use gs_document::document::CallerRank;
 use gs_protocol::ids::{AttemptId, ModelName, RequestId};
 use gs_protocol::prefix::PrefixHash;
-use gs_protocol::suspicion::PromptFingerprint;
+use gs_protocol::suspicion::RequestFingerprint;
 
 use super::fair_queue::{CallerId, ChargedSelection, QueueKey, SizeClass};
 use super::placement::PlacementChoice;
@@ -40,7 +40,7 @@
     /// Maximum number of tokens to generate.
     pub max_tokens: u32,
     /// Fingerprint under which quarantine tracks the request.
-    pub fingerprint: PromptFingerprint,
+    pub fingerprint: RequestFingerprint,
     /// Size class of the prompt.
     pub size_class: SizeClass,
     /// First-token target of the caller.
--- a/crates/gs-control/src/dispatch/suspects.rs
+++ b/crates/gs-control/src/dispatch/suspects.rs
@@ -4,7 +4,7 @@
 
 use gs_protocol::ids::{AttemptId, RequestId};
 use gs_protocol::refusal::RefusalReason;
-use gs_protocol::suspicion::{PromptFingerprint, ServerBoot};
+use gs_protocol::suspicion::{RequestFingerprint, ServerBoot};
 
 use super::attempt_end::stage_server;
 use super::messages::{AttemptEnd, DispatchEffect, DispatchEvent, RequestStage};
@@ -78,7 +78,7 @@
     }
 
     /// Whether requests with this fingerprint are refused because they crash servers.
-    pub(super) fn is_quarantined(&self, now: Instant, fingerprint: PromptFingerprint) -> bool {
+    pub(super) fn is_quarantined(&self, now: Instant, fingerprint: RequestFingerprint) -> bool {
         self.quarantine.decide(now, fingerprint) == QuarantineDecision::Refused
     }
 
--- a/crates/gs-control/src/quarantine/attribution.rs
+++ b/crates/gs-control/src/quarantine/attribution.rs
@@ -1,7 +1,7 @@
 //! Selects the fingerprints that are blamed for a server's death.
 
 use gs_protocol::ids::AttemptId;
-use gs_protocol::suspicion::PromptFingerprint;
+use gs_protocol::suspicion::RequestFingerprint;
 
 use super::runs::{AttemptRun, RunPhase};
 
@@ -25,7 +25,7 @@
 pub fn select_blamed(
     candidates: &[DeathCandidate],
     peer_suspects: usize,
-) -> Vec<PromptFingerprint> {
+) -> Vec<RequestFingerprint> {
     let received = candidates
         .iter()
         .filter(|candidate| candidate.run.phase != RunPhase::Pending);
@@ -37,7 +37,7 @@
         true => on_probation.collect(),
         false => received.collect(),
     };
-    let mut suspects: Vec<PromptFingerprint> = blamable
+    let mut suspects: Vec<RequestFingerprint> = blamable
         .iter()
         .filter(|candidate| candidate.is_suspect)
         .map(|candidate| candidate.run.fingerprint)
--- a/crates/gs-control/src/quarantine/blames.rs
+++ b/crates/gs-control/src/quarantine/blames.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::AttemptId;
-use gs_protocol::suspicion::{BlameRecord, BlameState, PromptFingerprint, ServerBoot};
+use gs_protocol::suspicion::{BlameRecord, BlameState, RequestFingerprint, ServerBoot};
 
 use super::settings::QuarantineSettings;
 
@@ -39,7 +39,7 @@
     fn to_record(
         &self,
         attempt: AttemptId,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         state: BlameState,
     ) -> BlameRecord {
         BlameRecord {
@@ -97,10 +97,10 @@
 /// of the next report.
 #[derive(Clone, Debug, Default)]
 pub struct BlameTable {
-    records: BTreeMap<PromptFingerprint, SuspectRecord>,
-    suspected: BTreeSet<PromptFingerprint>,
-    by_age: BTreeSet<(Instant, PromptFingerprint)>,
-    resend_queue: BTreeSet<(Instant, PromptFingerprint)>,
+    records: BTreeMap<RequestFingerprint, SuspectRecord>,
+    suspected: BTreeSet<RequestFingerprint>,
+    by_age: BTreeSet<(Instant, RequestFingerprint)>,
+    resend_queue: BTreeSet<(Instant, RequestFingerprint)>,
 }
 
 impl BlameCount {
@@ -117,12 +117,12 @@
     }
 
     /// Iterates over the fingerprints that are not cleared of every death.
-    pub fn suspected(&self) -> impl Iterator<Item = PromptFingerprint> {
+    pub fn suspected(&self) -> impl Iterator<Item = RequestFingerprint> {
         self.suspected.iter().copied()
     }
 
     /// Iterates over the fingerprints that peers blame for a death.
-    pub fn blamed_by_peers(&self, death: &ServerBoot) -> impl Iterator<Item = PromptFingerprint> {
+    pub fn blamed_by_peers(&self, death: &ServerBoot) -> impl Iterator<Item = RequestFingerprint> {
         let is_blamed = move |blame: &Blame| {
             blame.origin == BlameOrigin::Peer
                 && blame.state != BlameState::Cleared
@@ -139,7 +139,7 @@
     pub fn count(
         &self,
         now: Instant,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         excluded_death: Option<&ServerBoot>,
         settings: &QuarantineSettings,
     ) -> BlameCount {
@@ -166,7 +166,7 @@
     }
 
     /// Returns the state of an attempt's blame.
-    pub fn state(&self, fingerprint: PromptFingerprint, attempt: AttemptId) -> Option<BlameState> {
+    pub fn state(&self, fingerprint: RequestFingerprint, attempt: AttemptId) -> Option<BlameState> {
         let record = self.records.get(&fingerprint)?;
         record.blames.get(&attempt).map(|blame| blame.state)
     }
@@ -224,7 +224,7 @@
     pub fn clear(
         &mut self,
         now: Instant,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         settings: &QuarantineSettings,
     ) {
         self.clear_where(now, fingerprint, |_| true, settings);
@@ -240,7 +240,7 @@
     fn clear_where(
         &mut self,
         now: Instant,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         matches: impl Fn(&Blame) -> bool,
         settings: &QuarantineSettings,
     ) {
--- a/crates/gs-control/src/quarantine/messages.rs
+++ b/crates/gs-control/src/quarantine/messages.rs
@@ -1,7 +1,7 @@
 //! Events and effects of the quarantine.
 
 use gs_protocol::ids::{AttemptId, EntryIdentity, ServerName};
-use gs_protocol::suspicion::{PromptFingerprint, ServerBoot, SuspicionReport};
+use gs_protocol::suspicion::{RequestFingerprint, ServerBoot, SuspicionReport};
 
 /// How an attempt ended, as far as it matters for blame.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,7 +24,7 @@
     /// Servers without another suspect were chosen for a suspect and are now reserved for it.
     ServersReserved {
         /// The suspect that is going to run.
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         /// The servers to reserve.
         servers: Vec<ServerName>,
     },
@@ -33,7 +33,7 @@
         /// The new attempt.
         attempt: AttemptId,
         /// The fingerprint of its request.
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         /// The prefill server; none if a stream is resumed.
         prefill: Option<ServerName>,
         /// The decode server.
@@ -74,7 +74,7 @@
     /// A fingerprint was blamed for a proven death.
     Blamed {
         /// The blamed fingerprint.
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         /// The server boot that died.
         death: ServerBoot,
     },
--- a/crates/gs-control/src/quarantine/mod.rs
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -1,6 +1,6 @@
 //! Quarantine of requests that crash the backend servers that run them.
 //!
-//! A request is identified by its prompt fingerprint. When a server dies, requests that it was
+//! A request is identified by its fingerprint. When a server dies, requests that it was
 //! processing are blamed for the death. A fingerprint with one blamed death is a suspect: it runs on
 //! servers without another suspect until a completed answer or `QuarantineSettings::probation` of
 //! streaming clears it. A fingerprint with two proven deaths is refused. Entries merge their blames
--- a/crates/gs-control/src/quarantine/peers.rs
+++ b/crates/gs-control/src/quarantine/peers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{EntryIdentity, EntryName, Incarnation, ServerName};
-use gs_protocol::suspicion::{PendingRun, PromptFingerprint, SuspectRun, SuspicionReport};
+use gs_protocol::suspicion::{PendingRun, RequestFingerprint, SuspectRun, SuspicionReport};
 
 /// The last report of one peer.
 #[derive(Clone, Debug)]
@@ -54,7 +54,7 @@
     }
 
     /// Returns whether a peer runs a fingerprint or has reserved servers for it.
-    pub fn has_run(&self, fingerprint: PromptFingerprint) -> bool {
+    pub fn has_run(&self, fingerprint: RequestFingerprint) -> bool {
         self.running().any(|run| run.fingerprint == fingerprint)
     }
 
@@ -64,7 +64,7 @@
     }
 
     /// Iterates over the suspects that peers have started on a server.
-    pub fn started(&self, server: &ServerName) -> impl Iterator<Item = PromptFingerprint> {
+    pub fn started(&self, server: &ServerName) -> impl Iterator<Item = RequestFingerprint> {
         let started = self.running().filter(|run| run.has_started);
         let started = started.filter(move |run| run.server == *server);
         started.map(|run| run.fingerprint)
--- a/crates/gs-control/src/quarantine/reservations.rs
+++ b/crates/gs-control/src/quarantine/reservations.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use gs_protocol::ids::{EntryName, ServerName};
-use gs_protocol::suspicion::{PromptFingerprint, SuspectRun};
+use gs_protocol::suspicion::{RequestFingerprint, SuspectRun};
 
 use super::settings::QuarantineSettings;
 
@@ -22,12 +22,12 @@
 /// The reservations of this entry, by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct ReservationTable {
-    reservations: BTreeMap<PromptFingerprint, Reservation>,
+    reservations: BTreeMap<RequestFingerprint, Reservation>,
 }
 
 impl ReservationTable {
     /// Reserves servers for a fingerprint, and replaces its earlier reservation.
-    pub fn add(&mut self, now: Instant, fingerprint: PromptFingerprint, servers: Vec<ServerName>) {
+    pub fn add(&mut self, now: Instant, fingerprint: RequestFingerprint, servers: Vec<ServerName>) {
         let reservation = Reservation {
             servers,
             held_since: now,
@@ -36,19 +36,19 @@
     }
 
     /// Returns when the hold of a fingerprint's reservation started.
-    pub fn held_since(&self, fingerprint: PromptFingerprint) -> Option<Instant> {
+    pub fn held_since(&self, fingerprint: RequestFingerprint) -> Option<Instant> {
         let reservation = self.reservations.get(&fingerprint)?;
         Some(reservation.held_since)
     }
 
     /// Returns the pending runs of a fingerprint, one for each reserved server.
-    pub fn pending_runs(&self, fingerprint: PromptFingerprint) -> Vec<SuspectRun> {
+    pub fn pending_runs(&self, fingerprint: RequestFingerprint) -> Vec<SuspectRun> {
         let all = self.iter();
         all.filter(|run| run.fingerprint == fingerprint).collect()
     }
 
     /// Iterates over the fingerprints that have a reservation.
-    pub fn fingerprints(&self) -> impl Iterator<Item = PromptFingerprint> {
+    pub fn fingerprints(&self) -> impl Iterator<Item = RequestFingerprint> {
         self.reservations.keys().copied()
     }
 
@@ -60,7 +60,7 @@
     }
 
     /// Removes the reservation of a fingerprint.
-    pub fn remove(&mut self, fingerprint: PromptFingerprint) {
+    pub fn remove(&mut self, fingerprint: RequestFingerprint) {
         self.reservations.remove(&fingerprint);
     }
 
--- a/crates/gs-control/src/quarantine/runs.rs
+++ b/crates/gs-control/src/quarantine/runs.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gs_protocol::ids::{AttemptId, ServerName};
-use gs_protocol::suspicion::{PromptFingerprint, ServerBoot};
+use gs_protocol::suspicion::{RequestFingerprint, ServerBoot};
 
 /// The progress of an attempt on one server.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -21,7 +21,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptRun {
     /// The fingerprint of the request.
-    pub fingerprint: PromptFingerprint,
+    pub fingerprint: RequestFingerprint,
     /// The number of the server's boot that runs it; 0 if the server had not sent a load report.
     pub boot: u64,
     /// The progress on the server.
@@ -54,7 +54,7 @@
 /// The servers of an attempt that has not ended.
 #[derive(Clone, Debug)]
 struct AttemptServers {
-    fingerprint: PromptFingerprint,
+    fingerprint: RequestFingerprint,
     prefill: Option<ServerName>,
     decode: ServerName,
 }
@@ -65,7 +65,7 @@
     attempts: BTreeMap<AttemptId, AttemptServers>,
     runs_by_server: BTreeMap<ServerName, BTreeMap<AttemptId, AttemptRun>>,
     /// Number of runs of each fingerprint on all servers.
-    run_counts: BTreeMap<PromptFingerprint, usize>,
+    run_counts: BTreeMap<RequestFingerprint, usize>,
 }
 
 impl RunTable {
@@ -73,7 +73,7 @@
     pub fn add(
         &mut self,
         attempt: AttemptId,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         prefill: Option<(ServerName, u64)>,
         decode: (ServerName, u64),
     ) {
@@ -101,7 +101,7 @@
     }
 
     /// Returns the fingerprint of a running attempt's request.
-    pub fn fingerprint(&self, attempt: AttemptId) -> Option<PromptFingerprint> {
+    pub fn fingerprint(&self, attempt: AttemptId) -> Option<RequestFingerprint> {
         self.attempts
             .get(&attempt)
             .map(|assigned| assigned.fingerprint)
@@ -178,7 +178,7 @@
     }
 
     /// Returns whether a fingerprint has a run on any server, current or ended.
-    pub fn contains(&self, fingerprint: PromptFingerprint) -> bool {
+    pub fn contains(&self, fingerprint: RequestFingerprint) -> bool {
         self.run_counts.contains_key(&fingerprint)
     }
 
@@ -293,8 +293,8 @@
 }
 
 fn decrement_count(
-    counts: &mut BTreeMap<PromptFingerprint, usize>,
-    fingerprint: PromptFingerprint,
+    counts: &mut BTreeMap<RequestFingerprint, usize>,
+    fingerprint: RequestFingerprint,
 ) {
     let Some(count) = counts.get_mut(&fingerprint) else {
         return;
--- a/crates/gs-control/src/quarantine/state.rs
+++ b/crates/gs-control/src/quarantine/state.rs
@@ -5,7 +5,7 @@
 
 use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, ServerName};
 use gs_protocol::suspicion::{
-    BlameRecord, BlameState, PromptFingerprint, ServerBoot, SuspectRun, SuspicionReport,
+    BlameRecord, BlameState, RequestFingerprint, ServerBoot, SuspectRun, SuspicionReport,
 };
 
 use super::attribution::select_blamed;
@@ -123,7 +123,7 @@
     }
 
     /// Decides where requests with a fingerprint may run.
-    pub fn decide(&self, now: Instant, fingerprint: PromptFingerprint) -> QuarantineDecision {
+    pub fn decide(&self, now: Instant, fingerprint: RequestFingerprint) -> QuarantineDecision {
         let count = self.blames.count(now, fingerprint, None, &self.settings);
         if count.proven >= self.settings.refusal_threshold {
             return QuarantineDecision::Refused;
@@ -149,7 +149,7 @@
     }
 
     /// Returns whether all peers have acknowledged the reservation of a fingerprint.
-    fn is_acknowledged(&self, fingerprint: PromptFingerprint) -> bool {
+    fn is_acknowledged(&self, fingerprint: RequestFingerprint) -> bool {
         let pending = self.reservations.pending_runs(fingerprint);
         self.peers.count_acknowledged(&pending) >= self.peer_count
     }
@@ -195,7 +195,7 @@
     fn record_start(
         &mut self,
         attempt: AttemptId,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         prefill: Option<ServerName>,
         decode: ServerName,
     ) {
@@ -258,7 +258,7 @@
     }
 
     /// Clears a fingerprint that ran without a crash, unless it is already refused.
-    fn clear(&mut self, now: Instant, fingerprint: PromptFingerprint) {
+    fn clear(&mut self, now: Instant, fingerprint: RequestFingerprint) {
         let count = self.blames.count(now, fingerprint, None, &self.settings);
         if count.proven < self.settings.refusal_threshold {
             self.blames.clear(now, fingerprint, &self.settings);
@@ -352,7 +352,7 @@
         &mut self,
         now: Instant,
         attempt: AttemptId,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         death: &ServerBoot,
         state: BlameState,
     ) -> bool {
@@ -369,7 +369,7 @@
     pub(super) fn is_suspect(
         &self,
         now: Instant,
-        fingerprint: PromptFingerprint,
+        fingerprint: RequestFingerprint,
         excluded_death: Option<&ServerBoot>,
     ) -> bool {
         let count = self
@@ -380,7 +380,7 @@
 
     /// Returns whether a run of this entry with the fingerprint may still crash its server, or a
     /// peer runs the fingerprint or has reserved servers for it.
-    fn is_running(&self, fingerprint: PromptFingerprint) -> bool {
+    fn is_running(&self, fingerprint: RequestFingerprint) -> bool {
         let own_runs = self.runs.iter();
         let mut own_runs = own_runs.filter(|(_, run)| run.fingerprint == fingerprint);
         let has_own_run = self.runs.contains(fingerprint);
--- a/crates/gs-control/tests/dispatch/fixture.rs
+++ b/crates/gs-control/tests/dispatch/fixture.rs
@@ -15,7 +15,7 @@
 use gs_protocol::ids::{AttemptId, FenceNumber, RequestId, ServerName};
 use gs_protocol::prefix::PrefixHash;
 use gs_protocol::refusal::RefusalReason;
-use gs_protocol::suspicion::PromptFingerprint;
+use gs_protocol::suspicion::RequestFingerprint;
 use uuid::Uuid;
 
 pub const MODEL: &str = "care-notes";
@@ -110,7 +110,7 @@
             .map(|block| PrefixHash(number << 32 | block))
             .collect(),
         max_tokens: 20,
-        fingerprint: PromptFingerprint(number),
+        fingerprint: RequestFingerprint(number),
     }
 }
 
--- a/crates/gs-control/tests/quarantine/main.rs
+++ b/crates/gs-control/tests/quarantine/main.rs
@@ -14,7 +14,7 @@
 };
 use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, Incarnation, ServerName};
 use gs_protocol::suspicion::{
-    BlameRecord, BlameState, PromptFingerprint, ServerBoot, SuspectRun, SuspicionReport,
+    BlameRecord, BlameState, RequestFingerprint, ServerBoot, SuspectRun, SuspicionReport,
 };
 use proptest::prelude::any;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -121,7 +121,7 @@
     }
 
     /// Starts an attempt with a fingerprint on a server.
-    fn start(&mut self, fingerprint: PromptFingerprint, number: u64) -> AttemptId {
+    fn start(&mut self, fingerprint: RequestFingerprint, number: u64) -> AttemptId {
         self.attempts += 1;
         let attempt = AttemptId(Uuid::from_u64_pair(0, self.attempts));
         self.send(QuarantineEvent::AttemptStarted {
@@ -134,7 +134,7 @@
     }
 
     /// Starts an attempt on a server and loses its connection.
-    fn lose_connection(&mut self, fingerprint: PromptFingerprint, number: u64) {
+    fn lose_connection(&mut self, fingerprint: RequestFingerprint, number: u64) {
         let attempt = self.start(fingerprint, number);
         let end = RunEnd::ConnectionLost(server(number));
         self.send(QuarantineEvent::AttemptEnded { attempt, end });
@@ -156,7 +156,7 @@
         self.send(QuarantineEvent::PeerReported { peer, report });
     }
 
-    fn decide(&self, fingerprint: PromptFingerprint) -> QuarantineDecision {
+    fn decide(&self, fingerprint: RequestFingerprint) -> QuarantineDecision {
         self.state.decide(self.now, fingerprint)
     }
 }
@@ -164,7 +164,7 @@
 #[test]
 fn only_the_known_suspect_is_blamed() {
     let mut harness = QuarantineHarness::new(QuarantineSettings::default());
-    let [suspect, harmless] = [PromptFingerprint(1), PromptFingerprint(2)];
+    let [suspect, harmless] = [RequestFingerprint(1), RequestFingerprint(2)];
     harness.report_load(1, 1);
     harness.report_load(2, 1);
     harness.lose_connection(suspect, 1);
@@ -181,7 +181,7 @@
 #[test]
 fn a_suspect_of_a_peer_is_blamed_alone_after_its_run_has_ended() {
     let mut harness = QuarantineHarness::new(QuarantineSettings::default());
-    let [suspect, harmless] = [PromptFingerprint(1), PromptFingerprint(2)];
+    let [suspect, harmless] = [RequestFingerprint(1), RequestFingerprint(2)];
     harness.report_load(1, 1);
     harness.report_load(2, 1);
     let attempt = harness.start(harmless, 2);
@@ -212,7 +212,7 @@
 #[test]
 fn runs_on_a_new_boot_are_not_blamed_for_the_death_of_the_old_boot() {
     let mut harness = QuarantineHarness::new(QuarantineSettings::default());
-    let [crashing, harmless] = [PromptFingerprint(1), PromptFingerprint(2)];
+    let [crashing, harmless] = [RequestFingerprint(1), RequestFingerprint(2)];
     harness.report_load(1, 1);
     harness.lose_connection(crashing, 1);
     harness.start(harmless, 1);
@@ -224,7 +224,7 @@
 #[test]
 fn a_cut_connection_to_a_live_server_clears_the_blame() {
     let mut harness = QuarantineHarness::new(QuarantineSettings::default());
-    let fingerprint = PromptFingerprint(1);
+    let fingerprint = RequestFingerprint(1);
     harness.report_load(1, 1);
     harness.lose_connection(fingerprint, 1);
     assert_ne!(
@@ -256,15 +256,15 @@
     let mut harness = QuarantineHarness::new(settings);
     for number in 0..20 * MAX_FINGERPRINTS as u64 {
         harness.report_load(number % 10, number);
-        harness.lose_connection(PromptFingerprint(number), number % 10);
+        harness.lose_connection(RequestFingerprint(number), number % 10);
         harness.send(QuarantineEvent::ServerDown(server(number % 10)));
         harness.advance(Duration::from_millis(1));
         assert!(harness.state.count_fingerprints() <= MAX_FINGERPRINTS);
     }
-    let last = PromptFingerprint(20 * MAX_FINGERPRINTS as u64 - 1);
+    let last = RequestFingerprint(20 * MAX_FINGERPRINTS as u64 - 1);
     assert_eq!(harness.decide(last), QuarantineDecision::Isolated);
     assert_eq!(
-        harness.decide(PromptFingerprint(0)),
+        harness.decide(RequestFingerprint(0)),
         QuarantineDecision::Unrestricted
     );
     harness.advance(retention);
--- a/crates/gs-control/tests/quarantine/simulation.rs
+++ b/crates/gs-control/tests/quarantine/simulation.rs
@@ -8,7 +8,7 @@
     RunEnd,
 };
 use gs_protocol::ids::{AttemptId, EntryIdentity, EntryName, Incarnation, ServerName};
-use gs_protocol::suspicion::{PromptFingerprint, ServerBoot, SuspicionReport};
+use gs_protocol::suspicion::{RequestFingerprint, ServerBoot, SuspicionReport};
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -17,7 +17,7 @@
 const ENTRY_COUNT: usize = 3;
 const PREFILL_COUNT: usize = 2;
 const SERVER_COUNT: usize = 6;
-const CRASHING: PromptFingerprint = PromptFingerprint(0);
+const CRASHING: RequestFingerprint = RequestFingerprint(0);
 const HARMLESS_REQUESTS: u64 = 60;
 const CRASH_TRIES: usize = 6;
 const STEP_TIME: Duration = Duration::from_millis(5);
@@ -60,7 +60,7 @@
 
 struct SimulatedRun {
     entry: usize,
-    fingerprint: PromptFingerprint,
+    fingerprint: RequestFingerprint,
     stage: RunStage,
     prefill: usize,
     decode: usize,
@@ -69,7 +69,7 @@
 
 struct WaitingRequest {
     entry: usize,
-    fingerprint: PromptFingerprint,
+    fingerprint: RequestFingerprint,
     reserved_servers: Option<(usize, usize)>,
 }
 
@@ -91,7 +91,7 @@
     entry: usize,
     event: QuarantineEvent,
     /// The fingerprint of the request that is retried after the delivery.
-    retry: Option<PromptFingerprint>,
+    retry: Option<RequestFingerprint>,
 }
 
 /// The entries, the servers, and a caller that retries the crashing request.
@@ -183,7 +183,7 @@
             if self.random.gen_bool(0.1) {
                 let entry = self.random.gen_range(0..ENTRY_COUNT);
                 if let Some(number) = harmless.next() {
-                    self.enqueue(entry, PromptFingerprint(number));
+                    self.enqueue(entry, RequestFingerprint(number));
                 }
             }
             self.send_crashing();
@@ -206,11 +206,11 @@
         self.start + STEP_TIME * u32::try_from(self.step).expect("simulations are short")
     }
 
-    fn decide(&self, entry: usize, fingerprint: PromptFingerprint) -> QuarantineDecision {
+    fn decide(&self, entry: usize, fingerprint: RequestFingerprint) -> QuarantineDecision {
         self.entries[entry].state.decide(self.now(), fingerprint)
     }
 
-    fn enqueue(&mut self, entry: usize, fingerprint: PromptFingerprint) {
+    fn enqueue(&mut self, entry: usize, fingerprint: RequestFingerprint) {
         let reserved_servers = None;
         self.waiting.push(WaitingRequest {
             entry,
--- a/crates/gs-entry/src/completion/answer.rs
+++ b/crates/gs-entry/src/completion/answer.rs
@@ -7,7 +7,6 @@
 use gs_protocol::ids::AttemptId;
 use gs_protocol::prefix::hash_prefixes;
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
-use gs_protocol::suspicion::PromptFingerprint;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::sleep_until;
 
@@ -56,7 +55,7 @@
             prompt_tokens: params.prompt_tokens,
             prefix_hashes: hash_prefixes(&params.prompt),
             max_tokens: params.max_tokens,
-            fingerprint: PromptFingerprint::new(&params.model, &params.prompt),
+            fingerprint: params.fingerprint,
         };
         state.control.do_send(ControlMessage::RequestArrived {
             demand,
--- a/crates/gs-entry/src/completion/mod.rs
+++ b/crates/gs-entry/src/completion/mod.rs
@@ -7,3 +7,4 @@
 mod params;
 
 pub use handler::{complete_chat, complete_text};
+pub use params::CompletionKind;
--- a/crates/gs-entry/src/completion/params.rs
+++ b/crates/gs-entry/src/completion/params.rs
@@ -1,10 +1,12 @@
 //! Parameters of a completion, common to both request formats.
 
+use gs_control::quarantine::{CallerIdentity, RequestContents, RequestIdentity};
 use gs_document::document::ModelEntry;
 use gs_protocol::caller::{ChatRequest, CompletionRequest, DEFAULT_MAX_TOKENS};
-use gs_protocol::ids::ModelName;
+use gs_protocol::ids::{CallerName, ModelName};
 use gs_protocol::prefix::{count_tokens, derive_seed};
 use gs_protocol::refusal::RefusalReason;
+use gs_protocol::suspicion::RequestFingerprint;
 
 use crate::traffic::{CallerRefusal, RequestContext};
 
@@ -34,6 +36,31 @@
     pub seed: u64,
     /// Whether to stream the answer as server-sent events.
     pub stream: bool,
+    /// Identifies the request when its caller repeats it.
+    pub fingerprint: RequestFingerprint,
+}
+
+impl CompletionKind {
+    /// Path of the API.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+
+    /// Identifies a request to this API.
+    fn fingerprint(self, body: &[u8], caller: &CallerName) -> RequestFingerprint {
+        let identity = RequestIdentity {
+            method: "POST",
+            path: self.path(),
+            body,
+            // Every host has the same callers and models.
+            host: "",
+            caller: CallerIdentity::Workspace(caller.as_str()),
+        };
+        RequestContents::new(&identity, Vec::new()).request.into()
+    }
 }
 
 impl GenerationParams {
@@ -54,6 +81,7 @@
             max_tokens,
             seed,
             stream,
+            CompletionKind::Text.fingerprint(body, &context.caller),
         );
         params.validate(context)
     }
@@ -79,6 +107,7 @@
             max_tokens,
             seed,
             stream,
+            CompletionKind::Chat.fingerprint(body, &context.caller),
         );
         params.validate(context)
     }
@@ -90,6 +119,7 @@
         max_tokens: Option<u32>,
         seed: Option<u64>,
         stream: bool,
+        fingerprint: RequestFingerprint,
     ) -> Self {
         Self {
             kind,
@@ -99,6 +129,7 @@
             seed: seed.unwrap_or_else(|| derive_seed(&prompt)),
             prompt,
             stream,
+            fingerprint,
         }
     }
 
--- a/crates/gs-entry/src/traffic/routes.rs
+++ b/crates/gs-entry/src/traffic/routes.rs
@@ -6,6 +6,7 @@
 use gs_protocol::refusal::RefusalReason;
 
 use super::{CallerRefusal, entries, health};
+use crate::completion::CompletionKind;
 use crate::{completion, services, telemetry};
 
 /// Registers all routes.
@@ -14,9 +15,12 @@
         .route("/ready", web::get().to(health::ready))
         .route("/metrics", web::get().to(health::metrics))
         .route("/v1/entries", web::get().to(entries::list_entries))
-        .route("/v1/completions", web::post().to(completion::complete_text))
         .route(
-            "/v1/chat/completions",
+            CompletionKind::Text.path(),
+            web::post().to(completion::complete_text),
+        )
+        .route(
+            CompletionKind::Chat.path(),
             web::post().to(completion::complete_chat),
         )
         .route(
--- a/crates/gs-entry/tests/quarantine.rs
+++ b/crates/gs-entry/tests/quarantine.rs
@@ -11,7 +11,7 @@
 use gs_protocol::engine::LoadReport;
 use gs_protocol::refusal::{RefusalReason, RequestOutcome};
 use gs_standin::harness::{DeploymentHarness, HarnessError, ProgramDirectory, ServerSpec};
-use serde_json::json;
+use serde_json::{Value, json};
 use support::{BATCH, CLERK, FAST_ENGINE, completion, document};
 use test_case::test_case;
 
@@ -23,6 +23,8 @@
 const ATTEMPTS: usize = 9;
 const STREAMS: usize = 12;
 const TOKENS: u32 = 100;
+/// Tokens of requests that crash no engine.
+const SHORT_TOKENS: u32 = 5;
 
 /// Delay between an answer to the crashing request and its caller's next attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -50,7 +52,7 @@
     harness: &mut DeploymentHarness,
     role: &str,
     number: usize,
-    crash_on: &str,
+    faults: &Value,
 ) -> TestResult {
     let shape = ServerSpec::Engine {
         role,
@@ -59,21 +61,30 @@
     };
     let name = format!("notes-{role}-{number}");
     harness.add_server(&name, "north", &shape).await?;
+    support::set_faults(harness, &name, faults).await
+}
+
+/// The faults of engines that crash on [`CRASH_TEXT`].
+fn crash_on_text() -> Value {
     // Steps are slow enough that streams run while engines crash.
-    let faults = json!({ "crashOn": crash_on, "slowFactor": 10.0 });
-    support::set_faults(harness, &name, &faults).await
+    json!({ "crashOn": CRASH_TEXT, "slowFactor": 10.0 })
 }
 
-async fn start_fleet(crashing_role: CrashingRole) -> Result<DeploymentHarness, HarnessError> {
+/// Starts entries and engines, of which those of one role have `faults`.
+async fn start_fleet(
+    crashing_role: CrashingRole,
+    faults: &Value,
+) -> Result<DeploymentHarness, HarnessError> {
     let programs = ProgramDirectory::containing(env!("CARGO_BIN_EXE_gs-entry"));
     let mut harness = DeploymentHarness::start(programs, &[])?;
     for role in ["decode", "prefill"] {
-        let (engines, crash_on) = match role == crashing_role.role() {
-            true => (CRASHING_ENGINES, CRASH_TEXT),
-            false => (OTHER_ENGINES, ""),
+        let sound = json!({ "slowFactor": 10.0 });
+        let (engines, faults) = match role == crashing_role.role() {
+            true => (CRASHING_ENGINES, faults),
+            false => (OTHER_ENGINES, &sound),
         };
         for number in 0..engines {
-            start_engine(&mut harness, role, number, crash_on).await?;
+            start_engine(&mut harness, role, number, faults).await?;
         }
     }
     harness.promote_document(&document()).await?;
@@ -154,14 +165,23 @@
 async fn send_crashing_request(
     harness: &DeploymentHarness,
     attempts: usize,
+) -> Result<Vec<RefusalReason>, HarnessError> {
+    let body = completion(&format!("{CRASH_TEXT} of the well"), TOKENS, false);
+    send_repeatedly(harness, attempts, &body).await
+}
+
+/// Sends a request that crashes engines repeatedly, each time through the next entry.
+async fn send_repeatedly(
+    harness: &DeploymentHarness,
+    attempts: usize,
+    body: &Value,
 ) -> Result<Vec<RefusalReason>, HarnessError> {
     let mut reasons = Vec::new();
     for number in 0..attempts {
         let entry = harness.entries[number % ENTRIES].process.address;
-        let body = completion(&format!("{CRASH_TEXT} of the well"), TOKENS, false);
         let answer = harness
             .client
-            .post_as(entry, "/v1/completions", BATCH, &body)
+            .post_as(entry, "/v1/completions", BATCH, body)
             .await?;
         let problem = answer.parse_problem()?;
         if reasons.last() == Some(&RefusalReason::Quarantined) {
@@ -196,7 +216,7 @@
 #[test_case(CrashingRole::Prefill; "prefill engines")]
 fn a_crashing_request_crashes_at_most_two_engines(crashing_role: CrashingRole) {
     let check = async {
-        let mut harness = start_fleet(crashing_role).await?;
+        let mut harness = start_fleet(crashing_role, &crash_on_text()).await?;
         let reasons = send_beside_harmless_requests(&harness).await?;
         let crash_count = harness.servers.len() - count_alive(&harness).await;
         assert!(
@@ -205,7 +225,7 @@
         );
         assert_eq!(reasons.last(), Some(&RefusalReason::Quarantined));
         for number in CRASHING_ENGINES..CRASHING_ENGINES + crash_count {
-            start_engine(&mut harness, crashing_role.role(), number, CRASH_TEXT).await?;
+            start_engine(&mut harness, crashing_role.role(), number, &crash_on_text()).await?;
         }
         let reasons = send_crashing_request(&harness, ENTRIES).await?;
         assert_eq!(reasons, vec![RefusalReason::Quarantined; ENTRIES]);
@@ -219,3 +239,59 @@
         .block_on(check)
         .expect("the fleet keeps serving");
 }
+
+/// Sends a short completion of a prompt through all entries until `stop` is set; returns how many were answered.
+async fn send_short_requests(
+    harness: &DeploymentHarness,
+    prompt: &str,
+    stop: &Cell<bool>,
+) -> Result<usize, HarnessError> {
+    let mut answered = 0;
+    while !stop.get() {
+        let entry = harness.entries[answered % ENTRIES].process.address;
+        let body = completion(prompt, SHORT_TOKENS, true);
+        let answer = harness
+            .client
+            .post_as(entry, "/v1/completions", CLERK, &body)
+            .await?;
+        let text = answer.parse_stream();
+        assert!(
+            text.complete,
+            "short request {answered}: status {}, {:?}",
+            answer.status, text.error
+        );
+        answered += 1;
+    }
+    Ok(answered)
+}
+
+// Guards against a request that crashes engine after engine because a different one with its prompt is answered.
+#[test]
+fn a_crashing_request_is_refused_although_its_prompt_is_answered_with_fewer_tokens() {
+    let check = async {
+        let faults = json!({ "crashFromTokens": TOKENS, "slowFactor": 10.0 });
+        let harness = start_fleet(CrashingRole::Decode, &faults).await?;
+        let prompt = "wash notes of the well";
+        let stop = Cell::new(false);
+        let crashing = async {
+            let body = completion(prompt, TOKENS, false);
+            let reasons = send_repeatedly(&harness, ATTEMPTS, &body).await;
+            stop.set(true);
+            reasons
+        };
+        let short = send_short_requests(&harness, prompt, &stop);
+        let (reasons, answered) = futures_util::future::join(crashing, short).await;
+        let reasons = reasons?;
+        let crash_count = harness.servers.len() - count_alive(&harness).await;
+        assert!(
+            (1..=2).contains(&crash_count),
+            "{crash_count} engines crashed: {reasons:?}"
+        );
+        assert!(answered? > 0);
+        assert_eq!(reasons.last(), Some(&RefusalReason::Quarantined));
+        TestResult::Ok(())
+    };
+    actix_rt::System::new()
+        .block_on(check)
+        .expect("the fleet keeps serving");
+}
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -5,22 +5,20 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{AttemptId, EntryName, ModelName, ServerName};
+use crate::ids::{AttemptId, EntryName, ServerName};
 
-/// A hash of the model and the prompt, equal for requests that make engines do the same work.
+/// A hash that identifies a request: the same caller sends the same body to the same path.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
-pub struct PromptFingerprint(pub u64);
+pub struct RequestFingerprint(pub u64);
 
-impl PromptFingerprint {
-    /// Computes the fingerprint of a prompt for a model.
-    pub fn new(model: &ModelName, prompt: &str) -> Self {
-        let seed = xxh3_64_with_seed(model.as_str().as_bytes(), 0);
-        Self(xxh3_64_with_seed(prompt.as_bytes(), seed))
+impl From<ContentHash> for RequestFingerprint {
+    fn from(request: ContentHash) -> Self {
+        Self(request.0)
     }
 }
 
-impl fmt::Display for PromptFingerprint {
+impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
     }
@@ -77,7 +75,7 @@
     /// The attempt; each attempt has at most one record.
     pub attempt: AttemptId,
     /// The fingerprint of the attempt's request.
-    pub fingerprint: PromptFingerprint,
+    pub fingerprint: RequestFingerprint,
     /// The server boot whose end the attempt may have caused.
     pub death: ServerBoot,
     /// How far the attempt's blame is established.
@@ -89,7 +87,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SuspectRun {
     /// The suspect fingerprint.
-    pub fingerprint: PromptFingerprint,
+    pub fingerprint: RequestFingerprint,
     /// The server that runs it.
     pub server: ServerName,
     /// Whether the run has started.
--- a/crates/gs-standin/src/engine/batch.rs
+++ b/crates/gs-standin/src/engine/batch.rs
@@ -125,7 +125,7 @@
         }
         match loaded {
             Ok(prompt) => {
-                if self.faults.crashes_on(&prompt) {
+                if self.faults.crashes_on(&prompt) || self.faults.crashes_from(stream.max_tokens) {
                     super::faults::crash();
                 }
                 stream.phase = StreamPhase::Running;
--- a/crates/gs-standin/src/engine/faults.rs
+++ b/crates/gs-standin/src/engine/faults.rs
@@ -17,6 +17,8 @@
     /// Crashes the process when it prefills or streams a prompt that contains this text; empty for
     /// never.
     pub crash_on: String,
+    /// Crashes the process when it streams a request for at least this many tokens; 0 for never.
+    pub crash_from_tokens: u32,
     /// Discards prefill results as soon as they are computed.
     pub lose_kv: bool,
     /// Stalls transfers to other engines before their body is sent.
@@ -35,6 +37,7 @@
             silent: false,
             drop_cancels: 0,
             crash_on: String::new(),
+            crash_from_tokens: 0,
             lose_kv: false,
             stall_transfers: false,
             keep_orphans: false,
@@ -57,6 +60,8 @@
     pub drop_cancels: Option<u32>,
     /// See [`FaultSwitches::crash_on`].
     pub crash_on: Option<String>,
+    /// See [`FaultSwitches::crash_from_tokens`].
+    pub crash_from_tokens: Option<u32>,
     /// See [`FaultSwitches::lose_kv`].
     pub lose_kv: Option<bool>,
     /// See [`FaultSwitches::stall_transfers`].
@@ -79,6 +84,7 @@
         set(&mut self.silent, update.silent);
         set(&mut self.drop_cancels, update.drop_cancels);
         set(&mut self.crash_on, update.crash_on.clone());
+        set(&mut self.crash_from_tokens, update.crash_from_tokens);
         set(&mut self.lose_kv, update.lose_kv);
         set(&mut self.stall_transfers, update.stall_transfers);
         set(&mut self.keep_orphans, update.keep_orphans);
@@ -89,6 +95,11 @@
     pub fn crashes_on(&self, prompt: &str) -> bool {
         !self.crash_on.is_empty() && prompt.contains(&self.crash_on)
     }
+
+    /// Returns whether a stream of at most `max_tokens` triggers the `crash_from_tokens` fault.
+    pub fn crashes_from(&self, max_tokens: u32) -> bool {
+        self.crash_from_tokens > 0 && max_tokens >= self.crash_from_tokens
+    }
 }
 
 fn set<T>(target: &mut T, value: Option<T>) {
