--- a/crates/gs-control/tests/relay/formats.rs
+++ b/crates/gs-control/tests/relay/formats.rs
@@ -12,7 +12,6 @@
 
 fn report() -> EntryReport {
     let address = "127.0.0.1:16144".parse().expect("an address");
-    let suspicion = |clearances, level| Suspicion { clearances, level };
     EntryReport {
         entry: "front-duluth-0".into(),
         incarnation: Incarnation(6),
@@ -29,50 +28,55 @@
             is_isolated: false,
             forward_address: Some(address),
         }),
-        load: EntryLoad {
-            waiting: WaitingCounts {
-                on_time: 3,
-                late: 1,
-                ..WaitingCounts::default()
-            },
-            digest: vec![(
-                "i-desk0-0".into(),
-                ServerWork {
-                    load: ServerLoad {
-                        requests: 2,
-                        prompt_tokens: 5_000,
-                    },
-                    streams: vec![StreamShape {
-                        held_tokens: 5_200,
-                        remaining_tokens: 40,
-                    }],
-                },
-            )],
-            issues: vec![("i-desk1-1".into(), ServerIssue::Unreachable)],
-            suspicions: vec![
-                (ContentHash(0x4a0f_d2a3_c39d_afee), suspicion(1, 2)),
-                (ContentHash(0xf81c_c5ee_c53b_c43c), suspicion(0, 1)),
-            ],
-            limits: vec![(
-                "i-desk0-0".into(),
-                LimitReport {
-                    version: 1,
-                    limit: Some(12.5),
-                    sent: 9,
-                },
-            )],
-            origins: vec![(
-                "notes".into(),
-                "v1".into(),
-                vec![StreamId::of_request("r1")],
-            )],
-            quotas: vec![QuotaReport {
-                workspace: 11,
-                admitted: 20,
-                refused: 2,
-            }],
-            ..EntryLoad::default()
+        load: load(),
+    }
+}
+
+fn load() -> EntryLoad {
+    let suspicion = |clearances, level| Suspicion { clearances, level };
+    EntryLoad {
+        waiting: WaitingCounts {
+            on_time: 3,
+            late: 1,
+            ..WaitingCounts::default()
         },
+        digest: vec![(
+            "i-desk0-0".into(),
+            ServerWork {
+                load: ServerLoad {
+                    requests: 2,
+                    prompt_tokens: 5_000,
+                },
+                streams: vec![StreamShape {
+                    held_tokens: 5_200,
+                    remaining_tokens: 40,
+                }],
+            },
+        )],
+        issues: vec![("i-desk1-1".into(), ServerIssue::Unreachable)],
+        suspicions: vec![
+            (ContentHash(0x4a0f_d2a3_c39d_afee), suspicion(1, 2)),
+            (ContentHash(0xf81c_c5ee_c53b_c43c), suspicion(0, 1)),
+        ],
+        limits: vec![(
+            "i-desk0-0".into(),
+            LimitReport {
+                version: 1,
+                limit: Some(12.5),
+                sent: 9,
+            },
+        )],
+        origins: vec![(
+            "notes".into(),
+            "v1".into(),
+            vec![StreamId::of_request("r1")],
+        )],
+        quotas: vec![QuotaReport {
+            workspace: 11,
+            admitted: 20,
+            refused: 2,
+        }],
+        ..EntryLoad::default()
     }
 }
 
