Do not refuse sound requests for a payload that a harmful one shares

What callers would see: a workspace's sound read that was lost once beside a harmful read with the same payload is refused for up to 8 minutes at every entry, once the harmful read has crashed four servers in a row.

Cause: the exchange with earlier builds refuses a request by its payload if the request itself is suspected, and a request that is lost beside a harmful one is. No entry could tell that the payload was suspected because of the other.

Change: the hash of a request keeps the upper half of its payload's hash, so that the requests with a payload are a range of the table. A payload counts for a suspected request only if no other request with it is refused. Settings and the functions on payloads have files of their own.

--- a/crates/gs-control/src/quarantine/content.rs
+++ b/crates/gs-control/src/quarantine/content.rs
@@ -18,58 +18,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::content_settings::ContentSettings;
 use super::contents::RequestContents;
 
-/// Thresholds, periods and bounds of the quarantine of content.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ContentSettings {
-    /// Level from which content is refused.
-    pub refusal_level: u8,
-    /// Level from which content is refused that servers have answered before at this entry.
-    pub sound_refusal_level: u8,
-    /// How long content is refused at `refusal_level`.
-    pub refusal_period: Duration,
-    /// Factor by which the period grows with each further level.
-    pub refusal_growth: u32,
-    /// Maximum period of refusal.
-    pub max_refusal_period: Duration,
-    /// Time of answering without a crash that clears content.
-    pub probation: Duration,
-    /// How long a lost request waits for proof that its server crashed.
-    pub proof_timeout: Duration,
-    /// How long a changed suspicion is reported to peers. Refused content is always reported.
-    pub report_period: Duration,
-    /// How long a suspicion below `refusal_level` is kept after its last change; one above is kept
-    /// as long after its refusal has ended.
-    pub retention: Duration,
-    /// Number of contents that are remembered as answered, at least; twice as many at most.
-    pub min_answered: usize,
-    /// Maximum number of suspicions; the least recently changed are evicted first.
-    pub max_suspicions: usize,
-    /// Maximum number of suspicions in a report; those that are refused go first. A request has two: its own and
-    /// that of its payload.
-    pub max_reported: usize,
-}
-
-impl Default for ContentSettings {
-    fn default() -> Self {
-        Self {
-            refusal_level: 2,
-            sound_refusal_level: 4,
-            refusal_period: Duration::from_secs(30),
-            refusal_growth: 4,
-            max_refusal_period: Duration::from_secs(600),
-            probation: Duration::from_millis(200),
-            proof_timeout: Duration::from_secs(10),
-            report_period: Duration::from_secs(3),
-            retention: Duration::from_secs(60),
-            min_answered: 8_192,
-            max_suspicions: 4_096,
-            max_reported: 32,
-        }
-    }
-}
-
 /// What is known of content. Of two values the larger one is newer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(from = "(u32, u8)", into = "(u32, u8)")]
@@ -135,9 +86,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct SuspicionRecord {
-    suspicion: Suspicion,
-    changed_at: Instant,
+pub(super) struct SuspicionRecord {
+    pub(super) suspicion: Suspicion,
+    pub(super) changed_at: Instant,
     report_until: Instant,
 }
 
@@ -164,9 +115,9 @@
 /// Suspicions of this entry and its peers, and this entry's requests at servers.
 #[derive(Debug)]
 pub struct ContentQuarantine {
-    settings: ContentSettings,
+    pub(super) settings: ContentSettings,
     own_entry: EntryName,
-    records: BTreeMap<ContentHash, SuspicionRecord>,
+    pub(super) records: BTreeMap<ContentHash, SuspicionRecord>,
     runs: BTreeMap<RunKey, ContentRun>,
     next_run: RunKey,
     answered: AnsweredContent,
@@ -215,7 +166,7 @@
     }
 
     /// Returns the record of content whose level is high enough to refuse it at this entry.
-    fn refusing_record(&self, content: ContentHash) -> Option<&SuspicionRecord> {
+    pub(super) fn refusing_record(&self, content: ContentHash) -> Option<&SuspicionRecord> {
         let record = self.records.get(&content)?;
         let min_level = match self.answered.contains(&content) {
             true => self.settings.sound_refusal_level,
@@ -224,15 +175,8 @@
         (record.suspicion.level >= min_level).then_some(record)
     }
 
-    /// Returns the record by which a request itself is refused. Entries of earlier builds report the payload only,
-    /// which requests of other callers may share: it counts for a request that is suspected itself.
-    fn refusing_request(&self, contents: &RequestContents) -> Option<&SuspicionRecord> {
-        let own = self.refusing_record(contents.request);
-        let is_suspected = self.suspicion(contents.request).level > 0;
-        let payload = self.refusing_record(contents.payload);
-        let payload = payload.filter(|_| is_suspected);
-        let records = own.into_iter().chain(payload);
-        records.max_by_key(|record| record.suspicion.level)
+    pub(super) fn is_refused(&self, record: &SuspicionRecord) -> bool {
+        record.suspicion.level >= self.settings.refusal_level
     }
 
     /// Returns whether this entry may send a request with content whose refusal has ended: it is
@@ -392,7 +336,7 @@
             .collect()
     }
 
-    fn suspicion(&self, content: ContentHash) -> Suspicion {
+    pub(super) fn suspicion(&self, content: ContentHash) -> Suspicion {
         let record = self.records.get(&content);
         record.map_or_else(Suspicion::default, |record| record.suspicion)
     }
@@ -406,7 +350,7 @@
     }
 
     /// Keeps the maximum of the known and the given suspicion; returns it if it is new.
-    fn merge(
+    pub(super) fn merge(
         &mut self,
         now: Instant,
         content: ContentHash,
--- a/crates/gs-control/src/quarantine/contents.rs
+++ b/crates/gs-control/src/quarantine/contents.rs
@@ -58,7 +58,8 @@
     /// Its method, path and body, which requests of other callers may have, too. Entries of earlier builds identify
     /// a request by it.
     pub payload: ContentHash,
-    /// The request itself: the same caller sends the same method, path and body to the same host.
+    /// The request itself: the same caller sends the same method, path and body to the same host. It is derived from
+    /// the payload.
     pub request: ContentHash,
 }
 
@@ -78,7 +79,7 @@
         Self {
             shared_parts,
             payload,
-            request: payload.extend([host.as_bytes(), kind, value]),
+            request: payload.derive([host.as_bytes(), kind, value]),
         }
     }
 
--- a/crates/gs-control/src/quarantine/mod.rs
+++ b/crates/gs-control/src/quarantine/mod.rs
@@ -9,10 +9,12 @@
 mod attribution;
 mod blames;
 mod content;
+mod content_settings;
 mod contents;
 mod deaths;
 mod liveness;
 mod messages;
+mod payloads;
 mod peers;
 mod reservations;
 mod runs;
@@ -20,9 +22,9 @@
 mod state;
 
 pub use content::{
-    ContentDecision, ContentQuarantine, ContentSettings, RunKey, Suspicion, SuspicionChange,
-    SuspicionDigest,
+    ContentDecision, ContentQuarantine, RunKey, Suspicion, SuspicionChange, SuspicionDigest,
 };
+pub use content_settings::ContentSettings;
 pub use contents::{CallerIdentity, RequestContents, RequestIdentity};
 pub use messages::{QuarantineDecision, QuarantineEffect, QuarantineEvent, RunEnd};
 pub use settings::QuarantineSettings;
--- a/crates/gs-control/tests/quarantine/mixed_builds.rs
+++ b/crates/gs-control/tests/quarantine/mixed_builds.rs
@@ -1,6 +1,6 @@
 //! Entries of an earlier build, which identify a request by its payload alone, beside entries of this one.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gs_control::quarantine::{
     CallerIdentity, ContentDecision, ContentQuarantine, ContentSettings, RequestContents,
@@ -12,6 +12,9 @@
 
 const PATH: &str = "/puxa403/2f";
 
+/// Time between two requests that reach servers.
+const BETWEEN_RUNS: Duration = Duration::from_millis(10);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Build {
     Earlier,
@@ -75,16 +78,26 @@
 
     /// Sends a request at an entry, which crashes its server.
     fn crash(&mut self, entry: usize, workspace: &str) {
+        self.crash_beside(entry, &[workspace]);
+    }
+
+    /// Sends requests of some workspaces to one server, which crashes.
+    fn crash_beside(&mut self, entry: usize, workspaces: &[&str]) {
         let boot = self.next_boot();
         let (build, quarantine) = &mut self.entries[entry];
-        let key = quarantine.start_run(&read_by(*build, workspace), boot.clone());
-        quarantine.lose_run(self.now, key);
+        let keys = workspaces
+            .iter()
+            .map(|workspace| quarantine.start_run(&read_by(*build, workspace), boot.clone()));
+        for key in keys.collect::<Vec<_>>() {
+            quarantine.lose_run(self.now, key);
+        }
         quarantine.record_crash(self.now, &boot);
         self.report(entry);
     }
 
     fn next_boot(&mut self) -> ServerBoot {
         self.servers += 1;
+        self.now += BETWEEN_RUNS;
         ServerBoot {
             server: format!("s{}", self.servers).as_str().into(),
             boot: 1,
@@ -147,6 +160,23 @@
     assert!(!fleet.is_refused(1, "birch"), "after a crash here");
 }
 
+// Guards against a sound request that is refused for what it shares because it was lost beside a harmful one.
+#[test]
+fn a_sound_request_that_was_lost_once_is_not_refused_for_a_shared_payload() {
+    let mut fleet = MixedFleet::new(&[Build::Current, Build::Current]);
+    for workspace in ["acme", "birch"] {
+        fleet.answer(0, workspace);
+    }
+    fleet.crash_beside(0, &["acme", "birch"]);
+    for _ in 0..3 {
+        fleet.crash(0, "acme");
+    }
+    for entry in 0..2 {
+        assert!(fleet.is_refused(entry, "acme"), "at entry {entry}");
+        assert!(!fleet.is_refused(entry, "birch"), "at entry {entry}");
+    }
+}
+
 // Guards against an earlier build that goes on refusing a payload which this build has seen answered.
 #[test]
 fn an_answer_at_this_build_clears_the_payload_at_earlier_builds() {
--- a/crates/gs-protocol/src/suspicion.rs
+++ b/crates/gs-protocol/src/suspicion.rs
@@ -1,6 +1,7 @@
 //! Reports between entries about requests suspected of crashing backend servers.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -24,6 +25,9 @@
     }
 }
 
+/// Bits of a derived hash that differ from those of the hash that it is derived from.
+const DERIVED_BITS: u64 = 0xffff_ffff;
+
 /// A hash of content that requests may have in common: one part of a prompt, or a whole request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -36,10 +40,21 @@
     }
 
     /// Hashes further fields after those that were hashed before.
-    pub fn extend<'f>(self, fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
+    fn extend<'f>(self, fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
         let fields = fields.into_iter();
         Self(fields.fold(self.0, |seed, field| xxh3_64_with_seed(field, seed)))
     }
+
+    /// Hashes something more specific by further fields. The result is in [`Self::derived_range`].
+    pub fn derive<'f>(self, fields: impl IntoIterator<Item = &'f [u8]>) -> Self {
+        let specific = self.extend(fields);
+        Self(self.0 & !DERIVED_BITS | specific.0 & DERIVED_BITS)
+    }
+
+    /// Returns the range of the hashes that can be derived from this one.
+    pub fn derived_range(self) -> RangeInclusive<Self> {
+        Self(self.0 & !DERIVED_BITS)..=Self(self.0 | DERIVED_BITS)
+    }
 }
 
 impl fmt::Display for ContentHash {
