Make entries of earlier builds refuse what this build refuses

Cause: an earlier build knows the payload only, and each answer to another caller clears it, at either build.

Change: a payload that a peer suspects without suspecting a request comes from an earlier build. This build refuses nobody else for it.

The price: the earlier entries refuse the payload to all callers until they are replaced. An earlier build can refuse it to all or to none.

--- a/crates/gs-control/src/quarantine/content.rs
+++ b/crates/gs-control/src/quarantine/content.rs
@@ -88,6 +88,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SuspicionRecord {
     pub(super) suspicion: Suspicion,
+    /// The payload of a request that this entry has lost.
+    pub(super) payload: Option<ContentHash>,
     pub(super) changed_at: Instant,
     report_until: Instant,
 }
@@ -238,8 +240,13 @@
         let Some(run) = self.runs.remove(&key) else {
             return Vec::new();
         };
+        let (payload, _) = run.payload;
+        let request = run.contents.last().map(|(request, _)| *request);
+        let keeps_payload = self.suspicion(payload).level >= self.settings.sound_refusal_level
+            && request.is_some_and(|request| self.has_refused_request(payload, request));
+        let payload = (!keeps_payload).then_some(run.payload);
         let mut changes = Vec::new();
-        for (content, _) in run.contents.into_iter().chain([run.payload]) {
+        for (content, _) in run.contents.into_iter().chain(payload) {
             self.answered.insert(content, self.settings.min_answered);
             let mut suspicion = self.suspicion(content);
             if suspicion.level > 0 {
@@ -331,9 +338,15 @@
         let (payload, known) = run.payload;
         suspected.push((payload, raise(known, is_request_blamed)));
         let suspected = suspected.into_iter();
-        suspected
+        let changes = suspected
             .filter_map(|(content, suspicion)| self.merge(now, content, suspicion))
-            .collect()
+            .collect();
+        let request = run.contents.last();
+        let record = request.and_then(|(request, _)| self.records.get_mut(request));
+        if let Some(record) = record {
+            record.payload = Some(payload);
+        }
+        changes
     }
 
     pub(super) fn suspicion(&self, content: ContentHash) -> Suspicion {
@@ -361,6 +374,7 @@
         }
         let record = SuspicionRecord {
             suspicion,
+            payload: self.records.get(&content).and_then(|known| known.payload),
             changed_at: now,
             report_until: now + self.settings.report_period,
         };
@@ -407,6 +421,11 @@
                 record.report_until = report_until;
             }
         }
+        let raised = changes.iter().filter(|change| change.suspicion.level > 0);
+        let raised: Vec<ContentHash> = raised.map(|change| change.content).collect();
+        for content in raised {
+            changes.extend(self.refuse_payload(now, content));
+        }
         changes
     }
 
--- a/crates/gs-control/src/quarantine/payloads.rs
+++ b/crates/gs-control/src/quarantine/payloads.rs
@@ -1,8 +1,10 @@
 //! Suspicions of payloads, by which entries of earlier builds know requests.
 
+use std::time::Instant;
+
 use gs_protocol::suspicion::ContentHash;
 
-use super::content::{ContentQuarantine, SuspicionRecord};
+use super::content::{ContentQuarantine, Suspicion, SuspicionChange, SuspicionRecord};
 use super::contents::RequestContents;
 
 impl ContentQuarantine {
@@ -34,4 +36,27 @@
         let requests = records.filter(move |(content, _)| **content != payload);
         requests.map(|(content, record)| (*content, record))
     }
+
+    /// Raises a payload to the level at which earlier builds refuse it even if requests of other callers were
+    /// answered, if a peer has suspected it without a request, as such a build does, and one that is refused
+    /// here has it.
+    pub(super) fn refuse_payload(
+        &mut self,
+        now: Instant,
+        payload: ContentHash,
+    ) -> Option<SuspicionChange> {
+        let mut has_refused = false;
+        for (_, record) in self.requests_with(payload) {
+            if record.changed_at == now {
+                return None;
+            }
+            has_refused |= record.payload == Some(payload) && self.is_refused(record);
+        }
+        if !has_refused {
+            return None;
+        }
+        let known = self.suspicion(payload);
+        let level = known.level.max(self.settings.sound_refusal_level);
+        self.merge(now, payload, Suspicion { level, ..known })
+    }
 }
--- a/crates/gs-control/tests/quarantine/mixed_builds.rs
+++ b/crates/gs-control/tests/quarantine/mixed_builds.rs
@@ -177,6 +177,33 @@
     }
 }
 
+// Guards against earlier builds that send a harmful request on and on because other callers share its payload.
+#[test_case(&[Build::Current, Build::Earlier]; "one of each build")]
+#[test_case(&[Build::Current, Build::Earlier, Build::Earlier, Build::Earlier]; "one of this build")]
+#[test_case(&[Build::Current, Build::Current, Build::Current, Build::Earlier]; "one of the earlier build")]
+fn entries_of_an_earlier_build_refuse_what_this_build_refuses(builds: &[Build]) {
+    let mut fleet = MixedFleet::new(builds);
+    for entry in 0..builds.len() {
+        fleet.answer(entry, "birch");
+    }
+    let mut crashes = 0;
+    for number in 0..40 {
+        let entry = number % builds.len();
+        if !fleet.is_refused(entry, "acme") {
+            fleet.crash(entry, "acme");
+            crashes += u32::from(number >= builds.len());
+        }
+        for (entry, build) in builds.iter().enumerate() {
+            match fleet.is_refused(entry, "birch") {
+                true => assert_eq!(*build, Build::Earlier, "request {number}"),
+                false => fleet.answer(entry, "birch"),
+            }
+        }
+    }
+    // Those of the first round come before this build refuses the request.
+    assert!(crashes <= 6, "{crashes} crashes");
+}
+
 // Guards against an earlier build that goes on refusing a payload which this build has seen answered.
 #[test]
 fn an_answer_at_this_build_clears_the_payload_at_earlier_builds() {
