Name the parts of a request that the quarantine follows

Change: a run has its shared parts, its request and its payload as fields of their own; no behaviour changes.

--- a/crates/gs-control/src/quarantine/content.rs
+++ b/crates/gs-control/src/quarantine/content.rs
@@ -72,19 +72,34 @@
 /// Identifies a run of this entry.
 pub type RunKey = u64;
 
+/// Content of a request at a server, with what was known of it when the request was sent.
+type KnownContent = (ContentHash, Suspicion);
+
 /// A request of this entry at a server.
 #[derive(Clone, Debug)]
 struct ContentRun {
-    /// The content, with what was known of it when the request was sent.
-    contents: Vec<(ContentHash, Suspicion)>,
-    /// The payload, which is suspected for entries of earlier builds, with what was known of it.
-    payload: (ContentHash, Suspicion),
+    shared_parts: Vec<KnownContent>,
+    request: KnownContent,
+    /// The payload, which is suspected for entries of earlier builds.
+    payload: KnownContent,
     server: ServerBoot,
     answering_since: Option<Instant>,
     /// When the server stopped answering without having completed or rejected the request.
     lost_at: Option<Instant>,
 }
 
+impl ContentRun {
+    /// Returns the content that is blamed for a crash, from the most shared to the most specific.
+    fn by_specificity(&self) -> impl Iterator<Item = KnownContent> {
+        let shared = self.shared_parts.iter().copied();
+        shared.chain([self.request])
+    }
+
+    fn has_suspect(&self) -> bool {
+        self.by_specificity().any(|(_, known)| known.level > 0)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SuspicionRecord {
     pub(super) suspicion: Suspicion,
@@ -194,7 +209,7 @@
         let own_score = score(&self.own_entry);
         let is_chosen = peers.iter().all(|peer| score(peer) < own_score);
         let mut runs = self.runs.values();
-        is_chosen && !runs.any(|run| run.contents.iter().any(|(known, _)| *known == content))
+        is_chosen && !runs.any(|run| run.by_specificity().any(|(known, _)| known == content))
     }
 
     /// Returns how long content is refused at a level; `None` if it is not.
@@ -212,7 +227,8 @@
         self.next_run += 1;
         let known = |content| (content, self.suspicion(content));
         let run = ContentRun {
-            contents: contents.by_specificity().map(known).collect(),
+            shared_parts: contents.shared_parts.iter().copied().map(known).collect(),
+            request: known(contents.request),
             payload: known(contents.payload),
             server,
             answering_since: None,
@@ -240,13 +256,12 @@
         let Some(run) = self.runs.remove(&key) else {
             return Vec::new();
         };
-        let (payload, _) = run.payload;
-        let request = run.contents.last().map(|(request, _)| *request);
+        let ((payload, _), (request, _)) = (run.payload, run.request);
         let keeps_payload = self.suspicion(payload).level >= self.settings.sound_refusal_level
-            && request.is_some_and(|request| self.has_refused_request(payload, request));
+            && self.has_refused_request(payload, request);
         let payload = (!keeps_payload).then_some(run.payload);
         let mut changes = Vec::new();
-        for (content, _) in run.contents.into_iter().chain(payload) {
+        for (content, _) in run.by_specificity().chain(payload) {
             self.answered.insert(content, self.settings.min_answered);
             let mut suspicion = self.suspicion(content);
             if suspicion.level > 0 {
@@ -297,14 +312,10 @@
             .partition(|(_, run)| is_lost(run));
         self.runs = kept;
         let lost: BTreeMap<RunKey, ContentRun> = lost;
-        let has_suspect = |run: &ContentRun| {
-            let mut contents = run.contents.iter();
-            contents.any(|(_, known)| known.level > 0)
-        };
-        let is_any_suspect = lost.values().any(has_suspect);
+        let is_any_suspect = lost.values().any(ContentRun::has_suspect);
         let mut changes = Vec::new();
         for run in lost.into_values() {
-            if !is_any_suspect || has_suspect(&run) {
+            if !is_any_suspect || run.has_suspect() {
                 changes.extend(self.suspect_contents(now, &run));
             }
         }
@@ -315,35 +326,33 @@
     /// suspected content can reach the level from which it is refused: sound requests that share
     /// the less specific content are still sent, and either clear it or raise its own level.
     fn suspect_contents(&mut self, now: Instant, run: &ContentRun) -> Vec<SuspicionChange> {
-        let levels = run.contents.iter().enumerate();
+        let levels = run.by_specificity().enumerate();
         let most_suspected = levels.max_by_key(|(position, (_, known))| (known.level, *position));
         let most_suspected = most_suspected.map(|(position, _)| position);
         let max_shared_level = self.settings.refusal_level.saturating_sub(1);
-        let raise = |known: Suspicion, is_most_suspected: bool| {
+        let raise = |(content, known): KnownContent, is_most_suspected: bool| {
             let raised = known.level.saturating_add(1);
             let level = match is_most_suspected {
                 true => raised,
                 false => raised.min(max_shared_level).max(known.level),
             };
-            Suspicion { level, ..known }
+            (content, Suspicion { level, ..known })
         };
-        let contents = run.contents.iter().enumerate();
-        let mut suspected: Vec<(ContentHash, Suspicion)> = contents
-            .map(|(position, (content, known))| {
-                (*content, raise(*known, Some(position) == most_suspected))
-            })
+        let contents = run.by_specificity().enumerate();
+        let suspected =
+            contents.map(|(position, known)| raise(known, Some(position) == most_suspected));
+        // The payload rises with the request, which is the last content.
+        let is_request_blamed = most_suspected == Some(run.shared_parts.len());
+        let suspected: Vec<KnownContent> = suspected
+            .chain([raise(run.payload, is_request_blamed)])
             .collect();
-        // The request is the last content; its payload rises with it.
-        let is_request_blamed = most_suspected == run.contents.len().checked_sub(1);
-        let (payload, known) = run.payload;
-        suspected.push((payload, raise(known, is_request_blamed)));
-        let suspected = suspected.into_iter();
         let changes = suspected
+            .into_iter()
             .filter_map(|(content, suspicion)| self.merge(now, content, suspicion))
             .collect();
-        let request = run.contents.last();
-        let record = request.and_then(|(request, _)| self.records.get_mut(request));
-        if let Some(record) = record {
+        let (request, _) = run.request;
+        if let Some(record) = self.records.get_mut(&request) {
+            let (payload, _) = run.payload;
             record.payload = Some(payload);
         }
         changes
