--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,11 +4,13 @@
 //! the disruption is left out.
 
 mod http;
+mod link;
 mod node;
 mod server;
 mod store;
 
 mod leaving_unseen;
+mod left_after_cut;
 mod settings_unread;
 mod slow_readers;
 
@@ -81,6 +83,7 @@
     };
     let is_broken = match name.as_str() {
         "leaving-unseen" => leaving_unseen::run(&case),
+        "left-after-cut" => left_after_cut::run(&case),
         "settings-unread" => settings_unread::run(&case),
         "slow-readers" => slow_readers::run(&case),
         _ => {
