--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,6 +9,7 @@
 mod server;
 mod store;
 
+mod fewer_readers;
 mod leaving_unseen;
 mod left_after_cut;
 mod settings_unread;
@@ -84,6 +85,7 @@
     let is_broken = match name.as_str() {
         "leaving-unseen" => leaving_unseen::run(&case),
         "left-after-cut" => left_after_cut::run(&case),
+        "fewer-readers" => fewer_readers::run(&case),
         "settings-unread" => settings_unread::run(&case),
         "slow-readers" => slow_readers::run(&case),
         _ => {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in of the platform's store: objects by kind and name, lists, watches and conditional writes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -12,6 +12,7 @@
 type Object = (u64, Vec<u8>);
 
 struct Change {
+    at: Instant,
     revision: u64,
     kind: String,
     object: Vec<u8>,
@@ -23,6 +24,10 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Change>,
+    /// Age of what a call with `serializable` returns.
+    stale: Duration,
+    /// Addresses at which the servers were watched with `serializable`.
+    stale_readers: BTreeSet<SocketAddr>,
 }
 
 /// The store. It answers every call at once and never loses one.
@@ -43,14 +48,39 @@
             changed: Condvar::new(),
             address: listener.local_addr().expect("an address"),
         });
-        let served = Arc::clone(&store);
+        store.accept(listener);
+        store
+    }
+
+    fn accept(self: &Arc<Self>, listener: TcpListener) {
+        let served = Arc::clone(self);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = Arc::clone(&served);
                 std::thread::spawn(move || store.serve(stream));
             }
         });
-        store
+    }
+
+    /// Serves at one more address, and returns it.
+    pub fn listen(self: &Arc<Self>) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port for the store");
+        let address = listener.local_addr().expect("an address");
+        self.accept(listener);
+        address
+    }
+
+    pub fn set_stale(&self, age: Duration) {
+        self.state.lock().expect("the state").stale = age;
+    }
+
+    pub fn forget_readers(&self) {
+        self.state.lock().expect("the state").stale_readers.clear();
+    }
+
+    /// Returns at which addresses the servers were watched with `serializable`.
+    pub fn stale_readers(&self) -> BTreeSet<SocketAddr> {
+        self.state.lock().expect("the state").stale_readers.clone()
     }
 
     /// Writes an object whose `specification` has these bytes, as any writer may.
@@ -65,6 +95,7 @@
         let key = (kind.to_owned(), name.to_owned());
         state.objects.insert(key, (revision, object.clone()));
         state.history.push(Change {
+            at: Instant::now(),
             revision,
             kind: kind.to_owned(),
             object: object.clone(),
@@ -81,6 +112,7 @@
             state.revision += 1;
             let revision = state.revision;
             state.history.push(Change {
+                at: Instant::now(),
                 revision,
                 kind: kind.to_owned(),
                 object,
@@ -94,7 +126,7 @@
         let Some(request) = read_request(&mut stream) else {
             return;
         };
-        let (status, body) = self.answer(&request);
+        let (status, body) = self.answer(&request, stream.local_addr().ok());
         let head = format!(
             "HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
@@ -103,7 +135,7 @@
         let _ = stream.write_all(&[head.as_bytes(), &body].concat());
     }
 
-    fn answer(&self, request: &Message) -> (u16, Vec<u8>) {
+    fn answer(&self, request: &Message, at: Option<SocketAddr>) -> (u16, Vec<u8>) {
         let mut words = request.line.split(' ');
         let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -117,7 +149,11 @@
         match (method, name, number("watch")) {
             ("GET", None, Some(since)) => {
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-                (200, self.watch(kind, since, wait))
+                let is_stale = value("serializable") == Some("1");
+                if let Some(at) = at.filter(|_| is_stale && kind == "servers") {
+                    self.state.lock().expect("the state").stale_readers.insert(at);
+                }
+                (200, self.watch(kind, since, wait, is_stale))
             }
             ("GET", None, None) => (200, self.list(kind)),
             ("POST" | "PUT", _, _) => self.write(method, kind, &request.body),
@@ -133,11 +169,14 @@
         [br#"{"items":["#, &items.join(&b","[..])[..], end.as_bytes()].concat()
     }
 
-    fn watch(&self, kind: &str, since: u64, wait: Duration) -> Vec<u8> {
+    fn watch(&self, kind: &str, since: u64, wait: Duration, is_stale: bool) -> Vec<u8> {
         let end = Instant::now() + wait;
         let mut state = self.state.lock().expect("the state");
+        let stale = if is_stale { state.stale } else { Duration::ZERO };
         loop {
-            let changes = state.history.iter();
+            let is_seen = |change: &&Change| change.at.elapsed() >= stale;
+            let seen_up_to = state.history.iter().filter(is_seen).map(|change| change.revision).max();
+            let changes = state.history.iter().filter(is_seen);
             let changes = changes.filter(|change| change.revision > since && change.kind == kind);
             let events: Vec<Vec<u8>> = changes
                 .map(|change| {
@@ -147,10 +186,21 @@
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let end = format!(r#"],"at":{}}}"#, state.revision);
+                // A call that is behind tells no revision before the one that it was asked from.
+                let at = match is_stale {
+                    true => seen_up_to.unwrap_or(0).max(since),
+                    false => state.revision,
+                };
+                let end = format!(r#"],"at":{at}}}"#);
                 return [br#"{"events":["#, &events.join(&b","[..])[..], end.as_bytes()].concat();
             }
-            state = self.changed.wait_timeout(state, left).expect("the state").0;
+            // What is only old enough later is looked for from time to time.
+            let pause = if is_stale {
+                left.min(Duration::from_millis(20))
+            } else {
+                left
+            };
+            state = self.changed.wait_timeout(state, pause).expect("the state").0;
         }
     }
 
